--- /dev/null
+++ b/crates/control/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Requests that a companion has begun, finished or tombstoned.
--- /dev/null
+++ b/crates/control/src/register.rs
@@ -0,0 +1,1 @@
+//! Sections of the configuration document at the highest revision seen.
--- /dev/null
+++ b/crates/control/src/roster.rs
@@ -0,0 +1,1 @@
+//! Upstreams that have announced themselves, and whether they are alive.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,2 @@
+//! The process on each entry host: client and operator protocol, routing, admission and cell
+//! ownership.
--- /dev/null
+++ b/crates/model/src/time.rs
@@ -0,0 +1,72 @@
+//! Monotonic time as plain data.
+
+use serde::{Deserialize, Serialize};
+
+/// A point on a process's own monotonic clock, in microseconds.
+///
+/// Two processes have no common zero, so a `Time` never crosses hosts; see `docs/design.md`.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_model::Time;
+///
+/// let now = Time::from_millis(5);
+/// let deadline = now.plus_millis(10);
+/// assert_eq!(deadline.micros_since(now), 10_000);
+/// assert_eq!(now.micros_since(deadline), 0);
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(u64);
+
+impl Time {
+    /// The clock's zero.
+    pub const ZERO: Self = Self(0);
+
+    /// A deadline that never passes.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// Returns the point `micros` microseconds after zero.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the point `millis` milliseconds after zero.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1_000))
+    }
+
+    /// Returns the microseconds since zero.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the whole milliseconds since zero.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Returns the point `micros` microseconds later, or [`Time::NEVER`] on overflow.
+    #[must_use]
+    pub const fn plus_micros(self, micros: u64) -> Self {
+        Self(self.0.saturating_add(micros))
+    }
+
+    /// Returns the point `millis` milliseconds later, or [`Time::NEVER`] on overflow.
+    #[must_use]
+    pub const fn plus_millis(self, millis: u64) -> Self {
+        self.plus_micros(millis.saturating_mul(1_000))
+    }
+
+    /// Returns the microseconds from `earlier` to this point, or zero when `earlier` is later.
+    #[must_use]
+    pub const fn micros_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch.rs
@@ -0,0 +1,1 @@
+//! Order and placement of batch tasks.
--- /dev/null
+++ b/crates/policy/src/eject.rs
@@ -0,0 +1,1 @@
+//! Outlier ejection of upstreams.
--- /dev/null
+++ b/crates/policy/src/interfere.rs
@@ -0,0 +1,1 @@
+//! Slow-down of services by batch tasks on the same worker.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions as pure functions of state and time: routing, limits, interference and batch order.
+
+pub mod batch;
+pub mod eject;
+pub mod interfere;
+pub mod limit;
+pub mod quarantine;
+pub mod queue;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/policy/src/limit.rs
@@ -0,0 +1,1 @@
+//! Adaptive limit on the requests in flight at one upstream.
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,1 @@
+//! Requests that wait for a slot, ordered by deadline.
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,1 @@
+//! Budget for retries as a share of requests.
--- /dev/null
+++ b/crates/policy/src/route.rs
@@ -0,0 +1,1 @@
+//! Choice of an upstream for a request.
--- /dev/null
+++ b/crates/toucanquay/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,68 @@
+//! Encoding of frames.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use toucanquay_model::{Error, ErrorKind};
+
+use crate::Frame;
+
+/// Largest encoded frame, in bytes: one store value of 1 MB with room for its envelope.
+pub const FRAME_BYTES_MAX: usize = 1_200_000;
+
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
+const CONFIGURATION: Configuration<LittleEndian, Varint, Limit<FRAME_BYTES_MAX>> =
+    bincode::config::standard().with_limit::<FRAME_BYTES_MAX>();
+
+/// Encodes a frame behind its length.
+///
+/// # Errors
+///
+/// [`ErrorKind::BodyTooLarge`] when the frame has more than [`FRAME_BYTES_MAX`] bytes.
+pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
+    let mut buffer = BytesMut::with_capacity(256);
+    buffer.put_u32(0);
+    let mut writer = buffer.writer();
+    let length = bincode::serde::encode_into_std_write(frame, &mut writer, CONFIGURATION)
+        .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
+    let mut buffer = writer.into_inner();
+    if length > FRAME_BYTES_MAX {
+        return Err(Error::new(ErrorKind::BodyTooLarge)
+            .value(format!("{length} bytes"))
+            .expected(format!("a frame of at most {FRAME_BYTES_MAX} bytes")));
+    }
+    let prefix = u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes();
+    buffer[..LENGTH_BYTES].copy_from_slice(&prefix);
+    Ok(buffer.freeze())
+}
+
+/// Takes one frame off the front of `buffer`, or returns `None` when it is not complete yet.
+///
+/// # Errors
+///
+/// [`ErrorKind::Protocol`] when the length or the content is invalid.
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
+    if buffer.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let length = (&buffer[..LENGTH_BYTES]).get_u32() as usize;
+    if length > FRAME_BYTES_MAX {
+        return Err(Error::new(ErrorKind::Protocol)
+            .value(format!("frame of {length} bytes"))
+            .expected(format!("at most {FRAME_BYTES_MAX} bytes")));
+    }
+    if buffer.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let body = buffer.split_to(length);
+    let (frame, used) = bincode::serde::decode_from_slice(&body, CONFIGURATION)
+        .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
+    if used != length {
+        return Err(Error::new(ErrorKind::Protocol)
+            .value(format!("{} bytes behind the frame", length - used))
+            .expected("none"));
+    }
+    Ok(Some(frame))
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,48 @@
+//! One message between processes.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use toucanquay_model::{Error, exchange, job, request::Verdict};
+
+use crate::{End, Failure, Tombstone, heartbeat, peer, request, response, section};
+
+/// One message between the system's own processes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Entry to companion: a request begins.
+    Request(request::Head),
+    /// Companion to entry: the answer begins.
+    Response(response::Head),
+    /// A part of a request's or an answer's body.
+    Body(Bytes),
+    /// A request or an answer is complete.
+    End(End),
+    /// Companion to entry: the request has no answer, or the answer breaks off.
+    Failure(Failure),
+    /// Entry to companion: refuse the request from now on unless it has begun.
+    Tombstone(Tombstone),
+    /// Companion to entry: what became of the request.
+    Verdict(Verdict),
+    /// Companion to entry: the worker's state.
+    Heartbeat(heartbeat::Beat),
+    /// Entry to companion: the reply to a heartbeat.
+    HeartbeatReply(heartbeat::Reply),
+    /// Any process to another: asks for newer sections.
+    SectionQuery(section::Query),
+    /// The reply to a section query.
+    SectionReply(section::Reply),
+    /// Companion to cell owner: the state of its tasks.
+    Report(exchange::Report),
+    /// Cell owner to companion: the reply to a report.
+    Command(exchange::Command),
+    /// Entry to cell owner: a call about jobs.
+    Job(job::Call),
+    /// Cell owner to entry: the reply to a call about jobs.
+    JobReply(job::Reply),
+    /// Entry to entry: its state.
+    Peer(peer::Status),
+    /// Entry to entry: the reply with its own state.
+    PeerReply(peer::Status),
+    /// The call was refused.
+    Refused(Error),
+}
--- /dev/null
+++ b/crates/wire/src/heartbeat/reply.rs
@@ -0,0 +1,30 @@
+//! Reply to a heartbeat.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use toucanquay_model::{Epoch, Revision};
+
+/// Reply of an entry to a heartbeat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Highest configuration revision that the entry knows of.
+    pub revision_known: Revision,
+    /// Configuration revision that the entry holds and can hand out.
+    pub revision: Revision,
+    /// Peer addresses of all entries, its own included.
+    pub entries: Vec<SocketAddr>,
+    /// Owner of the companion's cell, if the entry knows it.
+    pub owner: Option<Owner>,
+    /// Whether the entry lacks the announcement.
+    pub wants_announcement: bool,
+}
+
+/// Owner of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// Peer address of the process that holds the role.
+    pub address: SocketAddr,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,29 @@
+//! Messages between the system's own processes, and their h2 transport.
+//!
+//! A [`Frame`] is one message, encoded by bincode behind a length of four bytes. A [`Stream`] is
+//! one h2 stream of frames. [`Client`] opens streams, [`Pool`] keeps clients by address, and
+//! [`Server`] accepts streams.
+
+pub mod client;
+pub mod codec;
+pub mod end;
+pub mod failure;
+pub mod frame;
+pub mod heartbeat;
+pub mod peer;
+pub mod pool;
+pub mod request;
+pub mod response;
+pub mod section;
+pub mod server;
+pub mod stream;
+pub mod tombstone;
+
+pub use client::Client;
+pub use end::End;
+pub use failure::Failure;
+pub use frame::Frame;
+pub use pool::Pool;
+pub use server::Server;
+pub use stream::Stream;
+pub use tombstone::Tombstone;
--- /dev/null
+++ b/crates/wire/src/pool.rs
@@ -0,0 +1,101 @@
+//! Connections by address.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, sync::Mutex};
+
+use tokio::{sync::Mutex as AsyncMutex, time::Instant};
+use toucanquay_model::{Error, ErrorKind};
+
+use crate::{Client, Frame, Stream};
+
+/// A place for one connection. Its lock is held while connecting, so that callers share one try.
+type Slot = Arc<AsyncMutex<Option<Client>>>;
+
+/// Keeps one connection for each address and renews it when it is gone. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Pool {
+    slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
+}
+
+impl Pool {
+    /// Returns an empty pool.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Opens a stream to `address`, connecting first where needed. Nothing of a request has left
+    /// when this fails.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::PeerUnavailable`] when there is no connection by the deadline.
+    pub async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<Stream, Error> {
+        tokio::time::timeout_at(deadline, self.open_unbounded(address))
+            .await
+            .map_err(|_elapsed| {
+                Error::new(ErrorKind::PeerUnavailable)
+                    .value(address)
+                    .context("no connection by the deadline")
+            })?
+    }
+
+    /// Sends one frame to `address` and returns the one that answers it.
+    ///
+    /// # Errors
+    ///
+    /// The kinds of [`Client::call`]; [`ErrorKind::OutcomeUnknown`] when the deadline passes after
+    /// the frame was sent.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        frame: &Frame,
+        deadline: Instant,
+    ) -> Result<Frame, Error> {
+        let mut stream = self.open(address, deadline).await?;
+        let exchange = async {
+            stream.send(frame).await?;
+            stream.finish()?;
+            stream.recv().await
+        };
+        let answer = match tokio::time::timeout_at(deadline, exchange).await {
+            Ok(answer) => answer?,
+            Err(_elapsed) => {
+                // A connection whose other end is silent would make every later call wait too.
+                self.forget(address);
+                return Err(Error::new(ErrorKind::OutcomeUnknown)
+                    .value(address)
+                    .context("no answer by the deadline"));
+            }
+        };
+        match answer {
+            Some(Frame::Refused(error)) => Err(error),
+            Some(answer) => Ok(answer),
+            None => Err(Error::new(ErrorKind::Protocol).context("no answer")),
+        }
+    }
+
+    /// Drops the connection to `address`; streams in progress keep theirs until they end.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    async fn open_unbounded(&self, address: SocketAddr) -> Result<Stream, Error> {
+        let slot = self.lock().entry(address).or_default().clone();
+        let mut place = slot.lock().await;
+        if let Some(client) = place.as_ref()
+            && let Ok(stream) = client.open().await
+        {
+            return Ok(stream);
+        }
+        let client = Client::connect(address).await?;
+        let stream = client.open().await?;
+        *place = Some(client);
+        Ok(stream)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
+        self.slots
+            .lock()
+            .expect("no holder of this lock panics while it changes the map")
+    }
+}
--- /dev/null
+++ b/crates/wire/src/section.rs
@@ -0,0 +1,9 @@
+//! Sections of the document, passed between processes.
+
+mod item;
+mod query;
+mod reply;
+
+pub use item::Item;
+pub use query::Query;
+pub use reply::Reply;
--- /dev/null
+++ b/crates/wire/tests/transport.rs
@@ -0,0 +1,116 @@
+//! Streams of frames over loopback.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::{Discard, Logger, o};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use toucanquay_model::{ErrorKind, request};
+use toucanquay_wire::{End, Frame, Pool, Server, Stream, Tombstone};
+
+const ID: request::Id = request::Id(7);
+
+async fn server() -> Server {
+    let log = Logger::root(Discard, o!());
+    Server::bind("127.0.0.1:0".parse().unwrap(), log)
+        .await
+        .unwrap()
+}
+
+async fn echo(mut stream: Stream) {
+    while let Ok(Some(frame)) = stream.recv().await {
+        if stream.send(&frame).await.is_err() {
+            return;
+        }
+    }
+    let _ = stream.finish();
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+/// Guards against frames lost, reordered or cut at the limits of flow control.
+#[tokio::test]
+async fn frames_larger_than_the_window_arrive_in_order() {
+    let server = server().await;
+    let address = server.address();
+    tokio::spawn(server.run(CancellationToken::new(), echo));
+    let mut stream = Pool::new().open(address, soon()).await.unwrap();
+    let body = Frame::Body(Bytes::from(vec![3; 1_000_000]));
+    let end = Frame::End(End {
+        id: ID,
+        length: 1_000_000,
+    });
+
+    stream.send(&body).await.unwrap();
+    stream.send(&end).await.unwrap();
+    stream.finish().unwrap();
+
+    assert_eq!(stream.recv().await.unwrap(), Some(body));
+    assert_eq!(stream.recv().await.unwrap(), Some(end));
+    assert_eq!(stream.recv().await.unwrap(), None);
+}
+
+/// Guards against a stop that cuts off a stream in progress.
+#[tokio::test]
+async fn stop_lets_an_open_stream_end() {
+    let server = server().await;
+    let address = server.address();
+    let stop = CancellationToken::new();
+    let run = tokio::spawn(server.run(stop.clone(), echo));
+    let mut stream = Pool::new().open(address, soon()).await.unwrap();
+    let frame = Frame::Tombstone(Tombstone {
+        id: ID,
+        incarnation: 1,
+    });
+    stream.send(&frame).await.unwrap();
+    stream.recv().await.unwrap();
+
+    stop.cancel();
+    tokio::task::yield_now().await;
+    stream.send(&frame).await.unwrap();
+    stream.finish().unwrap();
+
+    assert_eq!(stream.recv().await.unwrap(), Some(frame));
+    assert_eq!(stream.recv().await.unwrap(), None);
+    tokio::time::timeout_at(soon(), run).await.unwrap().unwrap();
+}
+
+/// Guards against a call that reports "may have run" although nothing was sent.
+#[tokio::test]
+async fn absent_peer_is_reported_as_never_sent() {
+    let server = server().await;
+    let address = server.address();
+    drop(server);
+
+    let error = Pool::new().open(address, soon()).await.unwrap_err();
+
+    assert_eq!(error.kind(), ErrorKind::PeerUnavailable);
+}
+
+/// Guards against a pool that keeps using a connection after its peer has restarted.
+#[tokio::test]
+async fn pool_reconnects_after_the_peer_has_restarted() {
+    let first = server().await;
+    let address = first.address();
+    let stop = CancellationToken::new();
+    let run = tokio::spawn(first.run(stop.clone(), echo));
+    let pool = Pool::new();
+    let frame = Frame::Tombstone(Tombstone {
+        id: ID,
+        incarnation: 1,
+    });
+    pool.call(address, &frame, soon()).await.unwrap();
+    stop.cancel();
+    run.await.unwrap();
+    let second = Server::bind(address, Logger::root(Discard, o!()))
+        .await
+        .unwrap();
+    tokio::spawn(second.run(CancellationToken::new(), echo));
+
+    let answer = pool.call(address, &frame, soon()).await.unwrap();
+
+    assert_eq!(answer, frame);
+}
