--- /dev/null
+++ b/crates/entry/src/http/fallback.rs
@@ -0,0 +1,28 @@
+//! The answer where no route matches.
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use toucanquay_model::{Error, ErrorKind};
+
+use super::Refusal;
+
+/// Answers requests that no route serves.
+#[derive(Debug, Clone, Copy)]
+pub struct Fallback;
+
+#[async_trait]
+impl Handler for Fallback {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let route = format!("{} {}", request.method(), request.uri().path());
+        let error = Error::new(ErrorKind::UnknownRoute)
+            .field("route")
+            .value(route)
+            .expected("a method and path out of docs/interface.md");
+        Refusal::new(&error).write(response);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,2 +1,9 @@
 //! The process on each entry host: client and operator protocol, routing, admission and cell
 //! ownership.
+
+pub mod clock;
+pub mod http;
+pub mod settings;
+
+pub use clock::Clock;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,217 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+use toucanquay_model::{Error, ErrorKind, job};
+
+/// Longest deadline that a setting may name, in milliseconds.
+const DEADLINE_MS_MAX: u64 = 3_600_000;
+
+/// Settings of an entry. Each is a flag and an environment variable.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_entry::Settings;
+///
+/// let settings = Settings::new("entry-1", "a", "http://127.0.0.1:9000").cell(3);
+/// assert!(settings.check().is_ok());
+/// assert_eq!(Settings::new("entry 1", "a", "x").check().unwrap_err().len(), 2);
+/// ```
+#[derive(Debug, Clone, Args)]
+pub struct Settings {
+    /// Name of this entry, unique among the entries
+    #[arg(long, env = "TOUCANQUAY_NAME")]
+    pub name: String,
+
+    /// Availability zone of this host
+    #[arg(long, env = "TOUCANQUAY_ZONE")]
+    pub zone: String,
+
+    /// Address of the platform's store, for example http://10.0.0.1:2379
+    #[arg(long, env = "TOUCANQUAY_STORE")]
+    pub store: String,
+
+    /// Address of the listener for clients; port 0 lets the system choose
+    #[arg(
+        long,
+        env = "TOUCANQUAY_CLIENT_LISTEN",
+        default_value = "127.0.0.1:7700"
+    )]
+    pub client_listen: SocketAddr,
+
+    /// Address of the listener for operators
+    #[arg(
+        long,
+        env = "TOUCANQUAY_OPERATOR_LISTEN",
+        default_value = "127.0.0.1:7701"
+    )]
+    pub operator_listen: SocketAddr,
+
+    /// Address of the listener for companions and other entries
+    #[arg(long, env = "TOUCANQUAY_PEER_LISTEN", default_value = "127.0.0.1:7702")]
+    pub peer_listen: SocketAddr,
+
+    /// Peer addresses of other entries, used when the store can't be read at start
+    #[arg(long, env = "TOUCANQUAY_PEERS", value_delimiter = ',')]
+    pub peers: Vec<SocketAddr>,
+
+    /// Cell whose owner this entry may become
+    #[arg(long, env = "TOUCANQUAY_CELL", default_value_t = 0)]
+    pub cell: u32,
+
+    /// Calls that this entry makes to the store, per second at the most
+    #[arg(long, env = "TOUCANQUAY_STORE_CALLS_PER_SECOND", default_value_t = 20)]
+    pub store_calls_per_second: u32,
+
+    /// Lease of the cell's owner in the store, in milliseconds
+    #[arg(long, env = "TOUCANQUAY_HOLDER_LEASE_MS", default_value_t = 10_000)]
+    pub holder_lease_ms: u64,
+
+    /// Renew task leases on while the store answers no call at all; safe only when its leases do
+    /// not expire while it is down
+    #[arg(long, env = "TOUCANQUAY_OWNER_RENEWS_IN_OUTAGE")]
+    pub owner_renews_in_outage: bool,
+
+    /// Time between "not ready" and the end of the listeners in a graceful stop, in milliseconds
+    #[arg(long, env = "TOUCANQUAY_BALANCER_WAIT_MS", default_value_t = 2_000)]
+    pub balancer_wait_ms: u64,
+
+    /// Longest graceful stop, in milliseconds
+    #[arg(long, env = "TOUCANQUAY_STOP_DEADLINE_MS", default_value_t = 30_000)]
+    pub stop_deadline_ms: u64,
+}
+
+impl Settings {
+    /// Returns settings for an entry on loopback, with listeners on ports that the system chooses.
+    #[must_use]
+    pub fn new(name: impl Into<String>, zone: impl Into<String>, store: impl Into<String>) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            store: store.into(),
+            client_listen: any_port,
+            operator_listen: any_port,
+            peer_listen: any_port,
+            peers: Vec::new(),
+            cell: 0,
+            store_calls_per_second: 20,
+            holder_lease_ms: 10_000,
+            owner_renews_in_outage: false,
+            balancer_wait_ms: 2_000,
+            stop_deadline_ms: 30_000,
+        }
+    }
+
+    /// Sets the peer addresses of other entries.
+    #[must_use]
+    pub fn peers(mut self, peers: impl Into<Vec<SocketAddr>>) -> Self {
+        self.peers = peers.into();
+        self
+    }
+
+    /// Sets the cell whose owner this entry may become.
+    #[must_use]
+    pub const fn cell(mut self, cell: u32) -> Self {
+        self.cell = cell;
+        self
+    }
+
+    /// Sets the owner's lease, in milliseconds.
+    #[must_use]
+    pub const fn holder_lease_ms(mut self, millis: u64) -> Self {
+        self.holder_lease_ms = millis;
+        self
+    }
+
+    /// Sets whether the owner renews task leases while the store is down.
+    #[must_use]
+    pub const fn owner_renews_in_outage(mut self, renews: bool) -> Self {
+        self.owner_renews_in_outage = renews;
+        self
+    }
+
+    /// Sets the most calls to the store per second.
+    #[must_use]
+    pub const fn store_calls_per_second(mut self, calls: u32) -> Self {
+        self.store_calls_per_second = calls;
+        self
+    }
+
+    /// Sets the wait for the balancer in a graceful stop, in milliseconds.
+    #[must_use]
+    pub const fn balancer_wait_ms(mut self, millis: u64) -> Self {
+        self.balancer_wait_ms = millis;
+        self
+    }
+
+    /// Sets the longest graceful stop, in milliseconds.
+    #[must_use]
+    pub const fn stop_deadline_ms(mut self, millis: u64) -> Self {
+        self.stop_deadline_ms = millis;
+        self
+    }
+
+    /// Checks the settings against their bounds.
+    ///
+    /// # Errors
+    ///
+    /// An [`ErrorKind::InvalidSetting`] for each setting that is wrong.
+    pub fn check(&self) -> Result<(), Vec<Error>> {
+        let mut faults = Vec::new();
+        for (flag, name) in [("--name", &self.name), ("--zone", &self.zone)] {
+            if job::check_name("name", name).is_err() {
+                faults.push(invalid(
+                    flag,
+                    name,
+                    "1 to 64 letters, digits, '-', '_' or '.'",
+                ));
+            }
+        }
+        if !self.store.starts_with("http://") {
+            faults.push(invalid(
+                "--store",
+                &self.store,
+                "an address that starts with http://",
+            ));
+        }
+        if self.store_calls_per_second == 0 {
+            faults.push(invalid("--store-calls-per-second", 0, "at least 1"));
+        }
+        if !(1_000..=DEADLINE_MS_MAX).contains(&self.holder_lease_ms) {
+            faults.push(invalid(
+                "--holder-lease-ms",
+                self.holder_lease_ms,
+                "1000 to 3600000",
+            ));
+        }
+        if self.balancer_wait_ms > self.stop_deadline_ms {
+            faults.push(invalid(
+                "--balancer-wait-ms",
+                self.balancer_wait_ms,
+                "at most --stop-deadline-ms",
+            ));
+        }
+        if self.stop_deadline_ms > DEADLINE_MS_MAX {
+            faults.push(invalid(
+                "--stop-deadline-ms",
+                self.stop_deadline_ms,
+                "at most 3600000",
+            ));
+        }
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+}
+
+fn invalid(flag: &str, value: impl std::fmt::Display, expected: &str) -> Error {
+    Error::new(ErrorKind::InvalidSetting)
+        .field(flag)
+        .value(value)
+        .expected(expected)
+}
