--- /dev/null
+++ b/crates/entry/src/forward/attempt.rs
@@ -0,0 +1,92 @@
+//! One attempt at a request.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use tokio::time::{Duration, Instant, timeout_at};
+use toucanquay_model::{Error, ErrorKind, Time, request::Verdict};
+use toucanquay_wire::{End, Frame, Pool, Stream, Tombstone};
+
+use super::{Answer, Call, Outcome, Target};
+use crate::Clock;
+
+/// Longest time to open a stream to a companion. Hosts answer within milliseconds, so a longer
+/// wait only delays the choice of another one.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time to learn what became of a request.
+const TOMBSTONE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Size of the parts that a request's body is sent in.
+const BODY_PART_BYTES: usize = 64 * 1_024;
+
+/// Sends `call` to `target` and waits for the head of the answer.
+pub async fn attempt(pool: &Pool, clock: Clock, target: &Target, call: &Call) -> Outcome {
+    let deadline = clock.instant(call.deadline);
+    let open_deadline = deadline.min(Instant::now() + OPEN_TIMEOUT);
+    let mut stream = match pool.open(target.address, open_deadline).await {
+        Ok(stream) => stream,
+        Err(error) => return Outcome::NotRun(error),
+    };
+    let exchange = async {
+        send(&mut stream, call, target, clock.now()).await?;
+        head(&mut stream, call).await
+    };
+    match timeout_at(deadline, exchange).await {
+        Ok(Ok(head)) => Outcome::Answered(Box::new(Answer::new(head, stream))),
+        Ok(Err(error)) => Outcome::from_error(error),
+        Err(_elapsed) => Outcome::Unknown(Error::new(ErrorKind::DeadlineWhileRunning)),
+    }
+}
+
+/// Asks the companion to refuse the request for good, and what became of it.
+///
+/// Any doubt is [`Verdict::Unknown`].
+pub async fn tombstone(pool: &Pool, target: &Target, call: &Call) -> Verdict {
+    let frame = Frame::Tombstone(Tombstone {
+        id: call.id,
+        incarnation: target.incarnation,
+    });
+    // The request's own connection may be broken or silent; a new one is not behind it.
+    pool.forget(target.address);
+    match ask(pool, target.address, &frame).await {
+        Ok(Frame::Verdict(verdict)) => verdict,
+        Ok(_) | Err(_) => Verdict::Unknown,
+    }
+}
+
+async fn ask(pool: &Pool, address: SocketAddr, frame: &Frame) -> Result<Frame, Error> {
+    pool.call(address, frame, Instant::now() + TOMBSTONE_TIMEOUT)
+        .await
+}
+
+async fn send(stream: &mut Stream, call: &Call, target: &Target, now: Time) -> Result<(), Error> {
+    let head = call.head(target.incarnation, now);
+    stream.send(&Frame::Request(head)).await?;
+    let mut rest: Bytes = call.body.clone();
+    while !rest.is_empty() {
+        let part = rest.split_to(rest.len().min(BODY_PART_BYTES));
+        stream.send(&Frame::Body(part)).await?;
+    }
+    let end = End {
+        id: call.id,
+        length: call.body.len() as u64,
+    };
+    stream.send(&Frame::End(end)).await?;
+    stream.finish()
+}
+
+async fn head(stream: &mut Stream, call: &Call) -> Result<toucanquay_wire::response::Head, Error> {
+    match stream.recv().await? {
+        Some(Frame::Response(head)) if head.id == call.id => Ok(head),
+        Some(Frame::Failure(failure)) if failure.id == call.id => Err(failure.error),
+        Some(Frame::Refused(error)) => Err(error),
+        Some(Frame::Response(_) | Frame::Failure(_)) => {
+            Err(Error::new(ErrorKind::Protocol).context("answer to another request"))
+        }
+        Some(_) => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+        None => {
+            Err(Error::new(ErrorKind::OutcomeUnknown).context("stream ended before the answer"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/call.rs
@@ -0,0 +1,149 @@
+//! One request of a client.
+
+use bytes::Bytes;
+use salvo::http::{Method, Request, errors::ParseError};
+use toucanquay_model::{Error, ErrorKind, Time, job, request, section};
+use toucanquay_wire::request::Head;
+
+use super::headers::{self, DEADLINE_HEADER, KEY_HEADER};
+use crate::Clock;
+
+/// Longest deadline that a client may ask for, in milliseconds.
+const DEADLINE_MS_MAX: u64 = 600_000;
+
+/// One request of a client, read whole, so that it can be sent to another upstream.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Identifies the request.
+    pub id: request::Id,
+    /// Service that it is for.
+    pub service: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the upstream.
+    pub target: String,
+    /// Header fields that are passed on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body.
+    pub body: Bytes,
+    /// When the client stops waiting; [`Time::NEVER`] for a watch.
+    pub deadline: Time,
+    /// The client's idempotency key.
+    pub key: Option<String>,
+}
+
+impl Call {
+    /// Reads a client's request for `service`.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidField`] for a wrong header, [`ErrorKind::BodyTooLarge`] and
+    /// [`ErrorKind::MalformedBody`] for the body. Nothing has been sent to an upstream.
+    pub async fn read(
+        id: request::Id,
+        service: &str,
+        rules: &section::Service,
+        clock: Clock,
+        request: &mut Request,
+    ) -> Result<Self, Error> {
+        let deadline = deadline(rules, clock, request)?;
+        let key = key(request)?;
+        let headers = headers::forwarded(request.headers());
+        let method = request.method().as_str().to_owned();
+        let target = target(service, request);
+        let body = body(rules, request).await?;
+        Ok(Self {
+            id,
+            service: service.to_owned(),
+            method,
+            target,
+            headers,
+            body,
+            deadline,
+            key,
+        })
+    }
+
+    /// Tells whether the request may be sent again after it may have run.
+    #[must_use]
+    pub fn is_safe(&self) -> bool {
+        matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
+    }
+
+    /// Returns the head to send to the run `incarnation` of a companion.
+    #[must_use]
+    pub fn head(&self, incarnation: u64, now: Time) -> Head {
+        let has_deadline = self.deadline != Time::NEVER;
+        Head {
+            id: self.id,
+            incarnation,
+            service: self.service.clone(),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers: self.headers.clone(),
+            remaining_micros: has_deadline.then(|| self.deadline.micros_since(now)),
+            is_keyed: self.key.is_some(),
+        }
+    }
+}
+
+fn deadline(rules: &section::Service, clock: Clock, request: &Request) -> Result<Time, Error> {
+    let Some(value) = request.headers().get(DEADLINE_HEADER) else {
+        if rules.is_watch {
+            return Ok(Time::NEVER);
+        }
+        return Ok(clock.now().plus_millis(rules.deadline_ms));
+    };
+    let text = String::from_utf8_lossy(value.as_bytes());
+    let millis: Option<u64> = text.trim().parse().ok();
+    millis
+        .filter(|millis| (1..=DEADLINE_MS_MAX).contains(millis))
+        .map(|millis| clock.now().plus_millis(millis))
+        .ok_or_else(|| {
+            Error::new(ErrorKind::InvalidField)
+                .field(DEADLINE_HEADER)
+                .value(&text)
+                .expected(format!("1 to {DEADLINE_MS_MAX} milliseconds"))
+        })
+}
+
+fn key(request: &Request) -> Result<Option<String>, Error> {
+    let Some(value) = request.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    if matches!(
+        *request.method(),
+        Method::GET | Method::HEAD | Method::OPTIONS
+    ) {
+        return Ok(None);
+    }
+    let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
+    job::check_name(KEY_HEADER, &text)?;
+    Ok(Some(text))
+}
+
+/// Returns the path behind `/services/{service}` with the query, as the client wrote them.
+fn target(service: &str, request: &Request) -> String {
+    let path = request.uri().path();
+    let prefix_length = "/services/".len() + service.len();
+    let rest = path.get(prefix_length..).unwrap_or("");
+    let path = if rest.starts_with('/') { rest } else { "/" };
+    match request.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+async fn body(rules: &section::Service, request: &mut Request) -> Result<Bytes, Error> {
+    let most = usize::try_from(rules.body_bytes_max).unwrap_or(usize::MAX);
+    match request.payload_with_max_size(most).await {
+        Ok(bytes) => Ok(bytes.clone()),
+        Err(ParseError::PayloadTooLarge) => Err(Error::new(ErrorKind::BodyTooLarge)
+            .field("body")
+            .expected(format!("at most {most} bytes"))),
+        Err(cause) => Err(Error::new(ErrorKind::MalformedBody)
+            .field("body")
+            .expected("a complete HTTP body")
+            .context(cause)),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/outcome.rs
@@ -0,0 +1,27 @@
+//! How an attempt ended.
+
+use toucanquay_model::{Error, error::Run};
+
+use super::Answer;
+
+/// How one attempt at a request ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The answer has begun.
+    Answered(Box<Answer>),
+    /// It did not run and will not run.
+    NotRun(Error),
+    /// It may have run, may be running or may still run.
+    Unknown(Error),
+}
+
+impl Outcome {
+    /// Returns the outcome of an attempt that ended with `error` before its answer began.
+    #[must_use]
+    pub const fn from_error(error: Error) -> Self {
+        match error.kind().answer().run {
+            Run::NotRun => Self::NotRun(error),
+            Run::Unknown | Run::Ran => Self::Unknown(error),
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,9 @@
 //! ownership.
 
 pub mod clock;
+pub mod forward;
 pub mod http;
+pub mod operator;
 pub mod settings;
 
 pub use clock::Clock;
--- /dev/null
+++ b/crates/toucanquay/src/cli.rs
@@ -0,0 +1,62 @@
+//! The command line.
+
+use clap::{CommandFactory, Parser, Subcommand};
+use toucanquay_entry::Settings;
+use toucanquay_model::Error;
+
+use crate::{
+    command::{Document, Jobs, Upstreams, entry},
+    demo::Demo,
+};
+
+/// Scheduler for latency-critical requests and batch work on shared hosts
+#[derive(Debug, Parser)]
+#[command(name = "toucanquay", version, propagate_version = true)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run the entry process on this host
+    Entry(Box<Settings>),
+    /// Run the whole system in one process on loopback, with stand-ins, and send it some work
+    Demo(Demo),
+    /// Check, read and change the configuration document
+    #[command(subcommand)]
+    Document(Document),
+    /// Submit, show, watch and cancel batch jobs
+    #[command(subcommand)]
+    Jobs(Jobs),
+    /// List upstreams with their availability zone, load and state
+    Upstreams(Upstreams),
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+impl Cli {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// The command's own error; the exit code follows from its kind.
+    pub async fn run(self) -> Result<(), Error> {
+        match self.command {
+            Command::Entry(settings) => entry::run(*settings).await,
+            Command::Demo(demo) => demo.run().await,
+            Command::Document(document) => document.run().await,
+            Command::Jobs(jobs) => jobs.run().await,
+            Command::Upstreams(upstreams) => upstreams.run().await,
+            Command::Completions { shell } => {
+                let mut command = Self::command();
+                clap_complete::generate(shell, &mut command, "toucanquay", &mut std::io::stdout());
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucanquay/src/command/document.rs
@@ -0,0 +1,181 @@
+//! `toucanquay document`.
+
+use std::{
+    io::Read,
+    path::{Path, PathBuf},
+};
+
+use clap::{Args, Subcommand};
+use reqwest::Method;
+use serde_json::json;
+use toucanquay_entry::operator::{Applied, InForce, StoredSection};
+use toucanquay_model::{self as model, Error, ErrorKind, Revision, job};
+
+use super::Output;
+use crate::api::Api;
+
+/// Where and how to call.
+#[derive(Debug, Args)]
+pub struct Target {
+    /// Address of an entry's listener for operators
+    #[arg(
+        long,
+        env = "TOUCANQUAY_OPERATOR",
+        default_value = "http://127.0.0.1:7701"
+    )]
+    operator: String,
+    /// Form of the output
+    #[arg(long, value_enum, default_value_t)]
+    output: Output,
+}
+
+/// What to do with the configuration document.
+#[derive(Debug, Subcommand)]
+pub enum Document {
+    /// Check a document in a file, without calling an entry
+    Check {
+        /// File with the document, `-` for standard input
+        file: PathBuf,
+    },
+    /// Show the revision of each section, or the text of one
+    Get {
+        /// Team whose section is shown
+        team: Option<String>,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Replace one section
+    Apply {
+        /// Team whose section is replaced
+        team: String,
+        /// File with the section, `-` for standard input
+        file: PathBuf,
+        /// Revision that the edit is based on; 0 for a new section
+        #[arg(long)]
+        revision: Revision,
+        /// Who makes the edit; a racing editor is told
+        #[arg(long, env = "TOUCANQUAY_AUTHOR", default_value = "unnamed")]
+        author: String,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Wait until a revision is in force on all processes
+    Wait {
+        /// The revision
+        revision: Revision,
+        /// Longest wait, in milliseconds
+        #[arg(long, default_value_t = 14_000)]
+        timeout_ms: u64,
+        #[command(flatten)]
+        target: Target,
+    },
+}
+
+impl Document {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// The entry's refusal, or the error that kept the command from reaching it.
+    pub async fn run(self) -> Result<(), Error> {
+        match self {
+            Self::Check { file } => check(&file),
+            Self::Get { team, target } => get(team.as_deref(), &target).await,
+            Self::Apply {
+                team,
+                file,
+                revision,
+                author,
+                target,
+            } => {
+                let body = json!({ "text": read(&file)?, "expected": revision, "author": author });
+                let call = target.api().call(Method::PUT, &path(&team)?).json(&body);
+                let applied: Applied = target.api().json(call).await?;
+                println!("revision {}", applied.revision);
+                Ok(())
+            }
+            Self::Wait {
+                revision,
+                timeout_ms,
+                target,
+            } => wait(revision, timeout_ms, &target).await,
+        }
+    }
+}
+
+impl Target {
+    fn api(&self) -> Api {
+        Api::new(self.operator.as_str())
+    }
+}
+
+/// Reads a file, or standard input for `-`.
+///
+/// # Errors
+///
+/// [`ErrorKind::InvalidField`] when the file can't be read.
+pub fn read(file: &Path) -> Result<String, Error> {
+    let mut text = String::new();
+    let result = if file == Path::new("-") {
+        std::io::stdin().read_to_string(&mut text).map(|_bytes| ())
+    } else {
+        std::fs::read_to_string(file).map(|content| text = content)
+    };
+    result.map_err(|cause| {
+        Error::new(ErrorKind::InvalidField)
+            .field("file")
+            .value(file.display())
+            .expected("a readable text file")
+            .context(cause)
+    })?;
+    Ok(text)
+}
+
+fn check(file: &Path) -> Result<(), Error> {
+    let document = model::Document::parse(&read(file)?)?;
+    println!("{} sections are valid", document.teams.len());
+    Ok(())
+}
+
+async fn get(team: Option<&str>, target: &Target) -> Result<(), Error> {
+    if let Some(team) = team {
+        let call = target.api().call(Method::GET, &path(team)?);
+        let section: StoredSection = target.api().json(call).await?;
+        if target.output == Output::Table {
+            print!("{}", section.text);
+            return Ok(());
+        }
+        target.output.print(&[], &[section], |_| Vec::new());
+        return Ok(());
+    }
+    let call = target.api().call(Method::GET, "/document");
+    let sections: Vec<StoredSection> = target.api().json(call).await?;
+    let header = ["TEAM", "REVISION", "AUTHOR", "BYTES"];
+    target.output.print(&header, &sections, |section| {
+        vec![
+            section.team.clone(),
+            section.revision.to_string(),
+            section.author.clone(),
+            section.text.len().to_string(),
+        ]
+    });
+    Ok(())
+}
+
+async fn wait(revision: Revision, timeout_ms: u64, target: &Target) -> Result<(), Error> {
+    let route = format!("/document-in-force?revision={revision}&timeout_ms={timeout_ms}");
+    let call = target.api().call(Method::GET, &route);
+    let state: InForce = target.api().json(call).await?;
+    if state.is_in_force {
+        println!("revision {} is in force", state.revision);
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::PeerUnavailable)
+        .value(state.lagging.join(", "))
+        .expected(format!("revision {revision} within {timeout_ms} ms")))
+}
+
+fn path(team: &str) -> Result<String, Error> {
+    job::check_name("team", team)?;
+    Ok(format!("/document/{team}"))
+}
--- /dev/null
+++ b/crates/toucanquay/src/command/entry.rs
@@ -0,0 +1,52 @@
+//! `toucanquay entry`.
+
+use slog::{info, warn};
+use tokio::signal::unix::{SignalKind, signal};
+use toucanquay_entry::{Entry, Settings};
+use toucanquay_model::{Error, ErrorKind};
+
+use crate::log;
+
+/// Runs an entry until SIGTERM or SIGINT, then stops it gracefully.
+///
+/// # Errors
+///
+/// [`ErrorKind::InvalidSetting`] when a setting is wrong or a listener can't be bound.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    report_faults(&settings)?;
+    let log = log::stderr(slog::Level::Info);
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let entry = Entry::start(settings, log.clone()).await?;
+    println!(
+        "client={} operator={} peer={}",
+        entry.client_address(),
+        entry.operator_address(),
+        entry.peer_address()
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(log, "stop_requested");
+    let remaining = entry.stop().await;
+    if remaining > 0 {
+        warn!(log, "stop_deadline_passed"; "requests" => remaining);
+    }
+    Ok(())
+}
+
+fn report_faults(settings: &Settings) -> Result<(), Error> {
+    let Err(mut faults) = settings.check() else {
+        return Ok(());
+    };
+    let last = faults.pop();
+    for fault in faults {
+        eprintln!("error: {fault}");
+    }
+    last.map_or(Ok(()), Err)
+}
+
+fn listen(kind: SignalKind) -> Result<tokio::signal::unix::Signal, Error> {
+    signal(kind).map_err(|cause| Error::new(ErrorKind::InvalidSetting).context(cause))
+}
--- /dev/null
+++ b/crates/toucanquay/src/command/upstreams.rs
@@ -0,0 +1,55 @@
+//! `toucanquay upstreams`.
+
+use clap::Args;
+use reqwest::Method;
+use toucanquay_entry::operator::Upstream;
+use toucanquay_model::Error;
+
+use super::Output;
+use crate::api::Api;
+
+/// Lists upstreams.
+#[derive(Debug, Args)]
+pub struct Upstreams {
+    /// Address of an entry's listener for operators
+    #[arg(
+        long,
+        env = "TOUCANQUAY_OPERATOR",
+        default_value = "http://127.0.0.1:7701"
+    )]
+    operator: String,
+    /// Form of the output
+    #[arg(long, value_enum, default_value_t)]
+    output: Output,
+}
+
+impl Upstreams {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// The entry's refusal, or the error that kept the command from reaching it.
+    pub async fn run(self) -> Result<(), Error> {
+        let api = Api::new(self.operator);
+        let all: Vec<Upstream> = api.json(api.call(Method::GET, "/upstreams")).await?;
+        let header = [
+            "WORKER", "SERVICE", "TEAM", "ZONE", "RACK", "SLOTS", "IN FLIGHT", "TASKS", "REVISION",
+            "STATE",
+        ];
+        self.output.print(&header, &all, |upstream| {
+            vec![
+                upstream.worker.to_string(),
+                upstream.service.clone(),
+                upstream.team.clone(),
+                upstream.zone.clone(),
+                upstream.rack.clone(),
+                upstream.slots.to_string(),
+                upstream.in_flight.to_string(),
+                upstream.tasks.to_string(),
+                upstream.revision.to_string(),
+                upstream.state.clone(),
+            ]
+        });
+        Ok(())
+    }
+}
--- a/crates/toucanquay/src/main.rs
+++ b/crates/toucanquay/src/main.rs
@@ -1,3 +1,26 @@
-//! Entry point.
+//! The toucanquay program: runs the entry process, the demo and the operators' commands.
 
-fn main() {}
+mod api;
+mod cli;
+mod command;
+mod demo;
+mod log;
+mod table;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::cli::Cli;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match Cli::parse().run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            eprintln!("hint: {}", error.kind().answer().hint);
+            ExitCode::from(error.kind().answer().exit_code)
+        }
+    }
+}
