control: request ledger and configuration register

The companion needs to know which request ids it has begun so that it can refuse repeats and confirm tombstones, and every process needs the configuration at the highest revision that it has seen.

The ledger remembers running, finished and tombstoned ids within the bounds of docs/design.md. An id that it may have forgotten gets the verdict "unknown": each tombstone states how long ago the request was first sent, and the ledger compares this with the latest beginning of a forgotten request. Without it, a tombstone sent later than 60 s after the end of a request would be answered "not run" although the request ran. The register separates the revision that is held (no gaps) from the highest one that is known; text that can't be read is passed on while the section before it stays in force.

--- /dev/null
+++ b/crates/control/src/ledger/record.rs
@@ -0,0 +1,68 @@
+//! State of one request id.
+
+use std::sync::Arc;
+
+use toucanquay_model::{Time, request::Verdict};
+
+use super::{Begin, Response};
+
+/// State of one request id.
+#[derive(Debug, Clone)]
+pub(super) enum Record {
+    /// It runs.
+    Running { begun: Time, is_keyed: bool },
+    /// It has run to its end.
+    Finished {
+        begun: Time,
+        response: Option<Arc<Response>>,
+    },
+    /// It may have run.
+    Unknown { begun: Time },
+    /// It has not run and is refused.
+    Tombstoned,
+}
+
+impl Record {
+    /// Returns what follows when a request with this id arrives again.
+    pub(super) fn on_arrival(&self) -> Begin {
+        match self {
+            Self::Running { .. } => Begin::Running,
+            Self::Finished { response, .. } => response
+                .as_ref()
+                .map_or(Begin::Finished, |response| Begin::Replay(response.clone())),
+            Self::Unknown { .. } => Begin::Unknown,
+            Self::Tombstoned => Begin::Tombstoned,
+        }
+    }
+
+    /// Returns the verdict on a tombstone for this id.
+    pub(super) const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Running { .. } => Verdict::Running,
+            Self::Finished { .. } => Verdict::Finished,
+            Self::Unknown { .. } => Verdict::Unknown,
+            Self::Tombstoned => Verdict::NotRun,
+        }
+    }
+
+    /// Returns when the request began, unless it never did.
+    pub(super) const fn begun(&self) -> Option<Time> {
+        match self {
+            Self::Running { begun, .. }
+            | Self::Finished { begun, .. }
+            | Self::Unknown { begun } => Some(*begun),
+            Self::Tombstoned => None,
+        }
+    }
+
+    /// Returns the bytes of the response that it keeps.
+    pub(super) fn size_bytes(&self) -> usize {
+        match self {
+            Self::Finished {
+                response: Some(response),
+                ..
+            } => response.size_bytes(),
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/register/book.rs
@@ -0,0 +1,184 @@
+//! The sections that one process holds.
+
+use std::collections::BTreeMap;
+
+use toucanquay_model::{
+    Error, Revision, Section,
+    section::{Service, State},
+};
+
+use super::{Item, Snapshot, held::Held};
+
+/// Sections of the configuration document by team.
+///
+/// The register holds a revision when it has each section up to that revision. It knows a revision
+/// when it has heard that it exists. Neither ever falls.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_control::register::{Item, Register};
+///
+/// let mut register = Register::new();
+/// let item = Item { team: "desk".into(), revision: 5, text: Some("[services.lookup]".into()) };
+///
+/// assert!(register.apply(item));
+/// assert!(!register.is_current());
+/// register.advance(5);
+/// assert!(register.is_current());
+/// assert_eq!(register.service("lookup").unwrap().0, "desk");
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Register {
+    sections: BTreeMap<String, Held>,
+    revision: Revision,
+    revision_known: Revision,
+}
+
+impl Register {
+    /// Returns an empty register, which holds revision 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies one section and tells whether it was newer than the one that is held.
+    ///
+    /// The revision that the register holds stays the same, since older sections of other teams
+    /// may be missing: [`Self::advance`] raises it. A text that can't be read is kept and passed
+    /// on, while the team's section before it stays in force; see [`Self::fault`].
+    pub fn apply(&mut self, item: Item) -> bool {
+        self.learn(item.revision);
+        let before = self.sections.get(&item.team);
+        if before.is_some_and(|before| before.revision >= item.revision) {
+            return false;
+        }
+        let parsed = item
+            .text
+            .as_ref()
+            .map(|text| Section::parse(&item.team, text))
+            .transpose();
+        let (section, fault) = match parsed {
+            Ok(section) => (section, None),
+            Err(fault) => (before.and_then(|held| held.section.clone()), Some(fault)),
+        };
+        let held = Held {
+            revision: item.revision,
+            text: item.text,
+            section,
+            fault,
+        };
+        self.sections.insert(item.team, held);
+        true
+    }
+
+    /// Records that each section up to `revision` was applied.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+        self.learn(revision);
+    }
+
+    /// Applies a snapshot that was asked for with a revision held by this register, and tells
+    /// whether a section changed.
+    pub fn merge(&mut self, snapshot: Snapshot) -> bool {
+        let mut is_changed = false;
+        for item in snapshot.items {
+            is_changed |= self.apply(item);
+        }
+        self.advance(snapshot.revision);
+        is_changed
+    }
+
+    /// Records that `revision` exists.
+    pub fn learn(&mut self, revision: Revision) {
+        self.revision_known = self.revision_known.max(revision);
+    }
+
+    /// Returns the revision up to which each section is held.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the highest revision known to exist.
+    #[must_use]
+    pub const fn revision_known(&self) -> Revision {
+        self.revision_known
+    }
+
+    /// Tells whether no higher revision is known than the one that is held.
+    #[must_use]
+    pub const fn is_current(&self) -> bool {
+        self.revision >= self.revision_known
+    }
+
+    /// Returns the section of `team` that is in force.
+    #[must_use]
+    pub fn section(&self, team: &str) -> Option<&Section> {
+        self.sections.get(team)?.section.as_ref()
+    }
+
+    /// Returns the sections in force by team.
+    pub fn sections(&self) -> impl Iterator<Item = (&str, &Section)> {
+        self.sections
+            .iter()
+            .filter_map(|(team, held)| Some((team.as_str(), held.section.as_ref()?)))
+    }
+
+    /// Returns the revision of the section of `team`, also of a removed one.
+    #[must_use]
+    pub fn section_revision(&self, team: &str) -> Option<Revision> {
+        Some(self.sections.get(team)?.revision)
+    }
+
+    /// Returns the text of the newest section of `team`.
+    #[must_use]
+    pub fn text(&self, team: &str) -> Option<&str> {
+        self.sections.get(team)?.text.as_deref()
+    }
+
+    /// Returns whether `team` is served, or `None` when it never had a readable section. A team
+    /// whose section was removed is leaving.
+    #[must_use]
+    pub fn state(&self, team: &str) -> Option<State> {
+        let held = self.sections.get(team)?;
+        if held.text.is_none() {
+            return Some(State::Leaving);
+        }
+        held.section.as_ref().map(|section| section.state)
+    }
+
+    /// Returns why the newest text of `team` could not be read.
+    #[must_use]
+    pub fn fault(&self, team: &str) -> Option<&Error> {
+        self.sections.get(team)?.fault.as_ref()
+    }
+
+    /// Returns the service `name` with its team and section. If two teams claim it after
+    /// concurrent edits, every process picks the one that sorts first.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<(&str, &Section, &Service)> {
+        self.sections()
+            .find_map(|(team, section)| Some((team, section, section.services.get(name)?)))
+    }
+
+    /// Returns the sections newer than `after`, by rising revision, removed ones included.
+    #[must_use]
+    pub fn snapshot(&self, after: Revision) -> Snapshot {
+        let mut items: Vec<Item> = self
+            .sections
+            .iter()
+            .filter(|(_, held)| held.revision > after)
+            .map(|(team, held)| Item {
+                team: team.clone(),
+                revision: held.revision,
+                text: held.text.clone(),
+            })
+            .collect();
+        items.sort_by_key(|item| item.revision);
+        Snapshot {
+            revision: self.revision,
+            items,
+        }
+    }
+}
