model: report a companion that settles after a restart

A start sent by a companion that died may reach the task runtime after its successor has listed the running tasks, so the successor would count too little against the capacity. The report gets a flag for the time until such a start has expired, and two reasons for refusing a grant are added.

--- a/crates/model/src/exchange/report.rs
+++ b/crates/model/src/exchange/report.rs
@@ -21,6 +21,9 @@
     pub revision: Revision,
     /// Whether the worker is leaving and takes no new task.
     pub is_leaving: bool,
+    /// Whether the companion was restarted so recently that a start sent by its predecessor may
+    /// still reach the task runtime. It takes no new task until then.
+    pub is_settling: bool,
     /// Capacity of the worker for batch tasks.
     pub capacity: Resources,
     /// Every attempt that holds resources or whose end is not acknowledged yet.
--- a/crates/model/src/exchange/state.rs
+++ b/crates/model/src/exchange/state.rs
@@ -43,6 +43,10 @@
 pub enum Refusal {
     /// The worker's free resources do not hold it.
     NoRoom,
+    /// The companion was restarted and does not know all running tasks yet.
+    Settling,
+    /// Another attempt of the same task still holds resources of the worker.
+    SameTask,
     /// The worker is leaving.
     Leaving,
     /// The team is leaving, by the companion's configuration.
