--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,148 @@
+//! What the listeners and loops of one entry share.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use slog::Logger;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use toucanquay_control::{register::Register, roster::Roster};
+use toucanquay_model::{Incarnation, request};
+use toucanquay_store::Client;
+use toucanquay_wire::{Pool, heartbeat::Owner};
+
+use crate::{Clock, Settings, lane::Lane, member::Peer, owner::Role};
+
+/// What the listeners and loops of one entry share.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings of this entry.
+    pub settings: Settings,
+    /// The log.
+    pub log: Logger,
+    /// The process's clock.
+    pub clock: Clock,
+    /// This run of the entry.
+    pub incarnation: Incarnation,
+    /// Connections to companions and other entries.
+    pub pool: Pool,
+    /// The platform's store.
+    pub store: Client,
+    /// Role of the cell's owner, while this entry holds it.
+    pub role: Role,
+    /// Stops the loops, which hold no request in progress.
+    pub stop: CancellationToken,
+    /// Requests in progress.
+    pub requests: TaskTracker,
+    is_ready: AtomicBool,
+    last_request: AtomicU64,
+    register: Mutex<Register>,
+    roster: Mutex<Roster>,
+    lanes: Mutex<HashMap<String, Arc<Lane>>>,
+    peers: Mutex<BTreeMap<String, Peer>>,
+    owner: Mutex<Option<Owner>>,
+}
+
+impl Context {
+    /// Returns the shared state of a new entry.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        log: Logger,
+        clock: Clock,
+        incarnation: Incarnation,
+        store: Client,
+    ) -> Self {
+        Self {
+            role: Role::default(),
+            settings,
+            log,
+            clock,
+            incarnation,
+            pool: Pool::new(),
+            store,
+            stop: CancellationToken::new(),
+            requests: TaskTracker::new(),
+            is_ready: AtomicBool::new(false),
+            last_request: AtomicU64::new(0),
+            register: Mutex::new(Register::new()),
+            roster: Mutex::new(Roster::new(toucanquay_control::roster::Settings::default())),
+            lanes: Mutex::default(),
+            peers: Mutex::default(),
+            owner: Mutex::default(),
+        }
+    }
+
+    /// Returns a new request id.
+    pub fn next_request(&self) -> request::Id {
+        let number = self.last_request.fetch_add(1, Ordering::Relaxed) + 1;
+        request::Id::new(self.incarnation, number)
+    }
+
+    /// Tells whether this entry takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+
+    /// Says whether this entry takes requests.
+    pub fn set_ready(&self, is_ready: bool) {
+        self.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Returns the configuration, locked.
+    pub fn register(&self) -> MutexGuard<'_, Register> {
+        lock(&self.register)
+    }
+
+    /// Returns the upstreams, locked.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// Returns the other entries by name, locked.
+    pub fn peers(&self) -> MutexGuard<'_, BTreeMap<String, Peer>> {
+        lock(&self.peers)
+    }
+
+    /// Returns the owner of the cell, if it is known.
+    pub fn owner(&self) -> Option<Owner> {
+        *lock(&self.owner)
+    }
+
+    /// Records the owner of the cell. An owner of a lower epoch than a known one is ignored.
+    pub fn set_owner(&self, owner: Owner) {
+        let mut known = lock(&self.owner);
+        if known.is_none_or(|known| known.epoch <= owner.epoch) {
+            *known = Some(owner);
+        }
+    }
+
+    /// Returns the lane of `service`, if an upstream or a section has named it.
+    pub fn lane(&self, service: &str) -> Option<Arc<Lane>> {
+        lock(&self.lanes).get(service).cloned()
+    }
+
+    /// Returns the lane of `service`, and starts it where it is new.
+    pub fn lane_or_new(&self, service: &str) -> Arc<Lane> {
+        let mut lanes = lock(&self.lanes);
+        if let Some(lane) = lanes.get(service) {
+            return lane.clone();
+        }
+        let lane = Arc::new(Lane::new(&self.settings.zone, self.clock));
+        lanes.insert(service.to_owned(), lane.clone());
+        let stop = self.stop.clone();
+        let run = lane.clone().run();
+        tokio::spawn(async move { stop.run_until_cancelled(run).await });
+        lane
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .expect("no holder of this lock panics while it changes the state")
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,12 +3,14 @@
 mod answer;
 mod attempt;
 mod call;
-mod headers;
+pub mod headers;
 mod outcome;
+mod relay;
 mod target;
 
 pub use answer::Answer;
 pub use attempt::{attempt, tombstone};
 pub use call::Call;
 pub use outcome::Outcome;
+pub use relay::Relay;
 pub use target::Target;
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -41,11 +41,17 @@
 
 /// Asks the companion to refuse the request for good, and what became of it.
 ///
-/// Any doubt is [`Verdict::Unknown`].
-pub async fn tombstone(pool: &Pool, target: &Target, call: &Call) -> Verdict {
+/// `age_micros` is the time since the request was first sent. Any doubt is [`Verdict::Unknown`].
+pub async fn tombstone(
+    pool: &Pool,
+    target: &Target,
+    call: &Call,
+    age_micros: u64,
+) -> Verdict {
     let frame = Frame::Tombstone(Tombstone {
         id: call.id,
         incarnation: target.incarnation,
+        age_micros,
     });
     // The request's own connection may be broken or silent; a new one is not behind it.
     pool.forget(target.address);
--- /dev/null
+++ b/crates/entry/src/forward/relay.rs
@@ -0,0 +1,144 @@
+//! A request through all its attempts.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use toucanquay_model::{Error, ErrorKind, request::Verdict};
+use toucanquay_policy::route::{self, Request};
+
+use super::{Answer, Call, Outcome, attempt, tombstone};
+use crate::{
+    Context,
+    lane::{Permit, Refused, Turn},
+};
+
+/// Attempts at one request at the most. The retry budget bounds their sum over all requests.
+const ATTEMPTS_MAX: u32 = 4;
+
+/// A request through all its attempts.
+#[derive(Debug)]
+pub struct Relay<'a> {
+    context: &'a Arc<Context>,
+    call: &'a Call,
+    request: Request,
+    turn: Turn,
+    /// Whether an earlier attempt may have run, so that "not run" would be false.
+    may_have_run: bool,
+}
+
+impl<'a> Relay<'a> {
+    /// Returns a request that was not sent yet.
+    #[must_use]
+    pub fn new(context: &'a Arc<Context>, call: &'a Call) -> Self {
+        Self {
+            context,
+            call,
+            request: Request::new(call.deadline),
+            turn: Turn::First,
+            may_have_run: false,
+        }
+    }
+
+    /// Sends the request until its answer begins.
+    ///
+    /// # Errors
+    ///
+    /// The last attempt's error. Its kind says truthfully whether the request ran.
+    pub async fn run(mut self) -> Result<(Box<Answer>, Permit), Refused> {
+        let mut last = Refused::from(Error::new(ErrorKind::NoUpstream));
+        for _ in 0..ATTEMPTS_MAX {
+            let permit = match self.acquire().await {
+                Ok(permit) => permit,
+                Err(refused) => return Err(self.truthful(refused)),
+            };
+            match self.attempt(permit).await {
+                Ok(answered) => return Ok(answered),
+                Err((refused, may_go_on)) if may_go_on => last = refused,
+                Err((refused, _)) => return Err(self.truthful(refused)),
+            }
+        }
+        Err(self.truthful(last))
+    }
+
+    async fn acquire(&self) -> Result<Permit, Refused> {
+        let lane = self
+            .context
+            .lane(&self.call.service)
+            .ok_or_else(|| Error::new(ErrorKind::NoUpstream))?;
+        lane.acquire(&self.request, self.turn).await
+    }
+
+    /// Makes one attempt; an error tells whether another attempt may follow.
+    async fn attempt(
+        &mut self,
+        permit: Permit,
+    ) -> Result<(Box<Answer>, Permit), (Refused, bool)> {
+        let target = permit.target().clone();
+        let first_sent = self.context.clock.now();
+        let outcome = attempt(&self.context.pool, self.context.clock, &target, self.call).await;
+        self.request.excluded.push(permit.key());
+        match outcome {
+            Outcome::Answered(answer) => Ok((answer, permit)),
+            Outcome::NotRun(error) => Err(self.not_run(error, permit)),
+            Outcome::Unknown(error) => {
+                warn!(self.context.log, "attempt_broken"; "request" => %self.call.id,
+                    "worker" => %target.worker, "cause" => %error);
+                let is_late = error.kind() == ErrorKind::DeadlineWhileRunning;
+                permit.end(if is_late {
+                    route::Outcome::Failed
+                } else {
+                    route::Outcome::Unreachable
+                });
+                if self.call.is_safe() {
+                    self.may_have_run = true;
+                    self.turn = Turn::Retry;
+                    return Err((error.into(), !is_late));
+                }
+                let age = self.context.clock.now().micros_since(first_sent);
+                let verdict = tombstone(&self.context.pool, &target, self.call, age).await;
+                info!(self.context.log, "tombstone_verdict"; "request" => %self.call.id,
+                    "worker" => %target.worker, "verdict" => ?verdict);
+                if verdict == Verdict::NotRun {
+                    self.turn = Turn::Retry;
+                    let kind = ErrorKind::DeadlineBeforeSend;
+                    let error = if is_late { Error::new(kind) } else { not_run(&error) };
+                    return Err((error.into(), !is_late));
+                }
+                self.may_have_run = true;
+                Err((error.into(), false))
+            }
+        }
+    }
+
+    fn not_run(&mut self, error: Error, permit: Permit) -> (Refused, bool) {
+        let (outcome, turn) = match error.kind() {
+            ErrorKind::Overloaded => (route::Outcome::Refused, Turn::Again),
+            ErrorKind::Leaving | ErrorKind::ShuttingDown => (route::Outcome::Leaving, Turn::Again),
+            ErrorKind::NoUpstream => (route::Outcome::Failed, Turn::Retry),
+            ErrorKind::PeerUnavailable => (route::Outcome::Unreachable, Turn::Retry),
+            _ => {
+                permit.end(route::Outcome::Cancelled);
+                return (error.into(), false);
+            }
+        };
+        permit.end(outcome);
+        self.turn = turn;
+        (error.into(), true)
+    }
+
+    /// Replaces a "not run" that an earlier attempt makes false.
+    fn truthful(&self, refused: Refused) -> Refused {
+        let says_not_run =
+            refused.error.kind().answer().run == toucanquay_model::error::Run::NotRun;
+        if says_not_run && self.may_have_run {
+            return Error::new(ErrorKind::OutcomeUnknown)
+                .context(refused.error)
+                .into();
+        }
+        refused
+    }
+}
+
+fn not_run(cause: &Error) -> Error {
+    Error::new(ErrorKind::PeerUnavailable).context(cause)
+}
--- /dev/null
+++ b/crates/entry/src/lane/permit.rs
@@ -0,0 +1,56 @@
+//! Permission to send one request.
+
+use std::sync::Arc;
+
+use toucanquay_model::Time;
+use toucanquay_policy::route::{Key, Outcome};
+
+use super::Lane;
+use crate::forward::Target;
+
+/// Permission to send one request to one upstream, which counts as in flight until it ends.
+///
+/// Dropping it counts as cancelled by the client.
+#[derive(Debug)]
+pub struct Permit {
+    lane: Arc<Lane>,
+    key: Key,
+    target: Target,
+    started_at: Time,
+    outcome: Outcome,
+}
+
+impl Permit {
+    pub(super) const fn new(lane: Arc<Lane>, key: Key, target: Target, started_at: Time) -> Self {
+        Self {
+            lane,
+            key,
+            target,
+            started_at,
+            outcome: Outcome::Cancelled,
+        }
+    }
+
+    /// Returns the upstream among the candidates of the service.
+    #[must_use]
+    pub const fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Returns where to send the request.
+    #[must_use]
+    pub const fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// Says how the request ended.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.lane.finish(self.key, self.outcome, self.started_at);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lane/service.rs
@@ -0,0 +1,257 @@
+//! The lane of one service.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use foldhash::fast::RandomState;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::sync::{Notify, oneshot};
+use toucanquay_model::{Error, ErrorKind, Time, upstream::Announcement, worker};
+use toucanquay_policy::{
+    queue::{Reason, Shed},
+    route::{Balancer, Decision, Key, Outcome, Release as Released, Request, State, Ticket},
+};
+
+use super::{
+    Permit, Refused, Turn,
+    wait::{Release, Wait},
+};
+use crate::{Clock, forward::Target};
+
+/// The upstreams and waiting requests of one service at this entry.
+#[derive(Debug)]
+pub struct Lane {
+    clock: Clock,
+    inner: Mutex<Inner>,
+    /// Wakes the task that ends waits at their deadlines.
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    balancer: Balancer,
+    targets: HashMap<Key, Target, RandomState>,
+    keys: HashMap<worker::Id, Key, RandomState>,
+    waiting: HashMap<Ticket, oneshot::Sender<Release>, RandomState>,
+    random: StdRng,
+}
+
+impl Lane {
+    /// Returns a lane without upstreams for an entry in `zone`.
+    #[must_use]
+    pub fn new(zone: &str, clock: Clock) -> Self {
+        let inner = Inner {
+            balancer: Balancer::new(zone),
+            targets: HashMap::default(),
+            keys: HashMap::default(),
+            waiting: HashMap::default(),
+            random: StdRng::from_rng(&mut rand::rng()),
+        };
+        Self {
+            clock,
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Adds an upstream, or replaces the one of the same worker.
+    ///
+    /// A warm one gets its full share at once, as when this entry itself is new.
+    pub fn join(self: &Arc<Self>, announcement: &Announcement, is_warm: bool) {
+        let now = self.clock.now();
+        let target = Target {
+            worker: announcement.worker.clone(),
+            incarnation: announcement.incarnation,
+            address: announcement.address,
+        };
+        let mut inner = self.lock();
+        inner.remove(&announcement.worker);
+        let key = if is_warm {
+            inner
+                .balancer
+                .insert_warm(&announcement.zone, announcement.slots, now)
+        } else {
+            inner
+                .balancer
+                .insert(&announcement.zone, announcement.slots, now)
+        };
+        inner.targets.insert(key, target);
+        inner.keys.insert(announcement.worker.clone(), key);
+        drop(inner);
+        self.tick();
+    }
+
+    /// Removes the upstream of a worker.
+    pub fn remove(self: &Arc<Self>, worker: &worker::Id) {
+        self.lock().remove(worker);
+        self.tick();
+    }
+
+    /// Takes in the state and the load of an upstream.
+    pub fn report(self: &Arc<Self>, worker: &worker::Id, state: State, in_flight: u32) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let Some(&key) = inner.keys.get(worker) else {
+            return;
+        };
+        inner.balancer.set_state(key, state, now);
+        inner.balancer.report(key, in_flight, now);
+        drop(inner);
+        self.tick();
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    /// Waits for an upstream for `request`.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Overloaded`], [`ErrorKind::NoUpstream`] or [`ErrorKind::DeadlineBeforeSend`];
+    /// the request was not sent.
+    pub async fn acquire(self: &Arc<Self>, request: &Request, turn: Turn) -> Release {
+        let wait = match self.decide(request, turn)? {
+            Ok(permit) => return Ok(permit),
+            Err(wait) => wait,
+        };
+        self.changed.notify_one();
+        wait.end().await
+    }
+
+    /// Ends waits at their deadlines, for as long as the lane is used.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            self.tick();
+            let next = self.lock().balancer.next_tick().unwrap_or(Time::NEVER);
+            let next = next.max(self.clock.now().plus_millis(1));
+            tokio::select! {
+                () = tokio::time::sleep_until(self.clock.instant(next)) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    pub(super) fn finish(self: &Arc<Self>, key: Key, outcome: Outcome, started_at: Time) {
+        let now = self.clock.now();
+        let latency_micros = now.micros_since(started_at);
+        self.lock()
+            .balancer
+            .finish(key, outcome, latency_micros, now);
+        self.tick();
+    }
+
+    pub(super) fn cancel(&self, ticket: Ticket) {
+        let mut inner = self.lock();
+        if inner.waiting.remove(&ticket).is_some() {
+            inner.balancer.cancel(ticket);
+        }
+    }
+
+    fn decide(
+        self: &Arc<Self>,
+        request: &Request,
+        turn: Turn,
+    ) -> Result<Result<Permit, Wait>, Refused> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let random = inner.random.next_u64();
+        let decision = match turn {
+            Turn::First => inner.balancer.admit(request, now, random),
+            Turn::Again => inner.balancer.readmit(request, now, random),
+            Turn::Retry => inner
+                .balancer
+                .retry(request, now, random)
+                .ok_or_else(|| refused_by_budget())?,
+        };
+        match decision {
+            Decision::Send(key) => {
+                let target = inner.target(key);
+                Ok(Ok(Permit::new(self.clone(), key, target, now)))
+            }
+            Decision::Wait(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                inner.waiting.insert(ticket, sender);
+                Ok(Err(Wait::new(self.clone(), ticket, receiver)))
+            }
+            Decision::Shed(shed) => Err(refused(shed)),
+        }
+    }
+
+    /// Releases waiting requests. The lock is not held while permits change hands, since dropping
+    /// one takes it again.
+    fn tick(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut ended: Vec<(oneshot::Sender<Release>, Release)> = Vec::new();
+        let mut orphans: Vec<Permit> = Vec::new();
+        let mut inner = self.lock();
+        let random = inner.random.next_u64();
+        for release in inner.balancer.tick(now, random) {
+            match release {
+                Released::Send(ticket, key) => {
+                    let target = inner.target(key);
+                    let permit = Permit::new(self.clone(), key, target, now);
+                    match inner.waiting.remove(&ticket) {
+                        Some(sender) => ended.push((sender, Ok(permit))),
+                        None => orphans.push(permit),
+                    }
+                }
+                Released::Shed(ticket, shed) => {
+                    if let Some(sender) = inner.waiting.remove(&ticket) {
+                        ended.push((sender, Err(refused(shed))));
+                    }
+                }
+            }
+        }
+        drop(inner);
+        for (sender, release) in ended {
+            // A client that is gone leaves the permit to be dropped here.
+            drop(sender.send(release));
+        }
+        drop(orphans);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .expect("no holder of this lock panics while it changes the lane")
+    }
+}
+
+impl Inner {
+    fn remove(&mut self, worker: &worker::Id) {
+        if let Some(key) = self.keys.remove(worker) {
+            self.balancer.remove(key);
+            self.targets.remove(&key);
+        }
+    }
+
+    fn target(&self, key: Key) -> Target {
+        self.targets
+            .get(&key)
+            .cloned()
+            .expect("each candidate of the balancer has a target")
+    }
+}
+
+fn refused(shed: Shed) -> Refused {
+    let kind = match shed.reason {
+        Reason::NoUpstream => ErrorKind::NoUpstream,
+        Reason::Deadline => ErrorKind::DeadlineBeforeSend,
+        _ => ErrorKind::Overloaded,
+    };
+    Refused {
+        error: Error::new(kind),
+        retry_after_ms: Some(shed.retry_after_micros.div_ceil(1_000)),
+    }
+}
+
+fn refused_by_budget() -> Refused {
+    Error::new(ErrorKind::NoUpstream)
+        .context("the retry budget is used up")
+        .into()
+}
--- /dev/null
+++ b/crates/entry/src/member/hear.rs
@@ -0,0 +1,101 @@
+//! Heartbeats of companions.
+
+use std::sync::Arc;
+
+use slog::info;
+use toucanquay_control::roster::{Heard, Load};
+use toucanquay_model::upstream::Announcement;
+use toucanquay_policy::route::State;
+use toucanquay_wire::heartbeat::{Beat, Reply};
+
+use crate::Context;
+
+/// How long after its start an entry takes upstreams for long-serving ones, in milliseconds. They
+/// all announce themselves to a new entry within three heartbeats.
+const WARM_MS: u64 = 3_000;
+
+/// Takes in a heartbeat and returns the reply.
+pub fn hear(context: &Arc<Context>, beat: Beat) -> Reply {
+    let now = context.clock.now();
+    if let Some(announcement) = &beat.announcement {
+        let heard = context.roster().announce(announcement.clone(), now);
+        if heard == Heard::Joined {
+            join(context, announcement);
+        }
+    }
+    let load = load(&beat);
+    let heard = context
+        .roster()
+        .heartbeat(&beat.worker, beat.incarnation, beat.sequence, load, now);
+    if heard == Heard::Known {
+        follow(context, &beat);
+    }
+    let mut register = context.register();
+    register.learn(beat.revision_known);
+    Reply {
+        revision_known: register.revision_known(),
+        revision: register.revision(),
+        entries: entries(context),
+        owner: context.owner(),
+        wants_announcement: heard == Heard::Unknown,
+    }
+}
+
+/// Removes upstreams whose heartbeats have stopped.
+pub fn expire(context: &Arc<Context>) {
+    let now = context.clock.now();
+    let expired = context.roster().expire(now);
+    for member in expired {
+        let announcement = member.announcement;
+        info!(context.log, "upstream_expired";
+            "worker" => %announcement.worker, "incarnation" => announcement.incarnation);
+        if let Some(lane) = context.lane(&announcement.service) {
+            lane.remove(&announcement.worker);
+        }
+    }
+}
+
+fn join(context: &Arc<Context>, announcement: &Announcement) {
+    info!(context.log, "upstream_joined";
+        "worker" => %announcement.worker, "incarnation" => announcement.incarnation,
+        "service" => &announcement.service, "zone" => &announcement.zone);
+    let is_warm = context.clock.now().as_millis() < WARM_MS;
+    context
+        .lane_or_new(&announcement.service)
+        .join(announcement, is_warm);
+}
+
+fn follow(context: &Arc<Context>, beat: &Beat) {
+    let service = context
+        .roster()
+        .get(&beat.worker)
+        .map(|member| member.announcement.service.clone());
+    let Some(lane) = service.and_then(|service| context.lane(&service)) else {
+        return;
+    };
+    let state = match (beat.is_leaving, beat.is_healthy) {
+        (true, _) => State::Draining,
+        (false, true) => State::Up,
+        (false, false) => State::Unhealthy,
+    };
+    lane.report(&beat.worker, state, beat.in_flight);
+}
+
+const fn load(beat: &Beat) -> Load {
+    Load {
+        revision: beat.revision,
+        in_flight: beat.in_flight,
+        tasks: beat.tasks,
+        is_healthy: beat.is_healthy,
+        is_leaving: beat.is_leaving,
+        is_drained: beat.is_drained,
+    }
+}
+
+fn entries(context: &Context) -> Vec<std::net::SocketAddr> {
+    let mut entries: Vec<_> = context.peers().values().map(|peer| peer.address).collect();
+    entries.push(context.settings.peer_listen);
+    entries.sort_unstable();
+    entries.dedup();
+    entries
+}
