--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -22,7 +22,4 @@
     pub remaining_micros: Option<u64>,
     /// Whether the request carries an idempotency key, so that the companion keeps its answer.
     pub is_keyed: bool,
-    /// Whether only the kept answer of an earlier send is wanted, as for a retry that has found
-    /// the claim of its idempotency key. The companion never runs such a request.
-    pub is_replay: bool,
 }
--- a/crates/wire/src/tombstone.rs
+++ b/crates/wire/src/tombstone.rs
@@ -10,7 +10,4 @@
     pub id: request::Id,
     /// The companion's run that the request was sent to. Any other run answers "unknown".
     pub incarnation: Incarnation,
-    /// Time from the first sending of the request to the sending of this frame, in microseconds.
-    /// It tells a request that never arrived from one that the companion may have forgotten.
-    pub age_micros: u64,
 }
--- a/crates/wire/tests/transport.rs
+++ b/crates/wire/tests/transport.rs
@@ -64,7 +64,6 @@
     let frame = Frame::Tombstone(Tombstone {
         id: ID,
         incarnation: 1,
-        age_micros: 0,
     });
     stream.send(&frame).await.unwrap();
     stream.recv().await.unwrap();
@@ -102,7 +101,6 @@
     let frame = Frame::Tombstone(Tombstone {
         id: ID,
         incarnation: 1,
-        age_micros: 0,
     });
     pool.call(address, &frame, soon()).await.unwrap();
     stop.cancel();
