control: ledger recognises forgotten requests by their number

A time limit on forgotten requests would answer "not run" to a tombstone that comes after it. Ids now carry the run of the entry and a growing number.

The ledger keeps the highest forgotten number of each run. An id at or below it that the ledger does not hold gets the verdict "unknown", and a request with such an id is not run: a retry that finds the claim of a forgotten request must not run it a second time.

--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -6,6 +6,7 @@
 
 mod begin;
 mod book;
+mod horizon;
 mod outcome;
 mod record;
 mod request;
@@ -40,6 +41,9 @@
 /// this limit a new one is answered "unknown" instead.
 pub const TOMBSTONES_MAX: usize = 1 << 16;
 
-/// Time that a tombstone may take from its sender to the ledger, in milliseconds. It is added to
-/// the age that the sender states; senders give up waiting sooner.
-pub const TRANSIT_MS: u64 = 10_000;
+/// Entry incarnations of which a horizon is kept before expired ones are dropped.
+pub const ENTRIES_MAX: usize = 1 << 12;
+
+/// Time for which the horizon of an entry's incarnation is kept after its last change, in
+/// milliseconds. Claims of idempotency keys last as long, so nobody asks for an older request.
+pub const HORIZON_MS: u64 = 86_400_000;
--- a/crates/control/src/ledger/begin.rs
+++ b/crates/control/src/ledger/begin.rs
@@ -19,6 +19,6 @@
     Tombstoned,
     /// It is meant for another incarnation. This one does not run it.
     Foreign,
-    /// Only its outcome was asked for, and the ledger does not know it.
+    /// It may have run: its outcome is unknown, or it may be one that the ledger has forgotten.
     Unknown,
 }
--- a/crates/control/src/ledger/book.rs
+++ b/crates/control/src/ledger/book.rs
@@ -6,8 +6,9 @@
 use toucanquay_model::{Incarnation, Time, request, request::Verdict};
 
 use super::{
-    Begin, FINISHED_MAX, FINISHED_MS, KEYED_MS, Outcome, RESPONSE_BYTES_MAX, RESPONSES_BYTES_MAX,
-    Request, Response, TOMBSTONE_MS, TOMBSTONES_MAX, TRANSIT_MS, record::Record,
+    Begin, ENTRIES_MAX, FINISHED_MAX, FINISHED_MS, HORIZON_MS, KEYED_MS, Outcome,
+    RESPONSE_BYTES_MAX, RESPONSES_BYTES_MAX, Request, Response, TOMBSTONE_MS, TOMBSTONES_MAX,
+    horizon::Horizon, record::Record,
 };
 
 /// Ids with the time at which each is forgotten, in the order of these times.
@@ -25,10 +26,10 @@
 /// use toucanquay_model::{Time, request, request::Verdict};
 ///
 /// let mut ledger = Ledger::new(3);
-/// let id = request::Id(7);
-/// let request = Request { id, incarnation: 3, is_keyed: false, is_replay: false };
+/// let id = request::Id::new(9, 1);
+/// let request = Request { id, incarnation: 3, is_keyed: false };
 ///
-/// assert_eq!(ledger.tombstone(id, 3, 0, Time::ZERO), Verdict::NotRun);
+/// assert_eq!(ledger.tombstone(id, 3, Time::ZERO), Verdict::NotRun);
 /// assert_eq!(ledger.begin(request, Time::from_millis(1)), Begin::Tombstoned);
 /// ```
 #[derive(Debug)]
@@ -40,9 +41,7 @@
     tombstones: Expiry,
     kept_bytes: usize,
     running: usize,
-    /// Latest beginning of a request that was forgotten. An unknown id that may have been sent
-    /// before it may be that request.
-    horizon: Option<Time>,
+    horizons: HashMap<Incarnation, Horizon, RandomState>,
 }
 
 impl Ledger {
@@ -57,7 +56,7 @@
             tombstones: Expiry::new(),
             kept_bytes: 0,
             running: 0,
-            horizon: None,
+            horizons: HashMap::default(),
         }
     }
 
@@ -66,20 +65,15 @@
     pub fn begin(&mut self, request: Request, now: Time) -> Begin {
         self.expire(now);
         if request.incarnation != self.incarnation {
-            return if request.is_replay {
-                Begin::Unknown
-            } else {
-                Begin::Foreign
-            };
+            return Begin::Foreign;
         }
         if let Some(record) = self.records.get(&request.id) {
             return record.on_arrival();
         }
-        if request.is_replay {
+        if self.may_be_forgotten(request.id) {
             return Begin::Unknown;
         }
         let record = Record::Running {
-            begun: now,
             is_keyed: request.is_keyed,
         };
         self.records.insert(request.id, record);
@@ -89,7 +83,7 @@
 
     /// Records how a running request ended. It does nothing for a request that is not running.
     pub fn finish(&mut self, id: request::Id, outcome: Outcome, now: Time) {
-        let Some(&Record::Running { begun, is_keyed }) = self.records.get(&id) else {
+        let Some(&Record::Running { is_keyed }) = self.records.get(&id) else {
             return;
         };
         self.running -= 1;
@@ -99,12 +93,11 @@
                 return;
             }
             Outcome::Whole(response) => Record::Finished {
-                begun,
                 response: response
                     .filter(|_| is_keyed)
                     .and_then(|kept| self.keep(kept)),
             },
-            Outcome::Unknown => Record::Unknown { begun },
+            Outcome::Unknown => Record::Unknown,
         };
         self.records.insert(id, record);
         if is_keyed {
@@ -112,20 +105,11 @@
         } else {
             self.finished.push_back((now.plus_millis(FINISHED_MS), id));
         }
-        self.bound_finished();
+        self.bound_finished(now);
     }
 
     /// Refuses a request from now on unless it has begun, and says what is known of it.
-    ///
-    /// `age_micros` is the time from the first sending of the request to the sending of the
-    /// tombstone. It tells an id that never arrived from one that may have been forgotten.
-    pub fn tombstone(
-        &mut self,
-        id: request::Id,
-        incarnation: Incarnation,
-        age_micros: u64,
-        now: Time,
-    ) -> Verdict {
+    pub fn tombstone(&mut self, id: request::Id, incarnation: Incarnation, now: Time) -> Verdict {
         self.expire(now);
         if incarnation != self.incarnation {
             return Verdict::Unknown;
@@ -134,7 +118,7 @@
             return record.verdict();
         }
         let is_full = self.tombstones.len() >= TOMBSTONES_MAX;
-        if is_full || self.may_be_forgotten(age_micros, now) {
+        if is_full || self.may_be_forgotten(id) {
             return Verdict::Unknown;
         }
         self.records.insert(id, Record::Tombstoned);
@@ -167,10 +151,9 @@
         self.kept_bytes
     }
 
-    fn may_be_forgotten(&self, age_micros: u64, now: Time) -> bool {
-        let age_micros = age_micros.saturating_add(TRANSIT_MS * 1_000);
-        let sent = Time::from_micros(now.as_micros().saturating_sub(age_micros));
-        self.horizon.is_some_and(|horizon| sent <= horizon)
+    fn may_be_forgotten(&self, id: request::Id) -> bool {
+        let horizon = self.horizons.get(&id.entry());
+        horizon.is_some_and(|horizon| id.number() <= horizon.number)
     }
 
     fn keep(&mut self, response: Response) -> Option<Arc<Response>> {
@@ -183,11 +166,11 @@
         Some(Arc::new(response))
     }
 
-    fn bound_finished(&mut self) {
+    fn bound_finished(&mut self, now: Time) {
         while self.finished.len() + self.keyed.len() > FINISHED_MAX {
             let oldest = self.finished.pop_front().or_else(|| self.keyed.pop_front());
             if let Some((_, id)) = oldest {
-                self.forget(id);
+                self.forget(id, now);
             }
         }
     }
@@ -200,15 +183,22 @@
                 .pop_front_if(is_due)
                 .or_else(|| self.keyed.pop_front_if(is_due))
                 .or_else(|| self.tombstones.pop_front_if(is_due));
-            let Some((_, id)) = due else { return };
-            self.forget(id);
+            let Some((_, id)) = due else {
+                return;
+            };
+            self.forget(id, now);
         }
     }
 
-    fn forget(&mut self, id: request::Id) {
+    fn forget(&mut self, id: request::Id, now: Time) {
         if let Some(record) = self.records.remove(&id) {
             self.kept_bytes -= record.size_bytes();
-            self.horizon = self.horizon.max(record.begun());
         }
+        if self.horizons.len() >= ENTRIES_MAX {
+            self.horizons.retain(|_, horizon| horizon.expires > now);
+        }
+        let horizon = self.horizons.entry(id.entry()).or_default();
+        horizon.number = horizon.number.max(id.number());
+        horizon.expires = now.plus_millis(HORIZON_MS);
     }
 }
--- a/crates/control/src/ledger/record.rs
+++ b/crates/control/src/ledger/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use toucanquay_model::{Time, request::Verdict};
+use toucanquay_model::request::Verdict;
 
 use super::{Begin, Response};
 
@@ -10,14 +10,11 @@
 #[derive(Debug, Clone)]
 pub(super) enum Record {
     /// It runs.
-    Running { begun: Time, is_keyed: bool },
+    Running { is_keyed: bool },
     /// It has run to its end.
-    Finished {
-        begun: Time,
-        response: Option<Arc<Response>>,
-    },
+    Finished { response: Option<Arc<Response>> },
     /// It may have run.
-    Unknown { begun: Time },
+    Unknown,
     /// It has not run and is refused.
     Tombstoned,
 }
@@ -30,7 +27,7 @@
             Self::Finished { response, .. } => response
                 .as_ref()
                 .map_or(Begin::Finished, |response| Begin::Replay(response.clone())),
-            Self::Unknown { .. } => Begin::Unknown,
+            Self::Unknown => Begin::Unknown,
             Self::Tombstoned => Begin::Tombstoned,
         }
     }
@@ -40,21 +37,11 @@
         match self {
             Self::Running { .. } => Verdict::Running,
             Self::Finished { .. } => Verdict::Finished,
-            Self::Unknown { .. } => Verdict::Unknown,
+            Self::Unknown => Verdict::Unknown,
             Self::Tombstoned => Verdict::NotRun,
         }
     }
 
-    /// Returns when the request began, unless it never did.
-    pub(super) const fn begun(&self) -> Option<Time> {
-        match self {
-            Self::Running { begun, .. }
-            | Self::Finished { begun, .. }
-            | Self::Unknown { begun } => Some(*begun),
-            Self::Tombstoned => None,
-        }
-    }
-
     /// Returns the bytes of the response that it keeps.
     pub(super) fn size_bytes(&self) -> usize {
         match self {
--- a/crates/control/src/ledger/request.rs
+++ b/crates/control/src/ledger/request.rs
@@ -11,6 +11,4 @@
     pub incarnation: Incarnation,
     /// Whether it has an idempotency key, so that its response is kept.
     pub is_keyed: bool,
-    /// Whether only the outcome of an earlier send is wanted. Such a request never runs.
-    pub is_replay: bool,
 }
