--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,1 +1,179 @@
 //! Requests that wait for a slot, ordered by deadline.
+
+mod shed;
+mod ticket;
+mod waiting;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use slotmap::SlotMap;
+use toucanquay_model::Time;
+
+pub use shed::{Reason, Shed};
+pub use ticket::Ticket;
+pub use waiting::Waiting;
+
+/// Most requests that wait at once. It bounds memory; early shedding acts long before.
+const LENGTH_MAX: usize = 10_000;
+
+/// Latest position of a request in the order, in microseconds after its arrival. Requests with a
+/// later deadline, or none, would otherwise starve behind a stream of urgent ones.
+const POSITION_MICROS_MAX: u64 = 5_000_000;
+
+/// Width of a class of deadlines, in microseconds. The rank of a new request is counted by class.
+const CLASS_MICROS: u64 = 10_000;
+
+/// Share of its remaining time that a request may be expected to wait. The rest is left for the
+/// tail of the service time.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Queue ordered by deadline that sheds early what cannot be served in time.
+///
+/// Push, pop, cancel and expiry of one request take logarithmic time.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_model::Time;
+/// use toucanquay_policy::queue::Queue;
+///
+/// let mut queue: Queue<u32> = Queue::new();
+/// let late = queue.push(Time::from_millis(90), &[], Time::ZERO).unwrap();
+/// let soon = queue.push(Time::from_millis(50), &[], Time::ZERO).unwrap();
+/// assert_eq!(queue.pop().map(|(ticket, _)| ticket), Some(soon));
+/// assert_eq!(queue.expire(Time::from_millis(90)), Some(late));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Queue<K> {
+    waiting: SlotMap<Ticket, Waiting<K>>,
+    order: BTreeSet<(Time, Ticket)>,
+    expiries: BTreeSet<(Time, Ticket)>,
+    classes: BTreeMap<u64, usize>,
+    interval_micros: f64,
+    service_micros: f64,
+}
+
+impl<K: Copy> Queue<K> {
+    /// Returns an empty queue.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            waiting: SlotMap::with_key(),
+            order: BTreeSet::new(),
+            expiries: BTreeSet::new(),
+            classes: BTreeMap::new(),
+            interval_micros: 0.0,
+            service_micros: 0.0,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tells whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the waiting requests in the order in which [`Queue::pop`] takes them.
+    pub fn iter(&self) -> impl Iterator<Item = (Ticket, &Waiting<K>)> {
+        let entry = |&(_, ticket): &(Time, Ticket)| Some((ticket, self.waiting.get(ticket)?));
+        self.order.iter().filter_map(entry)
+    }
+
+    /// Returns the earliest time at which [`Queue::expire`] has something to return.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.expiries.first().map(|&(time, _)| time)
+    }
+
+    /// Sets the expected time between two releases and the expected service time, in microseconds.
+    pub const fn set_pace(&mut self, interval_micros: f64, service_micros: f64) {
+        self.interval_micros = interval_micros;
+        self.service_micros = service_micros;
+    }
+
+    /// Adds a request that must be answered by `deadline` and should not go to `excluded`.
+    ///
+    /// # Errors
+    ///
+    /// [`Shed`] when the request cannot be expected to be answered by its deadline, with the time
+    /// after which a repeat would find room.
+    pub fn push(&mut self, deadline: Time, excluded: &[K], now: Time) -> Result<Ticket, Shed> {
+        let position = deadline.min(now.plus_micros(POSITION_MICROS_MAX));
+        self.check(deadline, position, now)?;
+        let slack = deadline.micros_since(now) - self.service_micros as u64;
+        let expires_at = now.plus_micros(slack);
+        let ticket = self.waiting.insert(Waiting {
+            deadline,
+            expires_at,
+            position,
+            since: now,
+            excluded: excluded.into(),
+        });
+        self.order.insert((position, ticket));
+        self.expiries.insert((expires_at, ticket));
+        *self.classes.entry(Self::class(position)).or_default() += 1;
+        Ok(ticket)
+    }
+
+    /// Removes and returns the request with the earliest position.
+    pub fn pop(&mut self) -> Option<(Ticket, Waiting<K>)> {
+        let &(_, ticket) = self.order.first()?;
+        self.cancel(ticket).map(|waiting| (ticket, waiting))
+    }
+
+    /// Removes and returns one request that can no longer be answered in time, if there is one.
+    pub fn expire(&mut self, now: Time) -> Option<Ticket> {
+        let &(time, ticket) = self.expiries.first()?;
+        if time > now {
+            return None;
+        }
+        self.cancel(ticket).map(|_| ticket)
+    }
+
+    /// Removes a request, for example because its client is gone.
+    pub fn cancel(&mut self, ticket: Ticket) -> Option<Waiting<K>> {
+        let waiting = self.waiting.remove(ticket)?;
+        self.order.remove(&(waiting.position, ticket));
+        self.expiries.remove(&(waiting.expires_at, ticket));
+        let class = Self::class(waiting.position);
+        if let Some(count) = self.classes.get_mut(&class) {
+            *count -= 1;
+            if *count == 0 {
+                self.classes.remove(&class);
+            }
+        }
+        Some(waiting)
+    }
+
+    fn check(&self, deadline: Time, position: Time, now: Time) -> Result<(), Shed> {
+        let wait = self.wait_micros(position);
+        let slack = deadline.micros_since(now) as f64 - self.service_micros;
+        if slack <= 0.0 {
+            return Err(Shed::new(Reason::Deadline, wait));
+        }
+        if wait > slack * WAIT_SHARE || self.len() >= LENGTH_MAX {
+            return Err(Shed::new(Reason::Overloaded, wait));
+        }
+        Ok(())
+    }
+
+    /// Returns the expected wait of a request at `position`, in microseconds.
+    fn wait_micros(&self, position: Time) -> f64 {
+        let ahead: usize = self
+            .classes
+            .range(..=Self::class(position))
+            .map(|(_, count)| count)
+            .sum();
+        (ahead + 1) as f64 * self.interval_micros
+    }
+
+    const fn class(position: Time) -> u64 {
+        position.as_micros() / CLASS_MICROS
+    }
+}
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,1 +1,30 @@
 //! Choice of an upstream for a request.
+//!
+//! [`Balancer`] is the whole decision for one service. It combines a [`Router`] with the limits of
+//! its candidates, a queue, a retry budget and outlier ejection.
+
+mod balancer;
+mod candidate;
+mod decision;
+mod key;
+mod outcome;
+mod random;
+mod ready;
+mod release;
+mod request;
+mod router;
+mod state;
+mod zone;
+
+pub use balancer::Balancer;
+pub use candidate::Candidate;
+pub use decision::Decision;
+pub use key::Key;
+pub use outcome::Outcome;
+pub use release::Release;
+pub use request::Request;
+pub use router::Router;
+pub use state::State;
+pub use zone::Zone;
+
+pub use crate::queue::{Reason, Shed, Ticket};
--- /dev/null
+++ b/crates/policy/src/route/random.rs
@@ -0,0 +1,23 @@
+//! Several choices from one random number.
+
+/// Returns two different indices below `len`, or the same one twice when there is only one.
+pub(super) const fn two(len: usize, random: u64) -> (usize, usize) {
+    let first = below(len, random as u32);
+    if len < 2 {
+        return (first, first);
+    }
+    let second = below(len - 1, (random >> 32) as u32);
+    (first, if second >= first { second + 1 } else { second })
+}
+
+/// Returns a number that looks independent of `random` (the output function of SplitMix64).
+pub(super) const fn next(random: u64) -> u64 {
+    let mut mixed = random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+const fn below(len: usize, random: u32) -> usize {
+    ((len as u64 * random as u64) >> 32) as usize
+}
