wire: split a stream into its sending and its receiving side

The companion reads a request's body while it already returns the answer, which needs both directions of one stream at the same time. One value with both directions could only do one after the other and would stall when an upstream answers before it has read a large body.

--- /dev/null
+++ b/crates/wire/src/sender.rs
@@ -0,0 +1,58 @@
+//! Sending side of a stream.
+
+use std::future::poll_fn;
+
+use bytes::Bytes;
+use h2::SendStream;
+use toucanquay_model::Error;
+
+use crate::{Frame, codec, stream::broken};
+
+/// Sending side of a [`Stream`](crate::Stream).
+///
+/// The stream is reset when both sides are dropped before [`Self::finish`].
+#[derive(Debug)]
+pub struct Sender {
+    sink: SendStream<Bytes>,
+}
+
+impl Sender {
+    pub(crate) const fn new(sink: SendStream<Bytes>) -> Self {
+        Self { sink }
+    }
+
+    /// Sends one frame, waiting for flow control.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::OutcomeUnknown`](toucanquay_model::ErrorKind::OutcomeUnknown) when the stream
+    /// is broken; part of the frame may have left.
+    pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
+        let mut bytes = codec::encode(frame)?;
+        while !bytes.is_empty() {
+            self.sink.reserve_capacity(bytes.len());
+            let capacity = poll_fn(|context| self.sink.poll_capacity(context))
+                .await
+                .ok_or_else(|| broken("stream closed"))?
+                .map_err(broken)?;
+            let part = bytes.split_to(capacity.min(bytes.len()));
+            self.sink.send_data(part, false).map_err(broken)?;
+        }
+        Ok(())
+    }
+
+    /// Says that no more frames will be sent.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::OutcomeUnknown`](toucanquay_model::ErrorKind::OutcomeUnknown) when the stream
+    /// is broken.
+    pub fn finish(&mut self) -> Result<(), Error> {
+        self.sink.send_data(Bytes::new(), true).map_err(broken)
+    }
+
+    /// Waits until the other end has reset the stream or the connection is gone.
+    pub async fn closed(&mut self) {
+        let _ = poll_fn(|context| self.sink.poll_reset(context)).await;
+    }
+}
