companion: forwarding, admission, heartbeats, configuration and graceful stop

It checks ids and lengths of frames, streams requests to the upstream and responses back, holds one slot for each request in flight, learns entries and sections from the replies to its heartbeats and hands sections out.

--- /dev/null
+++ b/crates/companion/src/admission/permit.rs
@@ -0,0 +1,62 @@
+//! Permission to run one request.
+
+use std::sync::Arc;
+
+use toucanquay_control::ledger::Outcome;
+use toucanquay_model::{Time, request};
+
+use super::Admission;
+
+/// Permission to run one request. It holds a slot until the outcome is told.
+///
+/// Dropping it says that the outcome is unknown.
+#[derive(Debug)]
+pub struct Permit {
+    admission: Arc<Admission>,
+    id: request::Id,
+    slot: usize,
+    begun: Time,
+    is_finished: bool,
+}
+
+impl Permit {
+    pub(super) const fn new(
+        admission: Arc<Admission>,
+        id: request::Id,
+        slot: usize,
+        begun: Time,
+    ) -> Self {
+        Self {
+            admission,
+            id,
+            slot,
+            begun,
+            is_finished: false,
+        }
+    }
+
+    /// Returns the slot that the request runs in.
+    #[must_use]
+    pub const fn slot(&self) -> usize {
+        self.slot
+    }
+
+    /// Records the outcome and frees the slot.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if !self.is_finished {
+            self.is_finished = true;
+            self.admission
+                .leave(self.id, self.slot, self.begun, outcome);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(Outcome::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/companion/src/companion.rs
@@ -0,0 +1,141 @@
+//! A running companion.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use slog::{Logger, info, o, warn};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, timeout_at},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use toucanquay_model::{Error, Incarnation};
+use toucanquay_wire::Server;
+
+use crate::{Context, Settings, Upstream, forward, health, heartbeat};
+
+/// Time beyond the deadline of a graceful stop in which cut requests are told so.
+const CUT_GRACE: Duration = Duration::from_secs(1);
+
+/// A running companion.
+///
+/// # Examples
+///
+/// ```no_run
+/// use slog::{Discard, Logger, o};
+/// use toucanquay_companion::{Companion, Settings};
+///
+/// # async fn example() -> Result<(), Vec<toucanquay_model::Error>> {
+/// let settings = Settings::new("w1", "lookup", "desk", "http://127.0.0.1:9000");
+/// let companion = Companion::start(settings, Logger::root(Discard, o!())).await?;
+/// println!("listens on {}", companion.address());
+/// assert!(companion.stop().await);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Companion {
+    context: Arc<Context>,
+    address: SocketAddr,
+    server: JoinHandle<()>,
+    loops: TaskTracker,
+    stop_server: CancellationToken,
+    stop_loops: CancellationToken,
+}
+
+impl Companion {
+    /// Starts a companion. It listens when this returns.
+    ///
+    /// # Errors
+    ///
+    /// An [`InvalidSetting`](toucanquay_model::ErrorKind::InvalidSetting) for each setting that is
+    /// wrong or can't be used on this host.
+    pub async fn start(settings: Settings, log: Logger) -> Result<Self, Vec<Error>> {
+        settings.check()?;
+        let incarnation: Incarnation = rand::random();
+        let log = log.new(o!("worker" => settings.worker.clone()));
+        let upstream = Upstream::new(&settings).map_err(|error| vec![error])?;
+        let server = Server::bind(settings.listen, log.clone())
+            .await
+            .map_err(|error| vec![error])?;
+        let address = server.address();
+        let context = Context::new(settings, address, upstream, incarnation, log);
+        let companion = Self::run(Arc::new(context), server);
+        info!(companion.context.log, "companion_started";
+            "incarnation" => incarnation, "address" => %address);
+        Ok(companion)
+    }
+
+    /// Returns the address of the listener for entries.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns this run of the companion.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.context.incarnation
+    }
+
+    /// Returns what the companion's loops and streams share.
+    #[must_use]
+    pub const fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops gracefully, and tells whether no request was cut off.
+    ///
+    /// New requests are refused and entries hear of it at once. Requests in flight may end until
+    /// the deadline of the settings; what remains then is logged and cut off.
+    pub async fn stop(self) -> bool {
+        let context = &self.context;
+        let deadline = Instant::now() + Duration::from_millis(context.settings.stop_deadline_ms);
+        info!(context.log, "stop_begun"; "in_flight" => context.admission.in_flight());
+        context.admission.stop();
+        heartbeat::last(context).await;
+        let is_clean = timeout_at(deadline, context.admission.idle()).await.is_ok();
+        if !is_clean {
+            warn!(context.log, "stop_deadline"; "in_flight" => context.admission.in_flight());
+            context.cut.cancel();
+        }
+        heartbeat::last(context).await;
+        self.stop_loops.cancel();
+        self.stop_server.cancel();
+        self.loops.close();
+        let grace = deadline.max(Instant::now()) + CUT_GRACE;
+        let ended = timeout_at(grace, async {
+            self.loops.wait().await;
+            self.server.await
+        });
+        if !matches!(ended.await, Ok(Ok(()))) {
+            warn!(context.log, "stop_incomplete");
+        }
+        info!(context.log, "companion_stopped"; "is_clean" => is_clean);
+        is_clean
+    }
+
+    fn run(context: Arc<Context>, server: Server) -> Self {
+        let loops = TaskTracker::new();
+        let stop_loops = CancellationToken::new();
+        let stop_server = CancellationToken::new();
+        let address = server.address();
+        let streams = context.clone();
+        let server = server.run(stop_server.clone(), move |stream| {
+            forward::serve(streams.clone(), stream)
+        });
+        let server = tokio::spawn(server);
+        heartbeat::run(&context, &loops, &stop_loops);
+        let health = stop_loops
+            .clone()
+            .run_until_cancelled_owned(health::run(context.clone()));
+        loops.spawn(health);
+        Self {
+            context,
+            address,
+            server,
+            loops,
+            stop_server,
+            stop_loops,
+        }
+    }
+}
--- /dev/null
+++ b/crates/companion/src/configuration.rs
@@ -0,0 +1,100 @@
+//! Learning the configuration from other processes, and handing it out.
+
+use std::{net::SocketAddr, time::Duration};
+
+use slog::{debug, warn};
+use tokio::time::Instant;
+use toucanquay_control::register::{Item, Snapshot};
+use toucanquay_model::{Error, ErrorKind, Revision};
+use toucanquay_wire::{
+    Frame,
+    section::{self, Query},
+};
+
+use crate::Context;
+
+/// Longest wait for the sections from one process; another one is asked at the next heartbeat.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Bytes of section texts in one reply. Together with one section of 1 MB they fit a frame.
+const REPLY_BYTES_MAX: usize = 128 * 1_024;
+
+/// Returns the reply to a query for sections.
+#[must_use]
+pub fn reply(context: &Context, query: Query) -> section::Reply {
+    let snapshot = context.register().page(query.after, REPLY_BYTES_MAX);
+    let items = snapshot.items.into_iter().map(|item| section::Item {
+        team: item.team,
+        revision: item.revision,
+        text: item.text,
+    });
+    section::Reply {
+        revision: snapshot.revision,
+        items: items.collect(),
+    }
+}
+
+/// Takes in what a process at `address` said of its configuration, and asks it for the sections
+/// that this companion lacks.
+pub async fn follow(
+    context: &Context,
+    address: SocketAddr,
+    revision: Revision,
+    revision_known: Revision,
+) {
+    context.register().learn(revision_known.max(revision));
+    loop {
+        let held = context.register().revision();
+        if held >= revision {
+            return;
+        }
+        if let Err(error) = fetch(context, address, held).await {
+            debug!(context.log, "sections_failed"; "entry" => %address, "error" => %error);
+            return;
+        }
+        if context.register().revision() <= held {
+            warn!(context.log, "sections_missing";
+                "entry" => %address, "revision" => revision, "held" => held);
+            return;
+        }
+    }
+}
+
+async fn fetch(context: &Context, address: SocketAddr, after: Revision) -> Result<(), Error> {
+    let query = Frame::SectionQuery(Query { after });
+    let deadline = Instant::now() + TIMEOUT;
+    let frame = context.pool.call(address, &query, deadline).await?;
+    let Frame::SectionReply(reply) = frame else {
+        return Err(Error::new(ErrorKind::Protocol).context("unexpected frame"));
+    };
+    let items = reply.items.into_iter().map(|item| Item {
+        team: item.team,
+        revision: item.revision,
+        text: item.text,
+    });
+    let snapshot = Snapshot {
+        revision: reply.revision,
+        items: items.collect(),
+    };
+    let faults = merge(context, snapshot);
+    for (team, fault) in faults {
+        warn!(context.log, "section_unreadable"; "team" => team, "error" => %fault);
+    }
+    context.apply_configuration();
+    Ok(())
+}
+
+fn merge(context: &Context, snapshot: Snapshot) -> Vec<(String, Error)> {
+    let teams: Vec<String> = snapshot
+        .items
+        .iter()
+        .map(|item| item.team.clone())
+        .collect();
+    let mut register = context.register();
+    register.merge(snapshot);
+    let faults = teams.into_iter().filter_map(|team| {
+        let fault = register.fault(&team)?.clone();
+        Some((team, fault))
+    });
+    faults.collect()
+}
--- /dev/null
+++ b/crates/companion/src/forward.rs
@@ -0,0 +1,11 @@
+//! Requests from entries: each is one stream of frames.
+
+pub mod headers;
+
+mod intake;
+mod outlet;
+mod record;
+mod relay;
+mod serve;
+
+pub use serve::serve;
--- /dev/null
+++ b/crates/companion/src/forward/headers.rs
@@ -0,0 +1,57 @@
+//! Header fields between frames and HTTP.
+
+use reqwest::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+
+/// Fields that a proxy must not pass on (RFC 9110, section 7.6.1), and those that belong to the
+/// framing of one connection.
+const NOT_FORWARDED: [&str; 11] = [
+    "connection",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns the fields of a request as HTTP headers without those of the connection, or `None` when
+/// one is not valid.
+#[must_use]
+pub fn to_http(fields: &[(String, Vec<u8>)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for (name, value) in fields {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    strip(&mut headers);
+    Some(headers)
+}
+
+/// Returns the headers of a response as fields without those of the connection.
+#[must_use]
+pub fn from_http(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let mut headers = headers.clone();
+    strip(&mut headers);
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let fixed = NOT_FORWARDED.iter().copied();
+    for name in named.iter().map(String::as_str).chain(fixed) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/companion/src/heartbeat.rs
@@ -0,0 +1,7 @@
+//! Heartbeats to every entry.
+
+mod entries;
+mod round;
+
+pub use entries::Entries;
+pub use round::{last, run};
--- /dev/null
+++ b/crates/companion/src/heartbeat/round.rs
@@ -0,0 +1,128 @@
+//! One loop of heartbeats for each entry.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use slog::{debug, info};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use toucanquay_model::{Error, ErrorKind};
+use toucanquay_wire::{Frame, heartbeat::Reply};
+
+use crate::{Context, configuration};
+
+/// Time between two heartbeats to the same entry.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for a reply. It is shorter than the interval, so that a silent entry delays no
+/// heartbeat.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Longest wait for the replies to the last heartbeats.
+const LAST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Starts the heartbeats to each entry of the settings. They run until `stop` is cancelled.
+pub fn run(context: &Arc<Context>, tracker: &TaskTracker, stop: &CancellationToken) {
+    for address in context.entries.all() {
+        start(context, tracker, stop, address);
+    }
+}
+
+/// Sends a heartbeat to each known entry at once and waits for the replies, for a short time.
+pub async fn last(context: &Context) {
+    let deadline = Instant::now() + LAST_TIMEOUT;
+    let beats = context.entries.all().into_iter().map(|address| async move {
+        let _ = timeout_at(deadline, send(context, address, false)).await;
+    });
+    join_all(beats).await;
+}
+
+fn start(
+    context: &Arc<Context>,
+    tracker: &TaskTracker,
+    stop: &CancellationToken,
+    address: SocketAddr,
+) {
+    let beats = repeat(context.clone(), tracker.clone(), stop.clone(), address);
+    let stop = stop.clone();
+    tracker.spawn(async move { stop.run_until_cancelled(beats).await });
+}
+
+async fn repeat(
+    context: Arc<Context>,
+    tracker: TaskTracker,
+    stop: CancellationToken,
+    address: SocketAddr,
+) {
+    let mut news = context.news.subscribe();
+    let mut with_announcement = true;
+    // Each entry has its own phase, so that the heartbeats of a fleet that was started at once do
+    // not arrive at once. The first one is not delayed.
+    let phase = Duration::from_micros(rand::random_range(0..1_000_000));
+    let mut due = Instant::now() + phase;
+    loop {
+        news.mark_unchanged();
+        let reply = send(&context, address, with_announcement).await;
+        context.meters.heartbeat(reply.is_ok());
+        match reply {
+            Ok(reply) => {
+                let is_wanted = reply.wants_announcement && !with_announcement;
+                with_announcement = reply.wants_announcement;
+                take(&context, &tracker, &stop, address, reply).await;
+                if is_wanted {
+                    continue;
+                }
+            }
+            Err(error) => {
+                debug!(context.log, "heartbeat_failed"; "entry" => %address, "error" => %error);
+                if context.entries.forget(address, context.now()) {
+                    info!(context.log, "entry_forgotten"; "entry" => %address);
+                    return;
+                }
+            }
+        }
+        while due <= Instant::now() {
+            due += INTERVAL;
+        }
+        tokio::select! {
+            () = sleep_until(due) => {}
+            _ = news.changed() => {}
+        }
+    }
+}
+
+async fn send(
+    context: &Context,
+    address: SocketAddr,
+    with_announcement: bool,
+) -> Result<Reply, Error> {
+    let beat = Frame::Heartbeat(context.beat(with_announcement));
+    let deadline = Instant::now() + TIMEOUT;
+    match context.pool.call(address, &beat, deadline).await? {
+        Frame::HeartbeatReply(reply) => Ok(reply),
+        _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+    }
+}
+
+async fn take(
+    context: &Arc<Context>,
+    tracker: &TaskTracker,
+    stop: &CancellationToken,
+    address: SocketAddr,
+    reply: Reply,
+) {
+    for entry in context.entries.learn(&reply.entries, context.now()) {
+        info!(context.log, "entry_learned"; "entry" => %entry);
+        start(context, tracker, stop, entry);
+    }
+    if let Some(owner) = reply.owner {
+        context.owner.send_if_modified(|known| {
+            let is_newer = known.is_none_or(|known| owner.epoch > known.epoch);
+            if is_newer {
+                *known = Some(owner);
+            }
+            is_newer
+        });
+    }
+    configuration::follow(context, address, reply.revision, reply.revision_known).await;
+}
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -1,1 +1,25 @@
-//! The process beside each upstream: announces it, enforces its limits, forwards requests and runs tasks under leases.
+//! The process beside each upstream: announces it, enforces its limits, forwards requests and runs
+//! tasks under leases.
+//!
+//! A [`Companion`] is started from [`Settings`]; several can run in one process.
+
+pub mod admission;
+pub mod clock;
+pub mod companion;
+pub mod configuration;
+pub mod context;
+pub mod exporter;
+pub mod forward;
+pub mod health;
+pub mod heartbeat;
+pub mod log;
+pub mod meters;
+pub mod settings;
+pub mod upstream;
+
+pub use clock::Clock;
+pub use companion::Companion;
+pub use context::Context;
+pub use meters::Meters;
+pub use settings::Settings;
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/companion/src/meters.rs
@@ -0,0 +1,108 @@
+//! The companion's metrics.
+
+use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
+use toucanquay_control::ledger::Outcome;
+
+/// Metrics of one companion, each with the worker as its label.
+///
+/// A recorder that is installed after they were created does not see them.
+#[derive(Clone)]
+pub struct Meters {
+    whole: Counter,
+    not_run: Counter,
+    unknown: Counter,
+    refused: Counter,
+    latency_seconds: Histogram,
+    in_flight: Gauge,
+    ledger: Gauge,
+    heartbeats: Counter,
+    heartbeats_failed: Counter,
+    revision: Gauge,
+    healthy: Gauge,
+}
+
+impl Meters {
+    /// Returns the metrics of the companion of `worker`.
+    #[must_use]
+    pub fn new(worker: &str) -> Self {
+        let worker = worker.to_owned();
+        let requests = |outcome: &'static str| {
+            counter!("toucanquay_companion_requests_total",
+                "worker" => worker.clone(), "outcome" => outcome)
+        };
+        let beats = |result: &'static str| {
+            counter!("toucanquay_companion_heartbeats_total",
+                "worker" => worker.clone(), "result" => result)
+        };
+        Self {
+            whole: requests("whole"),
+            not_run: requests("not_run"),
+            unknown: requests("unknown"),
+            refused: requests("refused"),
+            latency_seconds: histogram!("toucanquay_companion_request_seconds",
+                "worker" => worker.clone()),
+            in_flight: gauge!("toucanquay_companion_in_flight", "worker" => worker.clone()),
+            ledger: gauge!("toucanquay_companion_ledger_records", "worker" => worker.clone()),
+            heartbeats: beats("replied"),
+            heartbeats_failed: beats("failed"),
+            revision: gauge!("toucanquay_companion_revision", "worker" => worker.clone()),
+            healthy: gauge!("toucanquay_companion_upstream_healthy", "worker" => worker.clone()),
+        }
+    }
+
+    /// Counts a request that has ended after `micros` microseconds.
+    pub fn finished(&self, outcome: &Outcome, micros: u64) {
+        match outcome {
+            Outcome::Whole(_) => self.whole.increment(1),
+            Outcome::NotRun => self.not_run.increment(1),
+            Outcome::Unknown => self.unknown.increment(1),
+        }
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a latency has far fewer than 2^52 microseconds"
+        )]
+        self.latency_seconds.record(micros as f64 / 1e6);
+    }
+
+    /// Counts a request that was refused.
+    pub fn refused(&self) {
+        self.refused.increment(1);
+    }
+
+    /// Records the requests in flight.
+    pub fn in_flight(&self, count: u32) {
+        self.in_flight.set(f64::from(count));
+    }
+
+    /// Records the size of the request ledger.
+    pub fn ledger(&self, records: usize) {
+        self.ledger
+            .set(f64::from(u32::try_from(records).unwrap_or(u32::MAX)));
+    }
+
+    /// Counts a heartbeat by whether it was replied to.
+    pub fn heartbeat(&self, is_replied: bool) {
+        if is_replied {
+            self.heartbeats.increment(1);
+        } else {
+            self.heartbeats_failed.increment(1);
+        }
+    }
+
+    /// Records the configuration revision that is held.
+    pub fn revision(&self, revision: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "revisions stay far below 2^52")]
+        self.revision.set(revision as f64);
+    }
+
+    /// Records whether the upstream answers its health check.
+    pub fn healthy(&self, is_healthy: bool) {
+        self.healthy.set(f64::from(u8::from(is_healthy)));
+    }
+}
+
+impl std::fmt::Debug for Meters {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Meters").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/companion/src/upstream.rs
@@ -0,0 +1,132 @@
+//! HTTP to the upstream.
+
+use std::{error::Error as _, time::Duration};
+
+use reqwest::{Body, Client, Method, Request, Response, Url, redirect::Policy};
+use toucanquay_model::{Error, ErrorKind};
+use toucanquay_wire::request::Head;
+
+use crate::{Settings, forward::headers};
+
+/// Longest time to connect. The upstream is on the same host, so a longer wait means that it
+/// accepts no connections.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which an idle connection is closed. Servers commonly close theirs after 5 s, and a
+/// request sent at that moment would have an unknown outcome.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The upstream beside a companion.
+///
+/// Each slot has its own connection. While a returned connection is not idle yet, a slot may open
+/// a second one, so only as many slots keep connections as the limit on connections allows for.
+#[derive(Debug)]
+pub struct Upstream {
+    base: Url,
+    clients: Vec<Client>,
+}
+
+impl Upstream {
+    /// Returns the upstream that `settings` name, without connecting.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidSetting`] when the address is not a URL.
+    pub fn new(settings: &Settings) -> Result<Self, Error> {
+        let unusable = |cause: String| {
+            Error::new(ErrorKind::InvalidSetting)
+                .field("--upstream")
+                .value(&settings.upstream)
+                .expected("an address such as http://127.0.0.1:9000")
+                .context(cause)
+        };
+        let base = Url::parse(&settings.upstream).map_err(|cause| unusable(cause.to_string()))?;
+        // One connection is left to health checks.
+        let spare = settings
+            .connections
+            .saturating_sub(settings.slots)
+            .saturating_sub(1);
+        let clients: Result<Vec<Client>, reqwest::Error> = (0..settings.slots)
+            .map(|slot| client(usize::from(slot < spare)))
+            .collect();
+        let clients = clients.map_err(|cause| unusable(cause.to_string()))?;
+        Ok(Self { base, clients })
+    }
+
+    /// Returns the HTTP request for `head`.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidField`] when HTTP can't express the method, target or a header.
+    pub fn request(&self, head: &Head, body: Option<Body>) -> Result<Request, Error> {
+        let invalid = |field: &str, value: &str| {
+            Error::new(ErrorKind::InvalidField)
+                .field(field)
+                .value(value)
+                .expected("a valid HTTP request")
+        };
+        let method = Method::from_bytes(head.method.as_bytes())
+            .map_err(|_cause| invalid("method", &head.method))?;
+        let url = self
+            .url(&head.target)
+            .ok_or_else(|| invalid("target", &head.target))?;
+        let mut request = Request::new(method, url);
+        *request.headers_mut() =
+            headers::to_http(&head.headers).ok_or_else(|| invalid("headers", ""))?;
+        *request.body_mut() = body;
+        Ok(request)
+    }
+
+    /// Sends a request over the connection of `slot` and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::PeerUnavailable`] when there was no connection, so that nothing was sent;
+    /// [`ErrorKind::OutcomeUnknown`] when the connection broke.
+    pub async fn send(&self, slot: usize, request: Request) -> Result<Response, Error> {
+        self.clients[slot].execute(request).await.map_err(|cause| {
+            let kind = if cause.is_connect() {
+                ErrorKind::PeerUnavailable
+            } else {
+                ErrorKind::OutcomeUnknown
+            };
+            Error::new(kind).context(describe(&cause))
+        })
+    }
+
+    /// Returns the address of `target`, which starts with a slash.
+    fn url(&self, target: &str) -> Option<Url> {
+        let base = self.base.as_str().trim_end_matches('/');
+        if !target.starts_with('/') {
+            return None;
+        }
+        Url::parse(&format!("{base}{target}")).ok()
+    }
+}
+
+/// Returns an error's causes in one line.
+#[must_use]
+pub fn describe(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
+
+fn client(idle_max: usize) -> Result<Client, reqwest::Error> {
+    Client::builder()
+        .redirect(Policy::none())
+        // A retry inside the client could send a request twice.
+        .retry(reqwest::retry::never())
+        .no_proxy()
+        .http1_only()
+        .tcp_nodelay(true)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle_max)
+        .build()
+}
--- a/crates/control/src/register/book.rs
+++ b/crates/control/src/register/book.rs
@@ -181,4 +181,23 @@
             items,
         }
     }
+
+    /// Returns the oldest part of [`Self::snapshot`], with at most `bytes_max` bytes of texts but at
+    /// least one section. Its revision says how far the receiver then is.
+    #[must_use]
+    pub fn page(&self, after: Revision, bytes_max: usize) -> Snapshot {
+        let mut snapshot = self.snapshot(after);
+        let mut bytes = 0;
+        let fitting = snapshot.items.iter().take_while(|item| {
+            bytes += item.team.len() + item.text.as_ref().map_or(0, String::len);
+            bytes <= bytes_max
+        });
+        let length = fitting.count().max(1);
+        if length < snapshot.items.len() {
+            snapshot.items.truncate(length);
+            let last = snapshot.items[length - 1].revision;
+            snapshot.revision = snapshot.revision.min(last);
+        }
+        snapshot
+    }
 }
