--- /dev/null
+++ b/crates/entry/src/client/jobs.rs
@@ -0,0 +1,227 @@
+//! Batch jobs.
+
+use std::{convert::Infallible, sync::Arc};
+
+use futures_util::stream;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    http::{HeaderValue, Method, StatusCode, header},
+    writing::Json,
+};
+use tokio::time::{Duration, Instant};
+use toucanquay_model::{Error, ErrorKind, job, section};
+use toucanquay_wire::Frame;
+
+use crate::{Context, http::Refusal};
+
+/// Largest body of a submission, in bytes: the payload with room for the other fields.
+const SUBMISSION_BYTES_MAX: usize = job::PAYLOAD_BYTES_MAX * 2;
+
+/// Longest wait for the owner, which answers after a write to the store.
+const OWNER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time between two looks at a job that is watched.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Returns the routes for jobs.
+pub(super) fn router(context: &Arc<Context>) -> Router {
+    let jobs = Jobs {
+        context: context.clone(),
+    };
+    let watch = Watch {
+        context: context.clone(),
+    };
+    Router::with_path("jobs")
+        .get(jobs.clone())
+        .post(jobs.clone())
+        .push(
+            Router::with_path("{id}")
+                .get(jobs.clone())
+                .delete(jobs)
+                .push(Router::with_path("watch").get(watch)),
+        )
+}
+
+/// Submits, lists, shows and cancels jobs.
+#[derive(Debug, Clone)]
+struct Jobs {
+    context: Arc<Context>,
+}
+
+#[async_trait]
+impl Handler for Jobs {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let is_submission = request.method() == Method::POST;
+        let result = match read(&self.context, request).await {
+            Ok(job) => call(&self.context, job).await,
+            Err(error) => Err(error),
+        };
+        match result {
+            Ok(job::Reply::One(status)) => {
+                if is_submission {
+                    response.status_code(StatusCode::CREATED);
+                }
+                response.render(Json(status));
+            }
+            Ok(job::Reply::Many(all)) => response.render(Json(all)),
+            Ok(job::Reply::Refused(error)) | Err(error) => Refusal::new(&error).write(response),
+        }
+    }
+}
+
+/// Streams the changes of a job.
+#[derive(Debug, Clone)]
+struct Watch {
+    context: Arc<Context>,
+}
+
+#[async_trait]
+impl Handler for Watch {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let first = match id(request) {
+            Ok(id) => show(&self.context, id).await,
+            Err(error) => Err(error),
+        };
+        let status = match first {
+            Ok(status) => status,
+            Err(error) => return Refusal::new(&error).write(response),
+        };
+        let value = HeaderValue::from_static("application/x-ndjson");
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+        let state = Some((self.context.clone(), status, true));
+        response.stream(stream::unfold(state, next_line));
+    }
+}
+
+type WatchState = Option<(Arc<Context>, job::Status, bool)>;
+
+async fn next_line(state: WatchState) -> Option<(Result<Vec<u8>, Infallible>, WatchState)> {
+    let (context, mut status, is_first) = state?;
+    if !is_first {
+        status = changed(&context, &status).await?;
+    }
+    let mut line = serde_json::to_vec(&status).expect("a status is plain data with string keys");
+    line.push(b'\n');
+    let is_over = status.is_over();
+    let rest = (!is_over).then_some((context, status, false));
+    Some((Ok(line), rest))
+}
+
+/// Waits until the job differs from `last`; none when the job can't be seen any more.
+async fn changed(context: &Arc<Context>, last: &job::Status) -> Option<job::Status> {
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        match show(context, last.id.clone()).await {
+            Ok(status) if status != *last => return Some(status),
+            Ok(_) => {}
+            // A takeover or a connection that broke passes; the watch goes on.
+            Err(error) if error.kind().answer().is_retryable => {}
+            Err(error) if error.kind() == ErrorKind::OutcomeUnknown => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn show(context: &Arc<Context>, id: job::Id) -> Result<job::Status, Error> {
+    match call(context, job::Call::Show(id)).await? {
+        job::Reply::One(status) => Ok(status),
+        job::Reply::Refused(error) => Err(error),
+        job::Reply::Many(_) => Err(Error::new(ErrorKind::Protocol)),
+    }
+}
+
+async fn read(context: &Context, request: &mut Request) -> Result<job::Call, Error> {
+    if request.method() == Method::POST {
+        let spec = spec(request).await?;
+        admit(context, &spec)?;
+        return Ok(job::Call::Submit(spec));
+    }
+    if request.param::<String>("id").is_none() {
+        return Ok(job::Call::List);
+    }
+    let id = id(request)?;
+    if request.method() == Method::DELETE {
+        return Ok(job::Call::Cancel(id));
+    }
+    Ok(job::Call::Show(id))
+}
+
+fn id(request: &Request) -> Result<job::Id, Error> {
+    let id: String = request.param("id").unwrap_or_default();
+    job::check_name("id", &id)?;
+    Ok(job::Id(id))
+}
+
+async fn spec(request: &mut Request) -> Result<job::Spec, Error> {
+    let body = request
+        .payload_with_max_size(SUBMISSION_BYTES_MAX)
+        .await
+        .map_err(|cause| match cause {
+            salvo::http::ParseError::PayloadTooLarge => Error::new(ErrorKind::BodyTooLarge)
+                .field("body")
+                .expected(format!("at most {SUBMISSION_BYTES_MAX} bytes")),
+            cause => Error::new(ErrorKind::MalformedBody).context(cause),
+        })?;
+    let spec: job::Spec = serde_json::from_slice(body).map_err(|cause| {
+        Error::new(ErrorKind::MalformedBody)
+            .field("body")
+            .expected("a job in JSON")
+            .context(cause)
+    })?;
+    spec.check()?;
+    Ok(spec)
+}
+
+/// Checks what the configuration says of the job's team and kind.
+fn admit(context: &Context, spec: &job::Spec) -> Result<(), Error> {
+    let register = context.register();
+    let Some(section) = register.section(&spec.team) else {
+        return Err(Error::new(ErrorKind::UnknownTeam)
+            .field("team")
+            .value(&spec.team)
+            .expected("a team that has a section in the document"));
+    };
+    if section.state == section::State::Leaving {
+        return Err(Error::new(ErrorKind::Leaving).field("team").value(&spec.team));
+    }
+    if !section.batch.contains_key(&spec.kind) {
+        let kinds: Vec<&str> = section.batch.keys().map(String::as_str).collect();
+        return Err(Error::new(ErrorKind::InvalidField)
+            .field("kind")
+            .value(&spec.kind)
+            .expected(format!("a kind of the team's section: {}", kinds.join(", "))));
+    }
+    Ok(())
+}
+
+/// Asks the owner of the cell, which may be this process.
+async fn call(context: &Arc<Context>, call: job::Call) -> Result<job::Reply, Error> {
+    if let Some(reply) = context.role.job(&call).await {
+        return Ok(reply);
+    }
+    let owner = context.owner().ok_or_else(|| Error::new(ErrorKind::NoOwner))?;
+    if owner.address == context.settings.peer_listen {
+        return Err(Error::new(ErrorKind::NoOwner));
+    }
+    let deadline = Instant::now() + OWNER_TIMEOUT;
+    match context
+        .pool
+        .call(owner.address, &Frame::Job(call), deadline)
+        .await?
+    {
+        Frame::JobReply(reply) => Ok(reply),
+        _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/client/probes.rs
@@ -0,0 +1,56 @@
+//! Health and readiness.
+
+use std::sync::Arc;
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use toucanquay_model::{Error, ErrorKind};
+
+use crate::{Context, http::Refusal};
+
+/// Answers 200 while the process runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Health;
+
+#[async_trait]
+impl Handler for Health {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        response.render("healthy\n");
+    }
+}
+
+/// Answers 200 while the entry takes requests, so that the balancer sends it some.
+#[derive(Debug, Clone)]
+pub struct Ready {
+    context: Arc<Context>,
+}
+
+impl Ready {
+    /// Returns the route of one entry.
+    #[must_use]
+    pub const fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+}
+
+#[async_trait]
+impl Handler for Ready {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        if self.context.is_ready() {
+            response.render("ready\n");
+        } else {
+            Refusal::new(&Error::new(ErrorKind::ShuttingDown)).write(response);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/member/meet.rs
@@ -0,0 +1,107 @@
+//! Other entries.
+
+use std::sync::Arc;
+
+use slog::{debug, info};
+use tokio::time::{Duration, Instant};
+use toucanquay_control::register::{Item, Snapshot};
+use toucanquay_model::Error;
+use toucanquay_wire::{Frame, peer, section};
+
+use super::Peer;
+use crate::{Context, peer as listener};
+
+/// Time between two calls to each other entry.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for another entry.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Takes in the state of another entry.
+pub fn meet(context: &Context, status: &peer::Status) {
+    if status.entry == context.settings.name {
+        return;
+    }
+    context.register().learn(status.revision_known);
+    let peer = Peer {
+        incarnation: status.incarnation,
+        address: status.address,
+        revision: status.revision,
+        revision_companions: status.revision_companions,
+    };
+    let mut peers = context.peers();
+    let known = peers.insert(status.entry.clone(), peer);
+    drop(peers);
+    if known.is_none_or(|known| known.incarnation != status.incarnation) {
+        info!(context.log, "entry_joined"; "entry" => &status.entry,
+            "address" => %status.address, "incarnation" => status.incarnation);
+    }
+}
+
+/// Calls every other entry from time to time, and takes over the sections that it has and this one
+/// lacks. This is how an entry that starts during an outage of the store gets its configuration.
+pub async fn visit(context: Arc<Context>) {
+    loop {
+        let mut addresses: Vec<_> = context.peers().values().map(|peer| peer.address).collect();
+        addresses.extend(&context.settings.peers);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != context.settings.peer_listen);
+        for address in addresses {
+            if let Err(error) = call(&context, address).await {
+                debug!(context.log, "entry_unreachable"; "address" => %address, "error" => %error);
+            }
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Calls one entry, and takes over its newer sections.
+///
+/// # Errors
+///
+/// The kinds of [`toucanquay_wire::Pool::call`].
+pub async fn call(context: &Context, address: std::net::SocketAddr) -> Result<(), Error> {
+    let frame = Frame::Peer(listener::status(context));
+    let deadline = Instant::now() + TIMEOUT;
+    let Frame::PeerReply(status) = context.pool.call(address, &frame, deadline).await? else {
+        return Ok(());
+    };
+    meet(context, &status);
+    let held = context.register().revision();
+    if status.revision > held {
+        take_over(context, address, held).await?;
+    }
+    Ok(())
+}
+
+/// Asks a process for the sections newer than `after` and applies them.
+///
+/// # Errors
+///
+/// The kinds of [`toucanquay_wire::Pool::call`].
+pub async fn take_over(
+    context: &Context,
+    address: std::net::SocketAddr,
+    after: u64,
+) -> Result<(), Error> {
+    let frame = Frame::SectionQuery(section::Query { after });
+    let deadline = Instant::now() + TIMEOUT;
+    let Frame::SectionReply(reply) = context.pool.call(address, &frame, deadline).await? else {
+        return Ok(());
+    };
+    let items = reply.items.into_iter().map(|item| Item {
+        team: item.team,
+        revision: item.revision,
+        text: item.text,
+    });
+    let snapshot = Snapshot {
+        revision: reply.revision,
+        items: items.collect(),
+    };
+    let mut register = context.register();
+    register.merge(snapshot);
+    info!(context.log, "sections_taken_over"; "from" => %address,
+        "revision" => register.revision());
+    Ok(())
+}
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -2,6 +2,7 @@
 
 mod applied;
 mod in_force;
+pub mod routes;
 mod stored_section;
 mod upstream;
 
--- /dev/null
+++ b/crates/entry/src/operator/routes/in_force.rs
@@ -0,0 +1,127 @@
+//! Whether a revision is in force everywhere.
+
+use std::sync::Arc;
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
+use tokio::time::{Duration, Instant};
+use toucanquay_model::{Error, ErrorKind, Revision};
+
+use crate::{Context, http::Refusal, member, operator::InForce};
+
+/// Default of `timeout_ms`: the bound within which a change must be in force everywhere.
+const TIMEOUT_MS_DEFAULT: u64 = 14_000;
+
+/// Largest `timeout_ms`.
+const TIMEOUT_MS_MAX: u64 = 600_000;
+
+/// Time between two looks at the other entries.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits until a revision is in force on every entry and companion.
+pub(super) struct Wait {
+    context: Arc<Context>,
+}
+
+impl Wait {
+    pub(super) const fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+
+    async fn wait(&self, revision: Revision, timeout_ms: u64) -> InForce {
+        let deadline = Instant::now() + Duration::from_millis(timeout_ms);
+        loop {
+            let lagging = self.lagging(revision).await;
+            if lagging.is_empty() || Instant::now() >= deadline {
+                return InForce {
+                    revision,
+                    is_in_force: lagging.is_empty(),
+                    lagging,
+                };
+            }
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+
+    async fn lagging(&self, revision: Revision) -> Vec<String> {
+        let mut lagging = Vec::new();
+        if self.context.register().revision() < revision {
+            lagging.push(self.context.settings.name.clone());
+        }
+        for member in self.context.roster().members() {
+            if member.load.revision < revision {
+                lagging.push(member.announcement.worker.to_string());
+            }
+        }
+        let peers: Vec<_> = self
+            .context
+            .peers()
+            .iter()
+            .map(|(name, peer)| (name.clone(), peer.address))
+            .collect();
+        for (name, address) in peers {
+            if member::call(&self.context, address).await.is_err() {
+                lagging.push(name);
+                continue;
+            }
+            let peers = self.context.peers();
+            let holds = peers.get(&name).is_some_and(|peer| {
+                let companions = peer.revision_companions.unwrap_or(revision);
+                peer.revision >= revision && companions >= revision
+            });
+            if !holds {
+                lagging.push(name);
+            }
+        }
+        lagging
+    }
+}
+
+#[async_trait]
+impl Handler for Wait {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let revision = number(request, "revision", None, Revision::MAX);
+        let timeout_ms = number(
+            request,
+            "timeout_ms",
+            Some(TIMEOUT_MS_DEFAULT),
+            TIMEOUT_MS_MAX,
+        );
+        match (revision, timeout_ms) {
+            (Ok(revision), Ok(timeout_ms)) => {
+                response.render(Json(self.wait(revision, timeout_ms).await));
+            }
+            (Err(error), _) | (_, Err(error)) => Refusal::new(&error).write(response),
+        }
+    }
+}
+
+fn number(
+    request: &Request,
+    name: &'static str,
+    default: Option<u64>,
+    most: u64,
+) -> Result<u64, Error> {
+    let text: Option<String> = request.query(name);
+    let Some(text) = text else {
+        return default.ok_or_else(|| {
+            Error::new(ErrorKind::InvalidField)
+                .field(name)
+                .expected("a number")
+        });
+    };
+    text.parse()
+        .ok()
+        .filter(|number| *number <= most)
+        .ok_or_else(|| {
+            Error::new(ErrorKind::InvalidField)
+                .field(name)
+                .value(text)
+                .expected(format!("a number up to {most}"))
+        })
+}
--- /dev/null
+++ b/crates/entry/src/operator/routes/metrics.rs
@@ -0,0 +1,28 @@
+//! Metrics.
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+
+/// Renders the metrics of the process.
+pub(super) struct Scrape {
+    handle: PrometheusHandle,
+}
+
+impl Scrape {
+    pub(super) const fn new(handle: PrometheusHandle) -> Self {
+        Self { handle }
+    }
+}
+
+#[async_trait]
+impl Handler for Scrape {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        response.render(self.handle.render());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator/routes/upstreams.rs
@@ -0,0 +1,56 @@
+//! List of upstreams.
+
+use std::sync::Arc;
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
+use toucanquay_control::roster::Member;
+
+use crate::{Context, operator::Upstream};
+
+/// Lists the upstreams whose heartbeats arrive.
+pub(super) struct List {
+    context: Arc<Context>,
+}
+
+impl List {
+    pub(super) const fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+}
+
+#[async_trait]
+impl Handler for List {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let all: Vec<Upstream> = self.context.roster().members().map(describe).collect();
+        response.render(Json(all));
+    }
+}
+
+fn describe(member: &Member) -> Upstream {
+    let announcement = &member.announcement;
+    let load = &member.load;
+    let state = match (load.is_drained, load.is_leaving, load.is_healthy) {
+        (true, _, _) => "drained",
+        (false, true, _) => "leaving",
+        (false, false, true) => "available",
+        (false, false, false) => "unhealthy",
+    };
+    Upstream {
+        worker: announcement.worker.clone(),
+        service: announcement.service.clone(),
+        team: announcement.team.clone(),
+        zone: announcement.zone.clone(),
+        rack: announcement.rack.clone(),
+        slots: announcement.slots,
+        in_flight: load.in_flight,
+        tasks: load.tasks,
+        revision: load.revision,
+        state: state.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,78 @@
+//! The listener for companions and other entries.
+
+use std::sync::Arc;
+
+use slog::debug;
+use toucanquay_control::register::Snapshot;
+use toucanquay_model::{Error, ErrorKind};
+use toucanquay_wire::{Frame, Stream, peer, section};
+
+use crate::{Context, member};
+
+/// Serves one stream.
+pub async fn serve(context: Arc<Context>, mut stream: Stream) {
+    let frame = match stream.recv().await {
+        Ok(Some(frame)) => frame,
+        Ok(None) => return,
+        Err(error) => {
+            debug!(context.log, "peer_stream_broken"; "error" => %error);
+            return;
+        }
+    };
+    let reply = answer(&context, frame).await.unwrap_or_else(Frame::Refused);
+    // A peer that is gone repeats its call elsewhere.
+    let _ = stream.send(&reply).await;
+    let _ = stream.finish();
+}
+
+/// Returns the state of this entry.
+pub fn status(context: &Context) -> peer::Status {
+    let register = context.register();
+    peer::Status {
+        entry: context.settings.name.clone(),
+        incarnation: context.incarnation,
+        address: context.settings.peer_listen,
+        revision: register.revision(),
+        revision_known: register.revision_known(),
+        revision_companions: context.roster().lowest_revision(),
+    }
+}
+
+async fn answer(context: &Arc<Context>, frame: Frame) -> Result<Frame, Error> {
+    match frame {
+        Frame::Heartbeat(beat) => Ok(Frame::HeartbeatReply(member::hear(context, beat))),
+        Frame::SectionQuery(query) => {
+            let snapshot = context.register().snapshot(query.after);
+            Ok(Frame::SectionReply(reply(snapshot)))
+        }
+        Frame::Report(report) => {
+            let command = context.role.exchange(report).await;
+            command.map(Frame::Command).ok_or_else(no_owner)
+        }
+        Frame::Job(call) => {
+            let reply = context.role.job(&call).await;
+            reply.map(Frame::JobReply).ok_or_else(no_owner)
+        }
+        Frame::Peer(peer) => {
+            member::meet(context, &peer);
+            Ok(Frame::PeerReply(status(context)))
+        }
+        _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+    }
+}
+
+fn no_owner() -> Error {
+    Error::new(ErrorKind::NoOwner).context("this entry does not own the cell")
+}
+
+fn reply(snapshot: Snapshot) -> section::Reply {
+    let items = snapshot.items.into_iter().map(|item| section::Item {
+        team: item.team,
+        revision: item.revision,
+        text: item.text,
+    });
+    section::Reply {
+        revision: snapshot.revision,
+        items: items.collect(),
+    }
+}
