--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -1,1 +1,422 @@
 //! State of a companion's tasks: grants, leases and results that are not acknowledged yet.
+
+mod action;
+mod entry;
+mod event;
+mod listed;
+mod outcome;
+mod settings;
+
+use std::collections::BTreeMap;
+
+use toucanquay_model::{
+    Attempt, Epoch, Incarnation, Resources, Revision, Time,
+    exchange::{Command, Grant, Refusal, Report, Stop, TaskReport, TaskState, Throttle},
+    task, worker,
+};
+
+pub use action::Action;
+use entry::Entry;
+pub use event::Event;
+pub use listed::Listed;
+pub use outcome::Outcome;
+pub use settings::Settings;
+
+/// Names one attempt of a task.
+type Key = (task::Id, Attempt);
+
+/// Task table of one companion; the final authority on what its worker runs.
+///
+/// The caller carries out the actions at the worker's task runtime and feeds back what the runtime
+/// says. The table relies on the runtime for three things: it refuses a start whose deadline has
+/// passed, it ends a task at the last deadline it was given, and it keeps the result of an ended
+/// attempt until it is told to forget it.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    settings: Settings,
+    epoch: Epoch,
+    sequence: u64,
+    /// Whether the last report has no answer yet.
+    is_waiting: bool,
+    revision: Revision,
+    revision_known: Revision,
+    is_leaving: bool,
+    has_listed: bool,
+    is_settled: bool,
+    settle_at: Time,
+    list_at: Time,
+    entries: BTreeMap<Key, Entry>,
+    violations: u64,
+}
+
+impl Agent {
+    /// Returns the table of a companion that starts now.
+    ///
+    /// It asks for a list of the running tasks and reports nothing before it has one.
+    #[must_use]
+    pub const fn new(settings: Settings, now: Time) -> Self {
+        let settle_at = now.plus_micros(settings.settle_micros);
+        Self {
+            settings,
+            epoch: 0,
+            sequence: 0,
+            is_waiting: false,
+            revision: 0,
+            revision_known: 0,
+            is_leaving: false,
+            has_listed: false,
+            is_settled: false,
+            settle_at,
+            list_at: now,
+            entries: BTreeMap::new(),
+            violations: 0,
+        }
+    }
+
+    /// Takes in the configuration revision that the companion holds and the highest known one.
+    pub fn configure(&mut self, held: Revision, known: Revision) {
+        self.revision = self.revision.max(held);
+        self.revision_known = self.revision_known.max(known).max(held);
+    }
+
+    /// Makes the worker leave: it refuses new tasks, and its tasks are stopped with a checkpoint.
+    pub fn leave(&mut self, now: Time) -> Vec<Action> {
+        self.is_leaving = true;
+        let mut actions = Vec::new();
+        for (key, entry) in &mut self.entries {
+            if entry.is_going_on() {
+                actions.push(entry.stop(key, true, self.settings.retry_at(now)));
+            }
+        }
+        actions
+    }
+
+    /// Carries out the owner's answer to the report that was sent at `sent_at`.
+    ///
+    /// An answer of an older epoch, or to any other report than the last one, changes nothing.
+    pub fn apply(&mut self, command: &Command, sent_at: Time, now: Time) -> Vec<Action> {
+        let is_last = self.is_waiting && command.sequence == self.sequence;
+        if command.epoch < self.epoch || !is_last {
+            return Vec::new();
+        }
+        self.is_waiting = false;
+        self.epoch = command.epoch;
+        self.revision_known = self.revision_known.max(command.revision);
+        let lease_micros = command.lease_micros.min(self.settings.lease_micros_max);
+        let deadline = sent_at.plus_micros(lease_micros);
+        let mut actions = Vec::new();
+        self.acknowledge(&command.acknowledged);
+        self.stop(&command.stops, now, &mut actions);
+        self.renew(&command.stops, deadline, now, &mut actions);
+        self.throttle(&command.throttles, &mut actions);
+        for grant in &command.grants {
+            self.grant(grant, deadline, now, &mut actions);
+        }
+        self.check_capacity();
+        actions
+    }
+
+    /// Takes in what the worker's task runtime says.
+    pub fn observe(&mut self, event: Event, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Task {
+                task,
+                attempt,
+                outcome,
+            } => self.advance(&(task, attempt), outcome, now, &mut actions),
+            Event::Listed { called_at, tasks } => {
+                self.adopt(called_at, tasks, now, &mut actions);
+            }
+        }
+        self.check_capacity();
+        actions
+    }
+
+    /// Returns what is due: lists, stops before a lease deadline, repeated stops, and results that
+    /// the runtime may forget.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.is_settled && now >= self.list_at {
+            self.list_at = self.settings.list_at(now, self.settle_at);
+            actions.push(Action::List);
+        }
+        for (key, entry) in &mut self.entries {
+            if let Some(with_checkpoint) = entry.due_stop(&self.settings, now) {
+                actions.push(entry.stop(key, with_checkpoint, self.settings.retry_at(now)));
+            }
+        }
+        self.forget(now, &mut actions);
+        actions
+    }
+
+    /// Makes the next report, or returns `None` before the running tasks have been listed.
+    ///
+    /// `sent_at` of its answer must not be later than the time of the sending. The usage fields
+    /// are empty and left to the caller.
+    pub fn report(&mut self, _now: Time) -> Option<Report> {
+        if !self.has_listed {
+            return None;
+        }
+        self.sequence += 1;
+        self.is_waiting = true;
+        let mut tasks = Vec::with_capacity(self.entries.len());
+        for ((task, attempt), entry) in &mut self.entries {
+            if entry.is_acknowledged {
+                continue;
+            }
+            entry.is_reported = true;
+            tasks.push(TaskReport {
+                task: task.clone(),
+                attempt: *attempt,
+                demand: entry.demand,
+                state: entry.state.clone(),
+            });
+        }
+        Some(Report {
+            worker: self.settings.worker.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            epoch: self.epoch,
+            revision: self.revision,
+            is_leaving: self.is_leaving,
+            is_settling: !self.is_settled,
+            capacity: self.settings.capacity,
+            tasks,
+            task_usage: Vec::new(),
+            service_usage: Vec::new(),
+        })
+    }
+
+    /// Returns the worker.
+    #[must_use]
+    pub const fn worker(&self) -> &worker::Id {
+        &self.settings.worker
+    }
+
+    /// Returns the run of the companion.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.settings.incarnation
+    }
+
+    /// Returns the highest owner epoch seen.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the resources that attempts hold.
+    #[must_use]
+    pub fn held(&self) -> Resources {
+        self.holding()
+            .fold(Resources::ZERO, |sum, entry| sum.plus(&entry.demand))
+    }
+
+    /// Returns how many attempts hold resources.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.holding().count()
+    }
+
+    /// Returns how often more than the worker's capacity was found in use. Anything but zero is a
+    /// bug, or a capacity that was lowered below what the adopted tasks hold.
+    #[must_use]
+    pub const fn violations(&self) -> u64 {
+        self.violations
+    }
+
+    /// Tells whether the worker is leaving and no task and no unacknowledged result is left.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.is_leaving
+            && self.is_settled
+            && self.entries.values().all(|entry| entry.is_acknowledged)
+    }
+
+    /// Tells whether a newer configuration is known than the one held.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.revision_known > self.revision
+    }
+
+    fn holding(&self) -> impl Iterator<Item = &Entry> {
+        self.entries
+            .values()
+            .filter(|entry| entry.state.holds_resources())
+    }
+
+    fn acknowledge(&mut self, acknowledged: &[Key]) {
+        for key in acknowledged {
+            if let Some(entry) = self.entries.get_mut(key)
+                && !entry.state.holds_resources()
+            {
+                entry.is_acknowledged = true;
+            }
+        }
+    }
+
+    fn stop(&mut self, stops: &[Stop], now: Time, actions: &mut Vec<Action>) {
+        for stop in stops {
+            let key = (stop.task.clone(), stop.attempt);
+            if let Some(entry) = self.entries.get_mut(&key)
+                && entry.is_changed_by_stop(stop.with_checkpoint)
+            {
+                let retry_at = self.settings.retry_at(now);
+                actions.push(entry.stop(&key, stop.with_checkpoint, retry_at));
+            }
+        }
+    }
+
+    fn renew(&mut self, stops: &[Stop], deadline: Time, now: Time, actions: &mut Vec<Action>) {
+        let is_stopped = |key: &Key| {
+            stops
+                .iter()
+                .any(|stop| stop.task == key.0 && stop.attempt == key.1)
+        };
+        for (key, entry) in &mut self.entries {
+            if is_stopped(key) || !entry.is_renewable(deadline, now) {
+                continue;
+            }
+            entry.deadline = deadline;
+            actions.push(Action::Renew {
+                task: key.0.clone(),
+                attempt: key.1,
+                deadline,
+            });
+        }
+    }
+
+    fn throttle(&self, throttles: &[Throttle], actions: &mut Vec<Action>) {
+        for throttle in throttles {
+            let key = (throttle.task.clone(), throttle.attempt);
+            if self.entries.get(&key).is_some_and(Entry::is_going_on) {
+                actions.push(Action::Throttle {
+                    task: key.0,
+                    attempt: key.1,
+                    share_percent: throttle.share_percent,
+                });
+            }
+        }
+    }
+
+    fn grant(&mut self, grant: &Grant, deadline: Time, now: Time, actions: &mut Vec<Action>) {
+        let key = (grant.task.clone(), grant.attempt);
+        if grant.attempt.epoch < self.epoch || self.entries.contains_key(&key) {
+            return;
+        }
+        if now >= self.settings.stop_at(deadline) {
+            // The answer came so late that the task would be stopped at once. The next report
+            // lacks the attempt, from which the owner learns that it was never started.
+            return;
+        }
+        let state = match self.refusal(grant) {
+            Some(reason) => TaskState::Refused { reason },
+            None => TaskState::Starting,
+        };
+        if state == TaskState::Starting {
+            actions.push(Action::Start {
+                grant: grant.clone(),
+                deadline,
+            });
+        }
+        self.entries
+            .insert(key, Entry::granted(grant.demand, state, deadline));
+    }
+
+    fn refusal(&self, grant: &Grant) -> Option<Refusal> {
+        let same_task =
+            |(key, entry): (&Key, &Entry)| key.0 == grant.task && entry.state.holds_resources();
+        if self.is_leaving {
+            return Some(Refusal::Leaving);
+        }
+        if !self.is_settled {
+            return Some(Refusal::Settling);
+        }
+        if self.is_stale() {
+            return Some(Refusal::StaleConfiguration);
+        }
+        if self.entries.iter().any(same_task) {
+            return Some(Refusal::SameTask);
+        }
+        if !self
+            .held()
+            .plus(&grant.demand)
+            .fits(&self.settings.capacity)
+        {
+            return Some(Refusal::NoRoom);
+        }
+        None
+    }
+
+    fn advance(&mut self, key: &Key, outcome: Outcome, now: Time, actions: &mut Vec<Action>) {
+        let retry_at = self.settings.retry_at(now);
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        actions.extend(entry.advance(key, outcome, now, retry_at));
+    }
+
+    /// Adopts what the runtime lists and the table lacks, and ends what the runtime lacks.
+    fn adopt(&mut self, called_at: Time, tasks: Vec<Listed>, now: Time, actions: &mut Vec<Action>) {
+        if now >= called_at.plus_micros(self.settings.lease_micros_max) {
+            // A list this old may name attempts that the runtime was told to forget since.
+            return;
+        }
+        self.has_listed = true;
+        self.is_settled |= called_at >= self.settle_at;
+        for (key, entry) in &mut self.entries {
+            let is_listed = tasks
+                .iter()
+                .any(|listed| listed.task == key.0 && listed.attempt == key.1);
+            if !is_listed && called_at > entry.started_at {
+                actions.extend(entry.advance(
+                    key,
+                    Outcome::Absent,
+                    now,
+                    self.settings.retry_at(now),
+                ));
+            }
+        }
+        for listed in tasks {
+            self.adopt_one(listed, now, actions);
+        }
+    }
+
+    fn adopt_one(&mut self, listed: Listed, now: Time, actions: &mut Vec<Action>) {
+        let key = (listed.task, listed.attempt);
+        if self.entries.contains_key(&key) {
+            if let Some(outcome) = Outcome::from_state(listed.state) {
+                self.advance(&key, outcome, now, actions);
+            }
+            return;
+        }
+        self.epoch = self.epoch.max(key.1.epoch);
+        let forget_at = now.plus_micros(self.settings.lease_micros_max);
+        let mut entry =
+            Entry::adopted(listed.demand, listed.state, listed.deadline, forget_at, now);
+        if self.is_leaving && entry.is_going_on() {
+            actions.push(entry.stop(&key, true, self.settings.retry_at(now)));
+        }
+        self.entries.insert(key, entry);
+    }
+
+    fn forget(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.entries.retain(|key, entry| {
+            let is_over = entry.is_acknowledged && now >= entry.forget_at;
+            if is_over && !matches!(entry.state, TaskState::Refused { .. }) {
+                actions.push(Action::Forget {
+                    task: key.0.clone(),
+                    attempt: key.1,
+                });
+            }
+            !is_over
+        });
+    }
+
+    fn check_capacity(&mut self) {
+        if !self.held().fits(&self.settings.capacity) {
+            self.violations += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/entry.rs
@@ -0,0 +1,151 @@
+//! One attempt in a companion's task table.
+
+use toucanquay_model::{
+    Resources, Time,
+    exchange::{Refusal, TaskState},
+};
+
+use super::{Action, Key, Outcome, Settings};
+
+/// An attempt that holds resources, or whose end is not acknowledged or not forgotten yet.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    pub(super) demand: Resources,
+    pub(super) state: TaskState,
+    /// When the lease ends.
+    pub(super) deadline: Time,
+    /// Until then a start that is still on its way may reach the runtime, so the runtime must
+    /// remember how the attempt ended.
+    pub(super) forget_at: Time,
+    /// When the runtime confirmed the start, or never.
+    pub(super) started_at: Time,
+    pub(super) is_reported: bool,
+    pub(super) is_acknowledged: bool,
+    with_checkpoint: bool,
+    retry_at: Time,
+}
+
+impl Entry {
+    pub(super) const fn granted(demand: Resources, state: TaskState, deadline: Time) -> Self {
+        Self {
+            demand,
+            state,
+            deadline,
+            forget_at: deadline,
+            started_at: Time::NEVER,
+            is_reported: false,
+            is_acknowledged: false,
+            with_checkpoint: false,
+            retry_at: Time::NEVER,
+        }
+    }
+
+    pub(super) fn adopted(
+        demand: Resources,
+        state: TaskState,
+        deadline: Time,
+        forget_at: Time,
+        now: Time,
+    ) -> Self {
+        Self {
+            forget_at,
+            started_at: now,
+            retry_at: now,
+            ..Self::granted(demand, state, deadline)
+        }
+    }
+
+    /// Tells whether it is starting or running and no stop was sent.
+    pub(super) const fn is_going_on(&self) -> bool {
+        matches!(self.state, TaskState::Starting | TaskState::Running)
+    }
+
+    /// Tells whether an order to stop asks for more than what was already sent.
+    pub(super) fn is_changed_by_stop(&self, with_checkpoint: bool) -> bool {
+        let is_upgrade =
+            self.state == TaskState::Stopping && self.with_checkpoint && !with_checkpoint;
+        self.is_going_on() || is_upgrade
+    }
+
+    /// Tells whether the owner's answer moves the lease to `deadline`.
+    ///
+    /// A lease that has ended stays ended, since the runtime may have acted on it.
+    pub(super) fn is_renewable(&self, deadline: Time, now: Time) -> bool {
+        self.is_reported
+            && self.state.holds_resources()
+            && now < self.deadline
+            && deadline > self.deadline
+    }
+
+    /// Sends a stop and plans its repetition.
+    pub(super) fn stop(&mut self, key: &Key, with_checkpoint: bool, retry_at: Time) -> Action {
+        self.state = TaskState::Stopping;
+        self.with_checkpoint = with_checkpoint;
+        self.retry_at = retry_at;
+        Action::Stop {
+            task: key.0.clone(),
+            attempt: key.1,
+            with_checkpoint,
+        }
+    }
+
+    /// Tells whether a stop is due, and whether it takes a checkpoint.
+    pub(super) fn due_stop(&self, settings: &Settings, now: Time) -> Option<bool> {
+        let is_expired = now >= self.deadline;
+        match self.state {
+            TaskState::Starting | TaskState::Running if now >= settings.stop_at(self.deadline) => {
+                Some(!is_expired)
+            }
+            TaskState::Stopping if now >= self.retry_at => {
+                Some(self.with_checkpoint && !is_expired)
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes in what the runtime says; returns a stop that has become possible or necessary.
+    pub(super) fn advance(
+        &mut self,
+        key: &Key,
+        outcome: Outcome,
+        now: Time,
+        retry_at: Time,
+    ) -> Option<Action> {
+        if !self.state.holds_resources() {
+            return None;
+        }
+        match outcome {
+            Outcome::Started => return self.confirm(key, now, retry_at),
+            Outcome::StartUnanswered if self.state == TaskState::Starting => {
+                return Some(self.stop(key, false, retry_at));
+            }
+            Outcome::StartUnanswered => {}
+            Outcome::StartRefused => {
+                self.state = TaskState::Refused {
+                    reason: Refusal::Runtime,
+                };
+            }
+            Outcome::Finished => self.state = TaskState::Finished,
+            Outcome::Failed { reason } => self.state = TaskState::Failed { reason },
+            Outcome::Stopped { checkpoint } => self.state = TaskState::Stopped { checkpoint },
+            Outcome::Absent => {
+                let has_started = self.started_at != Time::NEVER;
+                if has_started || now >= self.forget_at {
+                    self.state = TaskState::Stopped { checkpoint: None };
+                }
+            }
+        }
+        None
+    }
+
+    fn confirm(&mut self, key: &Key, now: Time, retry_at: Time) -> Option<Action> {
+        let is_first = self.started_at == Time::NEVER;
+        self.started_at = self.started_at.min(now);
+        if self.state == TaskState::Starting {
+            self.state = TaskState::Running;
+            return None;
+        }
+        // A stop that overtook the start found nothing to stop.
+        is_first.then(|| self.stop(key, self.with_checkpoint, retry_at))
+    }
+}
--- /dev/null
+++ b/crates/control/src/agent/listed.rs
@@ -0,0 +1,18 @@
+//! One line of a task runtime's list.
+
+use toucanquay_model::{Attempt, Resources, Time, exchange::TaskState, task};
+
+/// An attempt that a task runtime knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// The task.
+    pub task: task::Id,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Resources that it holds while it runs.
+    pub demand: Resources,
+    /// When its lease ends.
+    pub deadline: Time,
+    /// Its state.
+    pub state: TaskState,
+}
