policy: batch order and placement, interference model, quarantine

The backlog orders jobs by urgency, deadline slack and attained service, serves starved jobs in between, and places their tasks by vector fit. The interference matrix learns from lagging reports and advises throttling and eviction. The quarantine compares outcomes over workers and over jobs.

--- /dev/null
+++ b/crates/policy/src/batch/entry.rs
@@ -0,0 +1,71 @@
+//! Jobs with their waiting and running tasks.
+
+use std::collections::{BTreeMap, HashMap};
+
+use foldhash::fast::RandomState;
+use toucanquay_model::Time;
+
+use super::{Job, order::Place, run::Run};
+
+/// A job that has waiting or running tasks.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub job: Job,
+    pub team: usize,
+    pub kind: usize,
+    pub sequence: u64,
+    /// Waiting tasks by index, with the run time of their earlier attempts in microseconds.
+    pub waiting: BTreeMap<u32, u64>,
+    pub runs: HashMap<u32, Run, RandomState>,
+    /// Run times of stopped attempts of tasks that have not been pushed again yet.
+    pub stopped: BTreeMap<u32, u64>,
+    /// Service attained by ended attempts and charged to running ones, in processor-microseconds.
+    pub service: u64,
+    /// Since when the job waits without a start.
+    pub since: Time,
+    /// Whether the job was removed, so that stopped tasks are not expected back.
+    pub is_removed: bool,
+    /// Where the job stands in the order, if it does.
+    pub place: Option<Place>,
+}
+
+impl Entry {
+    pub fn new(job: Job, team: usize, kind: usize, sequence: u64, now: Time) -> Self {
+        Self {
+            job,
+            team,
+            kind,
+            sequence,
+            waiting: BTreeMap::new(),
+            runs: HashMap::default(),
+            stopped: BTreeMap::new(),
+            service: 0,
+            since: now,
+            is_removed: false,
+            place: None,
+        }
+    }
+
+    /// Tells whether nothing of the job waits, runs or is about to be pushed again.
+    pub fn is_over(&self) -> bool {
+        self.waiting.is_empty() && self.runs.is_empty() && self.stopped.is_empty()
+    }
+
+    /// Returns when the next task must start so that the rest finishes by the deadline, if there is
+    /// a deadline that has not passed. `reserve_micros` is kept in hand.
+    pub fn start_by(&self, run_micros: u64, reserve_micros: u64, now: Time) -> Option<Time> {
+        /// Tasks of one job that are assumed to run at once even if fewer do now.
+        const PARALLEL_MIN: usize = 4;
+        let finish_by = self.job.finish_by.filter(|deadline| *deadline > now)?;
+        let waves = self
+            .waiting
+            .len()
+            .div_ceil(self.runs.len().max(PARALLEL_MIN));
+        let needed = run_micros
+            .saturating_mul(waves as u64)
+            .saturating_add(reserve_micros);
+        Some(Time::from_micros(
+            finish_by.as_micros().saturating_sub(needed),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch/fleet.rs
@@ -0,0 +1,115 @@
+//! Capacities of the known workers.
+
+use std::collections::{BTreeMap, HashMap};
+
+use foldhash::fast::RandomState;
+use toucanquay_model::{Resources, worker};
+
+use super::Unfit;
+
+/// Capacities of the known workers, grouped because a fleet has few different shapes.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    workers: HashMap<worker::Id, Resources, RandomState>,
+    shapes: BTreeMap<(u32, u32, u32), u32>,
+    total_milli: u64,
+}
+
+impl Fleet {
+    /// Adds a worker or changes its capacity; tells whether the set of shapes changed.
+    pub fn join(&mut self, worker: &worker::Id, capacity: Resources) -> bool {
+        if self.workers.get(worker) == Some(&capacity) {
+            return false;
+        }
+        let is_gone = self.leave(worker);
+        self.workers.insert(worker.clone(), capacity);
+        self.total_milli += u64::from(capacity.processors_milli);
+        let count = self.shapes.entry(Self::shape(&capacity)).or_default();
+        *count += 1;
+        *count == 1 || is_gone
+    }
+
+    /// Removes a worker; tells whether the set of shapes changed.
+    pub fn leave(&mut self, worker: &worker::Id) -> bool {
+        let Some(capacity) = self.workers.remove(worker) else {
+            return false;
+        };
+        self.total_milli -= u64::from(capacity.processors_milli);
+        let shape = Self::shape(&capacity);
+        let count = self.shapes.entry(shape).or_default();
+        *count -= 1;
+        if *count > 0 {
+            return false;
+        }
+        self.shapes.remove(&shape);
+        true
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Returns the processors of all known workers, in thousandths.
+    pub const fn total_milli(&self) -> u64 {
+        self.total_milli
+    }
+
+    /// Returns `wanted`, cut to the capacity of a worker that holds `least` when none holds it.
+    ///
+    /// # Errors
+    ///
+    /// [`Unfit`] when no known worker holds `least`.
+    pub fn fit(&self, wanted: &Resources, least: &Resources) -> Result<Resources, Unfit> {
+        if self.capacities().any(|capacity| wanted.fits(&capacity)) {
+            return Ok(*wanted);
+        }
+        let widest = self
+            .capacities()
+            .filter(|capacity| least.fits(capacity))
+            .max_by_key(|capacity| (capacity.memory_mb, capacity.processors_milli));
+        widest
+            .map(|capacity| cut(wanted, &capacity))
+            .ok_or_else(|| self.unfit(least))
+    }
+
+    fn unfit(&self, demand: &Resources) -> Unfit {
+        let largest = self
+            .capacities()
+            .fold(Resources::ZERO, |largest, capacity| largest.max(&capacity));
+        let demand = *demand;
+        if demand.fits(&largest) {
+            return Unfit::Shape { demand, largest };
+        }
+        Unfit::Capacity { demand, largest }
+    }
+
+    fn capacities(&self) -> impl Iterator<Item = Resources> + '_ {
+        self.shapes
+            .keys()
+            .map(|&(processors_milli, memory_mb, accelerators)| Resources {
+                processors_milli,
+                memory_mb,
+                accelerators,
+            })
+    }
+
+    const fn shape(capacity: &Resources) -> (u32, u32, u32) {
+        (
+            capacity.processors_milli,
+            capacity.memory_mb,
+            capacity.accelerators,
+        )
+    }
+}
+
+fn cut(wanted: &Resources, capacity: &Resources) -> Resources {
+    Resources {
+        processors_milli: wanted.processors_milli.min(capacity.processors_milli),
+        memory_mb: wanted.memory_mb.min(capacity.memory_mb),
+        accelerators: wanted.accelerators.min(capacity.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch/order.rs
@@ -0,0 +1,117 @@
+//! Order of the waiting jobs.
+
+use std::collections::BTreeSet;
+use std::ops::Bound::{Excluded, Unbounded};
+
+use slotmap::new_key_type;
+use toucanquay_model::{Time, job::Urgency};
+
+new_key_type! {
+    /// Identifies a job in the backlog.
+    pub(super) struct Key;
+}
+
+/// Levels of attained service.
+pub(super) const LEVELS: usize = 4;
+
+const URGENCIES: usize = 3;
+
+/// Where a job stands in the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Place {
+    pub urgency: Urgency,
+    pub level: usize,
+    /// Grows with each job, so that a level is first-in-first-out.
+    pub sequence: u64,
+    /// When the job's next task must start to meet the deadline.
+    pub start_by: Option<Time>,
+    /// Since when the job waits without a start.
+    pub since: Time,
+}
+
+impl Place {
+    const fn lane(&self) -> usize {
+        let urgency = match self.urgency {
+            Urgency::Urgent => 0,
+            Urgency::Normal => 1,
+            Urgency::Idle => 2,
+        };
+        urgency * LEVELS + self.level
+    }
+}
+
+/// Position in the order. It stays valid while jobs move.
+#[derive(Debug, Default)]
+pub(super) struct Cursor {
+    stage: usize,
+    ranked: Option<(u64, Key)>,
+    starved: Option<(Time, Key)>,
+}
+
+/// Indexes of the waiting jobs.
+#[derive(Debug, Default)]
+pub(super) struct Order {
+    lanes: [BTreeSet<(u64, Key)>; URGENCIES * LEVELS],
+    start_by: BTreeSet<(Time, Key)>,
+    since: BTreeSet<(Time, Key)>,
+}
+
+impl Order {
+    pub fn insert(&mut self, key: Key, place: &Place) {
+        self.lanes[place.lane()].insert((place.sequence, key));
+        self.since.insert((place.since, key));
+        if let Some(start_by) = place.start_by {
+            self.start_by.insert((start_by, key));
+        }
+    }
+
+    pub fn remove(&mut self, key: Key, place: &Place) {
+        self.lanes[place.lane()].remove(&(place.sequence, key));
+        self.since.remove(&(place.since, key));
+        if let Some(start_by) = place.start_by {
+            self.start_by.remove(&(start_by, key));
+        }
+    }
+
+    /// Returns the next job in order of urgency, deadline and level.
+    pub fn next_ranked(&self, cursor: &mut Cursor, now: Time) -> Option<Key> {
+        // Stage LEVELS is the jobs near their deadline; they come after the urgent lanes.
+        while cursor.stage <= self.lanes.len() {
+            let next = match cursor.stage {
+                stage if stage == LEVELS => self.next_due(cursor.ranked, now),
+                stage => {
+                    let lane = stage - usize::from(stage > LEVELS);
+                    after(&self.lanes[lane], cursor.ranked)
+                }
+            };
+            if let Some(entry) = next {
+                cursor.ranked = Some(entry);
+                return Some(entry.1);
+            }
+            cursor.stage += 1;
+            cursor.ranked = None;
+        }
+        None
+    }
+
+    /// Returns the next job that has waited without a start since `limit` or longer.
+    pub fn next_starved(&self, cursor: &mut Cursor, limit: Time) -> Option<Key> {
+        let entry = after(&self.since, cursor.starved)?;
+        if entry.0 > limit {
+            return None;
+        }
+        cursor.starved = Some(entry);
+        Some(entry.1)
+    }
+
+    fn next_due(&self, last: Option<(u64, Key)>, now: Time) -> Option<(u64, Key)> {
+        let last = last.map(|(micros, key)| (Time::from_micros(micros), key));
+        let (start_by, key) = after(&self.start_by, last)?;
+        (start_by <= now).then_some((start_by.as_micros(), key))
+    }
+}
+
+fn after<T: Ord + Copy>(set: &BTreeSet<T>, last: Option<T>) -> Option<T> {
+    let start = last.map_or(Unbounded, Excluded);
+    set.range((start, Unbounded)).next().copied()
+}
--- /dev/null
+++ b/crates/policy/src/batch/room.rs
@@ -0,0 +1,49 @@
+//! Free resources of workers.
+
+use toucanquay_model::{Resources, worker};
+
+/// A worker's capacity and what is free of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Room {
+    /// The worker.
+    pub worker: worker::Id,
+    /// Capacity of the worker for batch tasks.
+    pub capacity: Resources,
+    /// What no task holds.
+    pub free: Resources,
+}
+
+impl Room {
+    /// Returns the room of an empty worker.
+    #[must_use]
+    pub const fn new(worker: worker::Id, capacity: Resources) -> Self {
+        Self {
+            worker,
+            capacity,
+            free: capacity,
+        }
+    }
+
+    /// Returns the smallest free share over the resources that the worker has, from 0 to 1, after
+    /// `demand` is taken.
+    #[must_use]
+    pub(super) fn share_after(&self, demand: &Resources) -> f64 {
+        let share = |free: u32, demand: u32, capacity: u32| {
+            if capacity == 0 {
+                return 1.0;
+            }
+            f64::from(free.saturating_sub(demand)) / f64::from(capacity)
+        };
+        let processors = share(
+            self.free.processors_milli,
+            demand.processors_milli,
+            self.capacity.processors_milli,
+        );
+        let memory = share(
+            self.free.memory_mb,
+            demand.memory_mb,
+            self.capacity.memory_mb,
+        );
+        processors.min(memory)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interfere/budget.rs
@@ -0,0 +1,36 @@
+//! Token bucket.
+
+use toucanquay_model::Time;
+
+/// Tokens that refill at a steady rate up to a bound.
+#[derive(Debug, Clone)]
+pub(super) struct Budget {
+    tokens: f64,
+    burst: f64,
+    per_micro: f64,
+    updated: Time,
+}
+
+impl Budget {
+    /// Returns a full bucket that refills one token every `interval_micros`.
+    pub fn new(burst: u32, interval_micros: u64) -> Self {
+        Self {
+            tokens: f64::from(burst),
+            burst: f64::from(burst),
+            per_micro: 1.0 / interval_micros.max(1) as f64,
+            updated: Time::ZERO,
+        }
+    }
+
+    /// Takes a token; tells whether there was one.
+    pub fn take(&mut self, now: Time) -> bool {
+        let refill = now.micros_since(self.updated) as f64 * self.per_micro;
+        self.tokens = (self.tokens + refill).min(self.burst);
+        self.updated = self.updated.max(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interfere/host.rs
@@ -0,0 +1,50 @@
+//! A worker, as the interference model sees it.
+
+use std::collections::HashMap;
+
+use foldhash::fast::RandomState;
+use smallvec::SmallVec;
+use toucanquay_model::{Time, task};
+
+use super::track::Track;
+
+/// Tasks and services of one worker.
+#[derive(Debug, Default)]
+pub(super) struct Host {
+    pub tracks: HashMap<task::Id, Track, RandomState>,
+    /// Tasks that ended recently; late reports may describe the time in which they ran.
+    pub past: Vec<Track>,
+    /// Services that run here, each with the end of its last window of high load.
+    pub services: SmallVec<[(usize, Time); 2]>,
+    /// When a share last changed.
+    pub changed: Time,
+    /// End of the last window that was learned from.
+    pub learned: Time,
+}
+
+impl Host {
+    /// Returns all tracks that may overlap a window of the past.
+    pub fn tracks_mut(&mut self) -> impl Iterator<Item = &mut Track> {
+        self.tracks.values_mut().chain(self.past.iter_mut())
+    }
+
+    pub fn tracks(&self) -> impl Iterator<Item = &Track> {
+        self.tracks.values().chain(self.past.iter())
+    }
+
+    /// Remembers that a service runs here and, if its load is high, when.
+    pub fn notice(&mut self, service: usize, is_high: bool, at: Time) {
+        let known = self
+            .services
+            .iter()
+            .position(|(known, _)| *known == service);
+        let index = known.unwrap_or_else(|| {
+            self.services.push((service, Time::ZERO));
+            self.services.len() - 1
+        });
+        if is_high {
+            let peak = &mut self.services[index].1;
+            *peak = at.max(*peak);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interfere/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of the interference model.
+
+/// Settings of a [`Matrix`](super::Matrix).
+///
+/// Slow-downs are natural logarithms of the factor on latency, so they add up over tasks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Settings {
+    /// Predicted slow-down of a service above which tasks beside it are throttled.
+    pub throttle_above: f64,
+    /// Predicted slow-down below which a throttled task gets more of its share back.
+    pub release_below: f64,
+    /// Predicted slow-down above which a task at the lowest share is evicted.
+    pub evict_above: f64,
+    /// Lowest share that a task is throttled to, in percent.
+    pub share_min_percent: u8,
+    /// Step between two shares, in percent.
+    pub share_step_percent: u8,
+    /// Time for which a throttled share is kept at the least, in microseconds.
+    pub hold_micros: u64,
+    /// Longest time for which a share is kept after repeated throttling, in microseconds.
+    pub hold_max_micros: u64,
+    /// Time for which a high load of a service is remembered, in microseconds. It should exceed
+    /// the period of demand swings.
+    pub peak_micros: u64,
+    /// Age beyond which reports are ignored and past tasks are forgotten, in microseconds.
+    pub lag_max_micros: u64,
+    /// Evictions that may follow each other at once.
+    pub evictions_burst: u32,
+    /// Time after which one more eviction is allowed, in microseconds.
+    pub eviction_micros: u64,
+    /// Requests in a window below which its latency says too little.
+    pub requests_min: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            throttle_above: 0.4,
+            release_below: 0.2,
+            evict_above: 0.7,
+            share_min_percent: 25,
+            share_step_percent: 25,
+            hold_micros: 30_000_000,
+            hold_max_micros: 600_000_000,
+            peak_micros: 300_000_000,
+            lag_max_micros: 60_000_000,
+            evictions_burst: 2,
+            eviction_micros: 60_000_000,
+            requests_min: 10,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interfere/track.rs
@@ -0,0 +1,93 @@
+//! What ran when.
+
+use smallvec::{SmallVec, smallvec};
+use toucanquay_model::Time;
+
+use super::weight::Weight;
+
+/// Effect of one task beyond that of its kind, before anything is known of it.
+const OWN_PRIOR: Weight = Weight::new(0.0, 0.02);
+
+/// A task on a worker, with the shares that it was given.
+#[derive(Debug)]
+pub(super) struct Track {
+    pub kind: usize,
+    pub ended: Option<Time>,
+    /// Each share in percent from a point in time on.
+    shares: SmallVec<[(Time, u8); 4]>,
+    /// Measured windows, each with its bounds and the mean use of processors in thousandths.
+    usages: SmallVec<[(Time, Time, u32); 2]>,
+    /// Effect of this task beyond that of its kind.
+    pub own: Weight,
+    /// Until when the share must not rise.
+    pub hold_until: Time,
+    /// How long the next throttling lasts, in microseconds.
+    pub hold_micros: u64,
+    pub is_evicting: bool,
+}
+
+impl Track {
+    pub fn new(kind: usize, now: Time, hold_micros: u64) -> Self {
+        Self {
+            kind,
+            ended: None,
+            shares: smallvec![(now, 100)],
+            usages: SmallVec::new(),
+            own: OWN_PRIOR,
+            hold_until: Time::ZERO,
+            hold_micros,
+            is_evicting: false,
+        }
+    }
+
+    /// Returns the present share in percent.
+    pub fn share_percent(&self) -> u8 {
+        self.shares.last().map_or(100, |(_, share)| *share)
+    }
+
+    /// Changes the share and forgets shares that ended before `horizon`.
+    pub fn set_share(&mut self, share_percent: u8, now: Time, horizon: Time) {
+        self.shares.push((now, share_percent));
+        while self.shares.len() > 1 && self.shares[1].0 < horizon {
+            self.shares.remove(0);
+        }
+    }
+
+    /// Records the measured use of a window and forgets windows that ended before `horizon`.
+    pub fn record(&mut self, from: Time, to: Time, processors_milli: u32, horizon: Time) {
+        self.usages.retain(|(_, to, _)| *to >= horizon);
+        self.usages.push((from, to, processors_milli));
+    }
+
+    /// Returns how strongly the task worked in a window of the past: its measured use relative to
+    /// `typical_milli`, the use of its kind, or else its share.
+    pub fn input(&self, from: Time, to: Time, typical_milli: f64) -> f64 {
+        /// Bound on the effect of a single odd measurement.
+        const INPUT_MAX: f64 = 4.0;
+        let half = to.micros_since(from) / 2;
+        let overlap = |usage: &(Time, Time, u32)| usage.1.min(to).micros_since(usage.0.max(from));
+        let usage = self.usages.iter().find(|usage| overlap(usage) > half);
+        match usage {
+            Some((_, _, milli)) if typical_milli > 0.0 => {
+                (f64::from(*milli) / typical_milli).min(INPUT_MAX)
+            }
+            _ => self.intensity(from, to),
+        }
+    }
+
+    /// Returns the mean share over a window of the past, from 0 to 1.
+    pub fn intensity(&self, from: Time, to: Time) -> f64 {
+        let window = to.micros_since(from).max(1);
+        let end = self.ended.unwrap_or(Time::NEVER).min(to);
+        let mut sum = 0;
+        for (index, (since, share)) in self.shares.iter().enumerate() {
+            let until = self
+                .shares
+                .get(index + 1)
+                .map_or(end, |next| next.0.min(end));
+            let overlap = until.micros_since((*since).max(from));
+            sum += overlap * u64::from(*share);
+        }
+        sum as f64 / (window * 100) as f64
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quarantine/admission.rs
@@ -0,0 +1,12 @@
+//! Whether a worker takes tasks.
+
+/// Whether tasks may start on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Admission {
+    /// Tasks may start.
+    Open,
+    /// One task may start, to find out whether the worker has recovered.
+    Probe,
+    /// No task may start.
+    Closed,
+}
--- /dev/null
+++ b/crates/policy/src/quarantine/record.rs
@@ -0,0 +1,37 @@
+//! Outcomes that fade with time.
+
+use toucanquay_model::Time;
+
+/// Successes and failures, of which old ones count less.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Record {
+    pub successes: f64,
+    pub failures: f64,
+    updated: Time,
+}
+
+impl Record {
+    pub fn add(&mut self, is_success: bool, now: Time, half_life_micros: u64) {
+        *self = self.at(now, half_life_micros);
+        if is_success {
+            self.successes += 1.0;
+        } else {
+            self.failures += 1.0;
+        }
+    }
+
+    /// Returns the record as it counts at `now`.
+    pub fn at(&self, now: Time, half_life_micros: u64) -> Self {
+        let age = now.micros_since(self.updated) as f64 / half_life_micros.max(1) as f64;
+        let factor = (-age).exp2();
+        Self {
+            successes: self.successes * factor,
+            failures: self.failures * factor,
+            updated: self.updated.max(now),
+        }
+    }
+
+    pub fn total(&self) -> f64 {
+        self.successes + self.failures
+    }
+}
