--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -144,7 +144,7 @@
 }
 
 fn start_loops(context: &Arc<Context>) {
-    spawn(context, registry::run(context.clone()));
+    spawn(context, registry::register(context.clone()));
     spawn(context, registry::watch(context.clone()));
     spawn(context, member::visit(context.clone()));
     let expiring = context.clone();
--- /dev/null
+++ b/crates/entry/src/registry.rs
@@ -0,0 +1,22 @@
+//! What this entry reads from and writes to the platform's store besides jobs and claims.
+
+mod configuration;
+mod entries;
+mod holder;
+
+use std::sync::Arc;
+
+use crate::Context;
+
+pub use configuration::{SECTION_PREFIX, StoredText};
+pub use entries::{register, withdraw};
+pub use holder::Holder;
+
+/// Follows the configuration, the entries and the holder of the cell in the store.
+pub async fn watch(context: Arc<Context>) {
+    tokio::join!(
+        configuration::watch(&context),
+        entries::watch(&context),
+        holder::watch(&context),
+    );
+}
--- /dev/null
+++ b/crates/entry/src/registry/configuration.rs
@@ -0,0 +1,86 @@
+//! Sections of the configuration document in the store.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use toucanquay_control::register::Item;
+use toucanquay_model::Revision;
+use toucanquay_store::Event;
+
+use crate::Context;
+
+/// Keys of sections: this and the team.
+pub const SECTION_PREFIX: &str = "config/section/";
+
+/// Value of a section's key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredText {
+    /// Who made the edit.
+    pub author: String,
+    /// TOML text.
+    pub text: String,
+}
+
+/// Reads all sections, then follows their changes.
+pub(super) async fn watch(context: &Arc<Context>) {
+    loop {
+        let Some(after) = read(context).await else {
+            super::entries::pause().await;
+            continue;
+        };
+        let mut watch = context.store.watch(SECTION_PREFIX, after);
+        while let Event::Change(change) = watch.next().await {
+            apply(context, &change.key, change.value.as_deref(), change.revision);
+            advance(context, change.revision);
+        }
+        warn!(context.log, "configuration_gap"; "after" => after);
+    }
+}
+
+async fn read(context: &Arc<Context>) -> Option<Revision> {
+    let range = match context.store.range(SECTION_PREFIX).await {
+        Ok(range) => range,
+        Err(error) => {
+            warn!(context.log, "configuration_unreadable"; "error" => %error);
+            return None;
+        }
+    };
+    let mut newest = 0;
+    for item in &range.items {
+        apply(context, &item.key, Some(&item.value), item.revision);
+        newest = newest.max(item.revision);
+    }
+    advance(context, newest);
+    context.set_ready(true);
+    Some(range.revision)
+}
+
+fn apply(context: &Context, key: &str, value: Option<&str>, revision: Revision) {
+    let Some(team) = key.strip_prefix(SECTION_PREFIX) else {
+        return;
+    };
+    let text = value.map(|value| match serde_json::from_str::<StoredText>(value) {
+        Ok(stored) => stored.text,
+        // A section written by another tool is taken as plain text.
+        Err(_) => value.to_owned(),
+    });
+    let item = Item {
+        team: team.to_owned(),
+        revision,
+        text,
+    };
+    let mut register = context.register();
+    if register.apply(item) {
+        info!(context.log, "section_applied"; "team" => team, "revision" => revision);
+    }
+    if let Some(fault) = register.fault(team) {
+        warn!(context.log, "section_unreadable"; "team" => team, "revision" => revision,
+            "error" => %fault);
+    }
+}
+
+fn advance(context: &Context, revision: Revision) {
+    context.register().advance(revision);
+    context.role.configuration_changed();
+}
--- /dev/null
+++ b/crates/entry/src/registry/holder.rs
@@ -0,0 +1,61 @@
+//! Holder of the cell's owner role.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use slog::info;
+use toucanquay_model::Epoch;
+use toucanquay_store::Event;
+use toucanquay_wire::heartbeat::Owner;
+
+use crate::Context;
+
+/// Value of the key `cell/<n>/holder`, which ends with the holder's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Name of the entry.
+    pub entry: String,
+    /// Address of its listener for peers.
+    pub address: SocketAddr,
+    /// Epoch that it acts under.
+    pub epoch: Epoch,
+}
+
+impl Holder {
+    /// Returns the key of a cell's holder.
+    #[must_use]
+    pub fn key(cell: u32) -> String {
+        format!("cell/{cell}/holder")
+    }
+}
+
+/// Follows the holder of the cell.
+pub(super) async fn watch(context: &Arc<Context>) {
+    let key = Holder::key(context.settings.cell);
+    loop {
+        let Ok(range) = context.store.range(&key).await else {
+            super::entries::pause().await;
+            continue;
+        };
+        learn(context, range.items.first().map(|item| item.value.as_str()));
+        let mut watch = context.store.watch(key.clone(), range.revision);
+        while let Event::Change(change) = watch.next().await {
+            learn(context, change.value.as_deref());
+        }
+    }
+}
+
+fn learn(context: &Context, value: Option<&str>) {
+    let holder = value.and_then(|value| serde_json::from_str::<Holder>(value).ok());
+    let Some(holder) = holder else {
+        info!(context.log, "cell_without_holder"; "cell" => context.settings.cell);
+        context.role.vacate();
+        return;
+    };
+    info!(context.log, "cell_holder"; "cell" => context.settings.cell,
+        "entry" => &holder.entry, "epoch" => holder.epoch);
+    context.set_owner(Owner {
+        address: holder.address,
+        epoch: holder.epoch,
+    });
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -15,9 +15,9 @@
 /// ```
 /// use toucanquay_entry::Settings;
 ///
-/// let settings = Settings::new("entry-1", "a", "http://127.0.0.1:9000").cell(3);
-/// assert!(settings.check().is_ok());
-/// assert_eq!(Settings::new("entry 1", "a", "x").check().unwrap_err().len(), 2);
+/// let store = "127.0.0.1:9000".parse().unwrap();
+/// assert!(Settings::new("entry-1", "a", store).cell(3).check().is_ok());
+/// assert_eq!(Settings::new("entry 1", "", store).check().unwrap_err().len(), 2);
 /// ```
 #[derive(Debug, Clone, Args)]
 pub struct Settings {
@@ -29,9 +29,9 @@
     #[arg(long, env = "TOUCANQUAY_ZONE")]
     pub zone: String,
 
-    /// Address of the platform's store, for example http://10.0.0.1:2379
+    /// Address of the platform's store, for example 10.0.0.1:2379
     #[arg(long, env = "TOUCANQUAY_STORE")]
-    pub store: String,
+    pub store: SocketAddr,
 
     /// Address of the listener for clients; port 0 lets the system choose
     #[arg(
@@ -66,14 +66,9 @@
     pub store_calls_per_second: u32,
 
     /// Lease of the cell's owner in the store, in milliseconds
-    #[arg(long, env = "TOUCANQUAY_HOLDER_LEASE_MS", default_value_t = 10_000)]
+    #[arg(long, env = "TOUCANQUAY_HOLDER_LEASE_MS", default_value_t = 30_000)]
     pub holder_lease_ms: u64,
 
-    /// Renew task leases on while the store answers no call at all; safe only when its leases do
-    /// not expire while it is down
-    #[arg(long, env = "TOUCANQUAY_OWNER_RENEWS_IN_OUTAGE")]
-    pub owner_renews_in_outage: bool,
-
     /// Time between "not ready" and the end of the listeners in a graceful stop, in milliseconds
     #[arg(long, env = "TOUCANQUAY_BALANCER_WAIT_MS", default_value_t = 2_000)]
     pub balancer_wait_ms: u64,
@@ -91,15 +86,14 @@
         Self {
             name: name.into(),
             zone: zone.into(),
-            store: store.into(),
+            store,
             client_listen: any_port,
             operator_listen: any_port,
             peer_listen: any_port,
             peers: Vec::new(),
             cell: 0,
             store_calls_per_second: 20,
-            holder_lease_ms: 10_000,
-            owner_renews_in_outage: false,
+            holder_lease_ms: 30_000,
             balancer_wait_ms: 2_000,
             stop_deadline_ms: 30_000,
         }
@@ -126,13 +120,6 @@
         self
     }
 
-    /// Sets whether the owner renews task leases while the store is down.
-    #[must_use]
-    pub const fn owner_renews_in_outage(mut self, renews: bool) -> Self {
-        self.owner_renews_in_outage = renews;
-        self
-    }
-
     /// Sets the most calls to the store per second.
     #[must_use]
     pub const fn store_calls_per_second(mut self, calls: u32) -> Self {
@@ -170,13 +157,6 @@
                 ));
             }
         }
-        if !self.store.starts_with("http://") {
-            faults.push(invalid(
-                "--store",
-                &self.store,
-                "an address that starts with http://",
-            ));
-        }
         if self.store_calls_per_second == 0 {
             faults.push(invalid("--store-calls-per-second", 0, "at least 1"));
         }
