control: cell owner with durable records, leases and takeover

Batch tasks need one owner for each cell that grants leases and acknowledges only what the store has.

--- a/crates/control/src/cell.rs
+++ b/crates/control/src/cell.rs
@@ -1,1 +1,424 @@
 //! State of a cell owner: jobs, attempts and leases of the tasks of its workers.
+
+mod bits;
+mod durability;
+mod effect;
+mod ending;
+mod job_state;
+mod key;
+mod member;
+mod placement;
+mod queue;
+mod receive;
+mod record;
+mod reply;
+mod room;
+mod run;
+mod segment;
+mod settings;
+mod takeover;
+mod task_state;
+mod usage;
+mod value;
+mod write;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use foldhash::HashMap;
+use slotmap::SlotMap;
+use toucanquay_model::{
+    Epoch, Error, ErrorKind, Resources, Revision, Section, Time,
+    exchange::{Command, Report},
+    job::{self, Reply, Spec, Status},
+    section, task, worker,
+};
+
+use bits::Bits;
+use effect::Effect;
+use ending::Ending;
+use job_state::Job;
+use key::{JobKey, RunKey, TaskKey, WorkerKey};
+use member::Member;
+use queue::Queue;
+use run::Run;
+use segment::Segment;
+pub use settings::Settings;
+use task_state::Phase;
+use usage::Usage;
+pub use value::stamp;
+pub use write::Write;
+
+/// Number by which the caller recognises the answer to a call.
+pub type Token = u64;
+
+/// Owner of a cell: places the tasks of its jobs on its workers.
+///
+/// Jobs, completions, checkpoints and cancellations are durable; [`Cell::drain_writes`] gives out
+/// what the caller writes, and nothing is acknowledged before [`Cell::durable`] has confirmed it.
+/// Which task runs where is soft state, rebuilt from the reports of the companions.
+#[derive(Debug, Clone)]
+pub struct Cell {
+    settings: Settings,
+    epoch: Epoch,
+    /// Until when the process holds the role, by its own clock.
+    hold_until: Time,
+    is_deposed: bool,
+    revision: Revision,
+    revision_known: Revision,
+    usage: Usage,
+    jobs: SlotMap<JobKey, Job>,
+    job_ids: HashMap<job::Id, JobKey>,
+    next_order: u64,
+    workers: SlotMap<WorkerKey, Member>,
+    worker_ids: HashMap<worker::Id, WorkerKey>,
+    runs: SlotMap<RunKey, Run>,
+    queue: Queue,
+    backoffs: BTreeSet<(Time, TaskKey)>,
+    /// End of the wait after the takeover, and the jobs whose tasks wait for it.
+    wait_until: Time,
+    waiting_jobs: Vec<JobKey>,
+    segments: Vec<Segment>,
+    /// Ends for whose records no segment has room at the moment.
+    deferred: VecDeque<Ending>,
+    /// Jobs with cancellations that are not acknowledged.
+    cancelling: Vec<JobKey>,
+    answers: Vec<(Token, Reply)>,
+    refuse_until: Time,
+    sweep_at: Time,
+}
+
+impl Cell {
+    /// Takes in until when the process holds the role, by its own clock.
+    ///
+    /// From then on nothing is answered, granted or renewed, unless a later time is given.
+    pub const fn hold(&mut self, until: Time) {
+        self.hold_until = until;
+    }
+
+    /// Takes in the teams' sections, the revision that they are of and the highest known one.
+    pub fn configure(
+        &mut self,
+        sections: BTreeMap<String, Section>,
+        held: Revision,
+        known: Revision,
+    ) {
+        if held >= self.revision {
+            self.revision = held;
+            self.usage.configure(sections);
+        }
+        self.learn(known.max(held));
+    }
+
+    /// Takes in that the configuration has a revision as high as `known`.
+    pub fn learn(&mut self, known: Revision) {
+        self.revision_known = self.revision_known.max(known);
+    }
+
+    /// Takes in that another process owns the cell. Calls without an answer are refused.
+    pub fn depose(&mut self) {
+        self.is_deposed = true;
+        let mut tokens = Vec::new();
+        for segment in &mut self.segments {
+            for (_, effect) in segment.effects.drain(..) {
+                if let Effect::Accept { token, .. } | Effect::Cancel { token, .. } = effect {
+                    tokens.push(token);
+                }
+            }
+        }
+        for key in self.cancelling.drain(..) {
+            if let Some(job) = self.jobs.get_mut(key) {
+                tokens.append(&mut job.cancels);
+            }
+        }
+        let error = Error::new(ErrorKind::OutcomeUnknown).context("another process owns the cell");
+        for token in tokens {
+            self.answers.push((token, Reply::Refused(error.clone())));
+        }
+    }
+
+    /// Accepts a job. The answer with `token` follows the durable write.
+    pub fn submit(&mut self, spec: Spec, token: Token, now: Time) {
+        if let Err(error) = self.try_submit(spec, token, now) {
+            self.answers.push((token, Reply::Refused(error)));
+        }
+    }
+
+    /// Cancels a job. The answer with `token` follows the durable write, and the time at which no
+    /// start of the job's tasks can take effect any more.
+    pub fn cancel(&mut self, id: &job::Id, token: Token, now: Time) {
+        if let Err(error) = self.try_cancel(id, token, now) {
+            self.answers.push((token, Reply::Refused(error)));
+        }
+    }
+
+    /// Returns the status of a job.
+    #[must_use]
+    pub fn show(&self, id: &job::Id) -> Option<Status> {
+        let job = self.jobs.get(*self.job_ids.get(id)?)?;
+        job.is_durable.then(|| self.status(job))
+    }
+
+    /// Returns the status of all jobs, ordered by id.
+    #[must_use]
+    pub fn list(&self) -> Vec<Status> {
+        let mut list: Vec<Status> = self
+            .jobs
+            .values()
+            .filter(|job| job.is_durable)
+            .map(|job| self.status(job))
+            .collect();
+        list.sort_by(|a, b| a.id.cmp(&b.id));
+        list
+    }
+
+    /// Takes the answers to calls that are due.
+    ///
+    /// Nothing is answered while the process may have lost the role, because another process may
+    /// have taken over from a state that lacks the call.
+    pub fn drain_answers(&mut self, now: Time) -> Vec<(Token, Reply)> {
+        if !self.is_deposed && now >= self.hold_until {
+            return Vec::new();
+        }
+        self.answer_cancels(now);
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Takes in a report and gives the answer at once, if there is one.
+    ///
+    /// A caller that holds answers back uses [`Cell::receive`] and [`Cell::drain_replies`].
+    pub fn exchange(&mut self, report: &Report, now: Time) -> Option<Command> {
+        if !self.receive(report, now) {
+            return None;
+        }
+        self.tick(now);
+        let worker = *self.worker_ids.get(&report.worker)?;
+        self.reply(worker, now)
+    }
+
+    /// Does what is due: ends leases, ends waits, places tasks, forgets what is over.
+    pub fn tick(&mut self, now: Time) {
+        self.end_leases(now);
+        self.end_waits(now);
+        self.place(now);
+        if now >= self.sweep_at {
+            self.sweep_at = now.plus_millis(10_000);
+            self.sweep(now);
+        }
+    }
+
+    /// Evicts a task: it is stopped with a checkpoint and resumed later. Returns whether it runs.
+    pub fn evict(&mut self, task: &task::Id) -> bool {
+        let run = self.run_of(task);
+        if let Some(run) = run {
+            self.request_stop(run, true);
+        }
+        run.is_some()
+    }
+
+    /// Slows a task down to a share of its processors, in percent. Returns whether it runs.
+    pub fn throttle(&mut self, task: &task::Id, share_percent: u8) -> bool {
+        let Some(key) = self.run_of(task) else {
+            return false;
+        };
+        let Some(run) = self.runs.get_mut(key) else {
+            return false;
+        };
+        run.throttle = Some(share_percent);
+        if let Some(member) = self.workers.get_mut(run.worker) {
+            member.is_urgent = true;
+        }
+        true
+    }
+
+    /// Returns the epoch.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Tells whether a companion or the store has shown that another process owns the cell.
+    #[must_use]
+    pub const fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// Tells whether a newer configuration is known than the one held.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.revision_known > self.revision
+    }
+
+    /// Returns how many attempts hold a lease.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns how many workers are known.
+    #[must_use]
+    pub fn workers(&self) -> usize {
+        self.workers.len()
+    }
+
+    const fn is_owner(&self, now: Time) -> bool {
+        !self.is_deposed && now.as_micros() < self.hold_until.as_micros()
+    }
+
+    fn run_of(&self, task: &task::Id) -> Option<RunKey> {
+        let job = self.jobs.get(*self.job_ids.get(&task.job)?)?;
+        match job.tasks.get(task.index as usize)?.phase {
+            Phase::Running(run) => Some(run),
+            _ => None,
+        }
+    }
+
+    fn status(&self, job: &Job) -> Status {
+        job.status(self.unfit(&job.spec))
+    }
+
+    /// Returns why no known worker can ever run a task of the job, if that is so.
+    fn unfit(&self, spec: &Spec) -> Option<String> {
+        let mut largest = Resources::ZERO;
+        for member in self.workers.values() {
+            if spec.demand.fits(&member.capacity) {
+                return None;
+            }
+            largest = largest.max(&member.capacity);
+        }
+        if self.workers.is_empty() {
+            return None;
+        }
+        Some(format!(
+            "a task needs {}; no known worker holds it, and the largest amounts of any worker are \
+             {largest}",
+            spec.demand
+        ))
+    }
+
+    fn check_owner(&self, now: Time) -> Result<(), Error> {
+        if !self.is_owner(now) {
+            return Err(Error::new(ErrorKind::NoOwner).context("the process may not own the cell"));
+        }
+        Ok(())
+    }
+
+    fn check_store(&self, now: Time) -> Result<(), Error> {
+        if now < self.refuse_until {
+            return Err(Error::new(ErrorKind::StoreUnavailable).context("the last write failed"));
+        }
+        Ok(())
+    }
+
+    fn try_submit(&mut self, spec: Spec, token: Token, now: Time) -> Result<(), Error> {
+        self.check_owner(now)?;
+        spec.check()?;
+        if let Some(key) = self.job_ids.get(&spec.id) {
+            return self.repeat_submission(*key, &spec, token);
+        }
+        self.check_store(now)?;
+        if self.is_stale() {
+            return Err(Error::new(ErrorKind::NoOwner).context(format!(
+                "the owner waits for configuration revision {}",
+                self.revision_known
+            )));
+        }
+        match self.usage.state(&spec.team) {
+            None => {
+                return Err(Error::new(ErrorKind::UnknownTeam)
+                    .field("team")
+                    .value(&spec.team));
+            }
+            Some(section::State::Leaving) => {
+                return Err(Error::new(ErrorKind::Leaving)
+                    .field("team")
+                    .value(&spec.team));
+            }
+            Some(section::State::Present) => {}
+        }
+        let job = Job::new(spec, self.next_order, now);
+        self.next_order += 1;
+        self.propose(job, token)
+    }
+
+    fn repeat_submission(&mut self, key: JobKey, spec: &Spec, token: Token) -> Result<(), Error> {
+        let Some(job) = self.jobs.get(key) else {
+            return Ok(());
+        };
+        if job.spec != *spec {
+            return Err(Error::new(ErrorKind::JobConflict)
+                .field("id")
+                .value(&spec.id));
+        }
+        let segment = job.segment;
+        if job.is_durable {
+            self.answer_status(key, token);
+        } else {
+            self.after_durable(segment, Effect::Accept { job: key, token });
+        }
+        Ok(())
+    }
+
+    fn try_cancel(&mut self, id: &job::Id, token: Token, now: Time) -> Result<(), Error> {
+        self.check_owner(now)?;
+        let unknown = || Error::new(ErrorKind::UnknownJob).field("id").value(id);
+        let key = *self.job_ids.get(id).ok_or_else(unknown)?;
+        let job = self.jobs.get_mut(key).ok_or_else(unknown)?;
+        let segment = job.segment;
+        let effect = Effect::Cancel { job: key, token };
+        if job.is_cancelled {
+            self.after_durable(segment, effect);
+            return Ok(());
+        }
+        self.check_store(now)?;
+        self.withdraw(key);
+        self.change(segment, Some(effect));
+        Ok(())
+    }
+
+    /// Takes a cancelled job's tasks out of the queue and orders its attempts to stop.
+    fn withdraw(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.is_cancelled = true;
+        self.queue.remove_job(job.rank());
+        let mut runs = Vec::new();
+        for (index, task) in (0..).zip(&mut job.tasks) {
+            match task.phase {
+                Phase::Running(run) => runs.push(run),
+                Phase::Backoff(until) => {
+                    self.backoffs.remove(&(until, TaskKey { job: key, index }));
+                    task.phase = Phase::Waiting;
+                }
+                Phase::Waiting | Phase::Ending | Phase::Done => {}
+            }
+        }
+        for run in runs {
+            self.request_stop(run, false);
+        }
+    }
+
+    /// Answers the durable cancellations of jobs of which no task can start any more.
+    fn answer_cancels(&mut self, now: Time) {
+        let keys = std::mem::take(&mut self.cancelling);
+        for key in keys {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.unconfirmed > 0 || now < job.start_at {
+                self.cancelling.push(key);
+                continue;
+            }
+            for token in std::mem::take(&mut job.cancels) {
+                self.answer_status(key, token);
+            }
+        }
+    }
+
+    fn answer_status(&mut self, key: JobKey, token: Token) {
+        if let Some(job) = self.jobs.get(key) {
+            let reply = Reply::One(self.status(job));
+            self.answers.push((token, reply));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/bits.rs
@@ -0,0 +1,70 @@
+//! Sets of task indices.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+/// A set of task indices, written as hexadecimal digits with the lowest index first.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Bits {
+    /// Four indices for each digit.
+    digits: Vec<u8>,
+    count: u32,
+}
+
+impl Bits {
+    /// Tells whether the set has `index`.
+    pub(super) fn contains(&self, index: u32) -> bool {
+        self.digits
+            .get(index as usize / 4)
+            .is_some_and(|digit| digit & (1 << (index % 4)) != 0)
+    }
+
+    /// Adds `index`; returns whether it is new.
+    pub(super) fn insert(&mut self, index: u32) -> bool {
+        if self.contains(index) {
+            return false;
+        }
+        let place = index as usize / 4;
+        if place >= self.digits.len() {
+            self.digits.resize(place + 1, 0);
+        }
+        self.digits[place] |= 1 << (index % 4);
+        self.count += 1;
+        true
+    }
+
+    /// Returns the number of indices.
+    pub(super) const fn count(&self) -> u32 {
+        self.count
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+}
+
+impl Serialize for Bits {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let text: String = self
+            .digits
+            .iter()
+            .filter_map(|digit| char::from_digit(u32::from(*digit), 16))
+            .collect();
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bits {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let mut bits = Self::default();
+        for letter in text.chars() {
+            let digit = letter
+                .to_digit(16)
+                .and_then(|digit| u8::try_from(digit).ok())
+                .ok_or_else(|| D::Error::custom(format!("'{letter}' is no hexadecimal digit")))?;
+            bits.count += digit.count_ones();
+            bits.digits.push(digit);
+        }
+        Ok(bits)
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/durability.rs
@@ -0,0 +1,318 @@
+//! Records that are written to the store, and what waits for them.
+
+use std::{borrow::Cow, collections::BTreeSet};
+
+use toucanquay_model::{Error, ErrorKind, Time, job::Reply};
+
+use super::{
+    Cell, Token, Write,
+    effect::Effect,
+    job_state::Job,
+    key::{JobKey, TaskKey},
+    record::Record,
+    segment::Segment,
+    value::{JobLine, TaskLine, Value},
+};
+
+/// Longest checkpoint text that is recorded, in bytes of JSON. A checkpoint is a reference, and a
+/// longer one could not be bounded against the size of a segment.
+pub(super) const CHECKPOINT_BYTES_MAX: usize = 512;
+
+/// Bytes of a job's line besides its spec and its completions.
+const JOB_LINE_BYTES: usize = 160;
+
+/// Bytes of a task's line besides its job id, with the longest checkpoint.
+const TASK_LINE_BYTES: usize = 160 + CHECKPOINT_BYTES_MAX;
+
+/// Bytes of a segment's envelope.
+pub(super) const ENVELOPE_BYTES: usize = 64;
+
+impl Cell {
+    /// Takes the writes that are due, at most one for each segment at a time.
+    pub fn drain_writes(&mut self, now: Time) -> Vec<Write> {
+        let mut writes = Vec::new();
+        if self.is_deposed {
+            return writes;
+        }
+        for place in 0..self.segments.len() {
+            if !self.segments[place].is_due(now) {
+                continue;
+            }
+            let Ok(value) = self.value(&self.segments[place]).to_text() else {
+                continue;
+            };
+            let segment = &mut self.segments[place];
+            segment.in_flight = Some(segment.version);
+            segment.write_at = now.plus_micros(self.settings.commit_micros);
+            writes.push(Write {
+                segment: u32::try_from(place).unwrap_or(u32::MAX),
+                version: segment.version,
+                value,
+            });
+        }
+        writes
+    }
+
+    /// Takes in that a write is durable.
+    pub fn durable(&mut self, segment: u32, version: u64, now: Time) {
+        let Some(segment) = self.segments.get_mut(segment as usize) else {
+            return;
+        };
+        if segment.in_flight == Some(version) {
+            segment.in_flight = None;
+        }
+        segment.durable = segment.durable.max(version);
+        let effects = segment.take_effects();
+        self.refuse_until = Time::ZERO;
+        for effect in effects {
+            self.carry_out(effect, now);
+        }
+        for ending in std::mem::take(&mut self.deferred) {
+            self.record_ending(ending);
+        }
+    }
+
+    /// Takes in that a write has failed. It is repeated, and new calls are refused for a while.
+    ///
+    /// `is_certain` says that the write surely had no effect and never will; jobs that were only
+    /// in such writes are refused.
+    pub fn failed(&mut self, segment: u32, version: u64, is_certain: bool, now: Time) {
+        let Some(segment) = self.segments.get_mut(segment as usize) else {
+            return;
+        };
+        if segment.in_flight == Some(version) {
+            segment.in_flight = None;
+        }
+        segment.write_at = now.plus_micros(self.settings.commit_micros);
+        self.refuse_until = now.plus_micros(self.settings.store_retry_micros);
+        let accepts = segment
+            .effects
+            .iter()
+            .filter_map(|(of, effect)| match effect {
+                Effect::Accept { job, .. } if *of <= version => Some(*job),
+                _ => None,
+            });
+        let jobs: BTreeSet<JobKey> = accepts.collect();
+        for key in jobs {
+            self.give_up(key, is_certain);
+        }
+    }
+
+    /// Refuses a job whose write has surely failed, or notes that it may have been written.
+    fn give_up(&mut self, key: JobKey, is_certain: bool) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.is_ambiguous |= !is_certain;
+        if job.is_ambiguous || job.is_durable || job.is_cancelled {
+            return;
+        }
+        let place = job.segment;
+        self.remove_job(key);
+        let refusal = Error::new(ErrorKind::StoreUnavailable).context("the job was not written");
+        let answers = &mut self.answers;
+        self.segments[place]
+            .effects
+            .retain(|(_, effect)| match effect {
+                Effect::Accept { job, token } if *job == key => {
+                    answers.push((*token, Reply::Refused(refusal.clone())));
+                    false
+                }
+                _ => true,
+            });
+    }
+
+    /// Notes a change of a segment that `effect` waits for.
+    pub(super) fn change(&mut self, segment: usize, effect: Option<Effect>) {
+        self.segments[segment].change(effect);
+    }
+
+    /// Has `effect` wait for the changes that were made so far.
+    pub(super) fn after_durable(&mut self, place: usize, effect: Effect) {
+        let segment = &mut self.segments[place];
+        if segment.durable == segment.version {
+            self.carry_out(effect, Time::ZERO);
+        } else {
+            segment.effects.push_back((segment.version, effect));
+        }
+    }
+
+    /// Adds a new job, which counts as accepted once it is durable.
+    pub(super) fn propose(&mut self, mut job: Job, token: Token) -> Result<(), Error> {
+        job.bytes = job_bytes(&job)?;
+        let Some(place) = self.allocate(job.bytes) else {
+            return Err(Error::new(ErrorKind::Overloaded).context("no segment has room"));
+        };
+        job.segment = place;
+        let bytes = job.bytes;
+        let id = job.spec.id.clone();
+        let key = self.jobs.insert(job);
+        self.job_ids.insert(id, key);
+        self.segments[place].jobs.insert(key);
+        self.segments[place].bytes += bytes;
+        self.change(place, Some(Effect::Accept { job: key, token }));
+        Ok(())
+    }
+
+    /// Removes a job with all its records. Nothing of it runs.
+    pub(super) fn remove_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.queue.remove_job(job.rank());
+        self.job_ids.remove(&job.spec.id);
+        let segment = &mut self.segments[job.segment];
+        segment.jobs.remove(&key);
+        segment.bytes -= job.bytes;
+        segment.change(None);
+        for (index, (place, _)) in &job.records {
+            let bytes = task_bytes(&job);
+            self.segments[*place].remove_task(
+                TaskKey {
+                    job: key,
+                    index: *index,
+                },
+                bytes,
+            );
+        }
+    }
+
+    /// Sets the record of a task; returns its segment, or `None` when no segment has room.
+    pub(super) fn set_record(&mut self, task: TaskKey, record: &Record) -> Option<usize> {
+        let job = self.jobs.get(task.job)?;
+        let known = job.records.get(&task.index).map(|(place, _)| *place);
+        let bytes = task_bytes(job);
+        let place = match known {
+            Some(place) => place,
+            None => self.allocate(bytes)?,
+        };
+        if known.is_none() {
+            self.segments[place].tasks.insert(task);
+            self.segments[place].bytes += bytes;
+        }
+        let job = self.jobs.get_mut(task.job)?;
+        job.records.insert(task.index, (place, record.clone()));
+        Some(place)
+    }
+
+    /// Drops the record of a finished task. The segment is not written for this: a record of a
+    /// finished task has no meaning, and it disappears with the next write.
+    pub(super) fn drop_record(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        if let Some((place, _)) = job.records.remove(&task.index) {
+            let bytes = task_bytes(job);
+            self.segments[place].remove_task(task, bytes);
+        }
+    }
+
+    /// Returns a segment with room.
+    ///
+    /// A new segment is begun only when all others exist in the store. A new owner relies on this
+    /// order: it looks for segments only up to the first number that does not exist.
+    fn allocate(&mut self, bytes: usize) -> Option<usize> {
+        if let Some(place) = self
+            .segments
+            .iter()
+            .position(|segment| segment.has_room(bytes))
+        {
+            return Some(place);
+        }
+        if !self.segments.iter().all(Segment::exists) {
+            return None;
+        }
+        self.segments.push(Segment {
+            bytes: ENVELOPE_BYTES,
+            ..Segment::default()
+        });
+        Some(self.segments.len() - 1)
+    }
+
+    fn value<'a>(&'a self, segment: &'a Segment) -> Value<'a> {
+        let jobs = segment.jobs.iter().filter_map(|key| self.jobs.get(*key));
+        let tasks = segment.tasks.iter().filter_map(|task| {
+            let job = self.jobs.get(task.job)?;
+            let (_, record) = job.records.get(&task.index)?;
+            Some(TaskLine {
+                job: Cow::Borrowed(&job.spec.id),
+                index: task.index,
+                record: Cow::Borrowed(record),
+            })
+        });
+        Value {
+            epoch: self.epoch,
+            jobs: jobs.map(job_line).collect(),
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect, now: Time) {
+        match effect {
+            Effect::Accept { job, token } => {
+                self.accept(job);
+                self.answer_status(job, token);
+            }
+            Effect::Cancel { job: key, token } => {
+                if let Some(job) = self.jobs.get_mut(key) {
+                    job.is_durable = true;
+                    job.cancels.push(token);
+                    self.cancelling.push(key);
+                }
+            }
+            Effect::End {
+                task,
+                attempt,
+                worker,
+                backoff_micros,
+            } => {
+                let not_before = now.plus_micros(backoff_micros);
+                self.acknowledge_end(task, attempt, worker, not_before, now);
+            }
+        }
+    }
+
+    /// Lets the tasks of a job run whose acceptance is durable.
+    fn accept(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.is_durable {
+            return;
+        }
+        job.is_durable = true;
+        if !job.is_cancelled {
+            self.enqueue_job(key);
+        }
+    }
+}
+
+impl Segment {
+    fn remove_task(&mut self, task: TaskKey, bytes: usize) {
+        if self.tasks.remove(&task) {
+            self.bytes -= bytes;
+        }
+    }
+}
+
+pub(super) fn job_bytes(job: &Job) -> Result<usize, Error> {
+    let spec = serde_json::to_string(&job.spec)
+        .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
+    let bits = 2 * (job.spec.tasks as usize / 4 + 1);
+    Ok(spec.len() + bits + JOB_LINE_BYTES)
+}
+
+pub(super) fn task_bytes(job: &Job) -> usize {
+    job.spec.id.0.len() + TASK_LINE_BYTES
+}
+
+const fn job_line(job: &Job) -> JobLine<'_> {
+    JobLine {
+        spec: Cow::Borrowed(&job.spec),
+        order: job.order,
+        finished: Cow::Borrowed(&job.finished),
+        failed: Cow::Borrowed(&job.failed),
+        is_cancelled: job.is_cancelled,
+        evictions: job.evictions,
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/ending.rs
@@ -0,0 +1,244 @@
+//! Ends of attempts.
+
+use toucanquay_model::{
+    Attempt, Time,
+    exchange::{Refusal, TaskState},
+};
+
+use super::{
+    Cell, Phase,
+    durability::CHECKPOINT_BYTES_MAX,
+    effect::Effect,
+    key::{RunKey, TaskKey, WorkerKey},
+    record::Record,
+};
+
+/// The end of an attempt, to be recorded.
+#[derive(Debug, Clone)]
+pub(super) struct Ending {
+    task: TaskKey,
+    attempt: Attempt,
+    worker: WorkerKey,
+    /// What is recorded, or `None` when the task has ended for good.
+    record: Option<Record>,
+    backoff_micros: u64,
+}
+
+impl Cell {
+    /// Takes in how the current attempt of a task ended. Its lease is already given up.
+    pub(super) fn end(
+        &mut self,
+        task: TaskKey,
+        attempt: Attempt,
+        worker: WorkerKey,
+        state: &TaskState,
+        now: Time,
+    ) {
+        match state {
+            TaskState::Starting | TaskState::Running | TaskState::Stopping => {}
+            TaskState::Refused { reason } => self.end_refused(task, attempt, worker, *reason, now),
+            TaskState::Stopped { checkpoint } => {
+                self.end_stopped(task, attempt, worker, checkpoint.as_deref(), now);
+            }
+            TaskState::Failed { .. } => self.end_failed(task, attempt, worker),
+            TaskState::Finished => {
+                if let Some(job) = self.jobs.get_mut(task.job) {
+                    job.finished.insert(task.index);
+                    self.record_ending(Ending::for_good(task, attempt, worker));
+                }
+            }
+        }
+    }
+
+    fn end_refused(
+        &mut self,
+        task: TaskKey,
+        attempt: Attempt,
+        worker: WorkerKey,
+        reason: Refusal,
+        now: Time,
+    ) {
+        let grant_at = now.plus_micros(self.settings.refusal_micros);
+        if let Some(member) = self.workers.get_mut(worker) {
+            member.grant_at = member.grant_at.max(grant_at);
+        }
+        self.acknowledge(task, attempt, worker);
+        if reason == Refusal::Runtime {
+            self.avoid(task, worker);
+            self.requeue(task, grant_at, now);
+        } else {
+            self.requeue(task, now, now);
+        }
+    }
+
+    fn end_stopped(
+        &mut self,
+        task: TaskKey,
+        attempt: Attempt,
+        worker: WorkerKey,
+        checkpoint: Option<&str>,
+        now: Time,
+    ) {
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        job.evictions = job.evictions.saturating_add(1);
+        let failures = job.tasks[task.index as usize].failures;
+        let is_short = |text: &&str| {
+            serde_json::to_string(text).is_ok_and(|json| json.len() <= CHECKPOINT_BYTES_MAX)
+        };
+        let Some(checkpoint) = checkpoint.filter(is_short) else {
+            // Nothing durable changes: the task resumes from the checkpoint before.
+            self.acknowledge(task, attempt, worker);
+            self.requeue(task, now, now);
+            return;
+        };
+        self.record_ending(Ending {
+            task,
+            attempt,
+            worker,
+            record: Some(Record {
+                attempt,
+                failures,
+                checkpoint: Some(checkpoint.to_owned()),
+            }),
+            backoff_micros: 0,
+        });
+    }
+
+    fn end_failed(&mut self, task: TaskKey, attempt: Attempt, worker: WorkerKey) {
+        let failures_max = self.settings.failures_max;
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        let state = &mut job.tasks[task.index as usize];
+        state.failures = state.failures.saturating_add(1);
+        let failures = state.failures;
+        if failures >= failures_max {
+            job.failed.insert(task.index);
+            self.record_ending(Ending::for_good(task, attempt, worker));
+            return;
+        }
+        let known = job.records.get(&task.index);
+        let checkpoint = known.and_then(|(_, record)| record.checkpoint.clone());
+        let backoff_micros = self.settings.backoff(failures);
+        self.avoid(task, worker);
+        self.record_ending(Ending {
+            task,
+            attempt,
+            worker,
+            record: Some(Record {
+                attempt,
+                failures,
+                checkpoint,
+            }),
+            backoff_micros,
+        });
+    }
+
+    /// Records an end; the acknowledgement and the next attempt wait for the durable write.
+    pub(super) fn record_ending(&mut self, ending: Ending) {
+        let task = ending.task;
+        let Some(job) = self.jobs.get_mut(task.job) else {
+            return;
+        };
+        job.tasks[task.index as usize].phase = Phase::Ending;
+        let place = match &ending.record {
+            None => {
+                let place = job.segment;
+                self.drop_record(task);
+                Some(place)
+            }
+            Some(record) => self.set_record(task, record),
+        };
+        let Some(place) = place else {
+            self.deferred.push_back(ending);
+            return;
+        };
+        let effect = Effect::End {
+            task,
+            attempt: ending.attempt,
+            worker: ending.worker,
+            backoff_micros: ending.backoff_micros,
+        };
+        self.change(place, Some(effect));
+    }
+
+    /// Acknowledges an end that is durable and lets the task go on.
+    pub(super) fn acknowledge_end(
+        &mut self,
+        task: TaskKey,
+        attempt: Attempt,
+        worker: WorkerKey,
+        not_before: Time,
+        now: Time,
+    ) {
+        self.acknowledge(task, attempt, worker);
+        self.requeue(task, not_before, now);
+    }
+
+    /// Has the next answer to a worker say that an ended attempt may be forgotten.
+    pub(super) fn acknowledge(&mut self, task: TaskKey, attempt: Attempt, worker: WorkerKey) {
+        let Some(job) = self.jobs.get(task.job) else {
+            return;
+        };
+        let id = job.task_id(task.index);
+        if let Some(member) = self.workers.get_mut(worker) {
+            member.acknowledged.push((id, attempt));
+            member.is_urgent = true;
+        }
+    }
+
+    fn avoid(&mut self, task: TaskKey, worker: WorkerKey) {
+        if let Some(job) = self.jobs.get_mut(task.job) {
+            job.tasks[task.index as usize].avoid = Some(worker);
+        }
+    }
+
+    /// Gives up the lease of an attempt and returns its task's key.
+    pub(super) fn release(&mut self, key: RunKey) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        if let Some(member) = self.workers.get_mut(run.worker) {
+            member.runs.retain(|other| *other != key);
+        }
+        if let Some(job) = self.jobs.get_mut(run.task.job) {
+            job.running -= 1;
+            if !run.is_confirmed {
+                job.unconfirmed -= 1;
+            }
+            job.tasks[run.task.index as usize].phase = Phase::Waiting;
+            self.usage.give_back(&job.spec);
+        }
+    }
+
+    /// Ends the leases whose bound has passed; the tasks start again from their last durable
+    /// checkpoint.
+    pub(super) fn end_leases(&mut self, now: Time) {
+        let ended: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.bound <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in ended {
+            if let Some(task) = self.runs.get(key).map(|run| run.task) {
+                self.release(key);
+                self.requeue(task, now, now);
+            }
+        }
+    }
+}
+
+impl Ending {
+    const fn for_good(task: TaskKey, attempt: Attempt, worker: WorkerKey) -> Self {
+        Self {
+            task,
+            attempt,
+            worker,
+            record: None,
+            backoff_micros: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/job_state.rs
@@ -0,0 +1,110 @@
+//! One job of a cell.
+
+use std::collections::BTreeMap;
+
+use toucanquay_model::{
+    Time,
+    job::{Spec, Status, Urgency},
+    task,
+};
+
+use super::{Bits, Token, record::Record, task_state::Task};
+
+/// One job of a cell.
+#[derive(Debug, Clone)]
+pub(super) struct Job {
+    pub(super) spec: Spec,
+    /// Place in the order of submission.
+    pub(super) order: u64,
+    pub(super) segment: usize,
+    /// Size in the segment, in bytes.
+    pub(super) bytes: usize,
+    pub(super) is_durable: bool,
+    /// Whether a write that has it has an unknown result.
+    pub(super) is_ambiguous: bool,
+    pub(super) is_cancelled: bool,
+    /// Before this time a task may run of which the owner does not know.
+    pub(super) start_at: Time,
+    /// Whether its tasks wait for that time.
+    pub(super) is_held_back: bool,
+    pub(super) finished: Bits,
+    pub(super) failed: Bits,
+    pub(super) evictions: u32,
+    /// Attempts under a lease.
+    pub(super) running: u32,
+    /// Attempts under a lease whose start is not confirmed.
+    pub(super) unconfirmed: u32,
+    pub(super) tasks: Vec<Task>,
+    /// Records of tasks that were evicted or have failed, with the segment of each.
+    pub(super) records: BTreeMap<u32, (usize, Record)>,
+    /// Durable cancellations that are not acknowledged yet.
+    pub(super) cancels: Vec<Token>,
+    /// When it was first seen to be over.
+    pub(super) over_at: Option<Time>,
+}
+
+impl Job {
+    pub(super) fn new(spec: Spec, order: u64, start_at: Time) -> Self {
+        let tasks = vec![Task::default(); spec.tasks as usize];
+        Self {
+            spec,
+            order,
+            segment: 0,
+            bytes: 0,
+            is_durable: false,
+            is_ambiguous: false,
+            is_cancelled: false,
+            start_at,
+            is_held_back: false,
+            finished: Bits::default(),
+            failed: Bits::default(),
+            evictions: 0,
+            running: 0,
+            unconfirmed: 0,
+            tasks,
+            records: BTreeMap::new(),
+            cancels: Vec::new(),
+            over_at: None,
+        }
+    }
+
+    pub(super) fn task_id(&self, index: u32) -> task::Id {
+        task::Id::new(self.spec.id.clone(), index)
+    }
+
+    /// Returns the place of its tasks in the queue.
+    pub(super) const fn rank(&self) -> (Urgency, u64) {
+        (self.spec.urgency, self.order)
+    }
+
+    pub(super) fn is_done(&self, index: u32) -> bool {
+        self.finished.contains(index) || self.failed.contains(index)
+    }
+
+    pub(super) const fn is_over(&self) -> bool {
+        let is_all_done = self.finished.count() + self.failed.count() == self.spec.tasks;
+        self.running == 0 && (self.is_cancelled || is_all_done)
+    }
+
+    pub(super) fn status(&self, unfit: Option<String>) -> Status {
+        let done = self.finished.count() + self.failed.count();
+        let waiting = if self.is_cancelled {
+            0
+        } else {
+            self.spec.tasks.saturating_sub(done + self.running)
+        };
+        Status {
+            id: self.spec.id.clone(),
+            team: self.spec.team.clone(),
+            kind: self.spec.kind.clone(),
+            tasks: self.spec.tasks,
+            waiting,
+            running: self.running,
+            finished: self.finished.count(),
+            failed: self.failed.count(),
+            evictions: self.evictions,
+            is_cancelled: self.is_cancelled,
+            unfit,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/cell/member.rs
@@ -0,0 +1,63 @@
+//! One worker of a cell.
+
+use toucanquay_model::{
+    Attempt, Incarnation, Resources, Revision, Time, exchange::Stop, task, worker,
+};
+
+use super::key::RunKey;
+
+/// A worker, as the owner of its cell sees it.
+#[derive(Debug, Clone)]
+pub(super) struct Member {
+    pub(super) id: worker::Id,
+    pub(super) incarnation: Incarnation,
+    pub(super) sequence: u64,
+    pub(super) revision: Revision,
+    pub(super) capacity: Resources,
+    pub(super) is_leaving: bool,
+    pub(super) is_settling: bool,
+    pub(super) heard_at: Time,
+    /// The report that has no answer yet.
+    pub(super) unanswered: Option<Unanswered>,
+    /// Whether its answer leaves at once.
+    pub(super) is_urgent: bool,
+    /// It gets no grant before this time.
+    pub(super) grant_at: Time,
+    /// Attempts that may hold its resources.
+    pub(super) runs: Vec<RunKey>,
+    /// Resources held by attempts that are not current ones.
+    pub(super) foreign: Resources,
+    /// Orders to stop attempts that are not current ones.
+    pub(super) foreign_stops: Vec<Stop>,
+    /// Ended attempts that the companion may forget.
+    pub(super) acknowledged: Vec<(task::Id, Attempt)>,
+}
+
+/// A report that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Unanswered {
+    pub(super) sequence: u64,
+    pub(super) received_at: Time,
+}
+
+impl Member {
+    pub(super) const fn new(id: worker::Id, incarnation: Incarnation, now: Time) -> Self {
+        Self {
+            id,
+            incarnation,
+            sequence: 0,
+            revision: 0,
+            capacity: Resources::ZERO,
+            is_leaving: false,
+            is_settling: false,
+            heard_at: now,
+            unanswered: None,
+            is_urgent: false,
+            grant_at: Time::ZERO,
+            runs: Vec::new(),
+            foreign: Resources::ZERO,
+            foreign_stops: Vec::new(),
+            acknowledged: Vec::new(),
+        }
+    }
+}
