standin: store, task runtime and upstream over loopback HTTP

Cause: the store client, the companion and the entry need their outside systems in tests, with faults that a test can switch on.

Change: three in-process salvo servers with handles. The store has compare-and-swap, leases, long-poll watches and the faults down, slow, lost answer, dropped watch, expired lease, stale read and compacted history. The task runtime runs tasks given by their payload under lease deadlines and records each interval in which a task ran. The upstream echoes, counts, waits, trickles and cuts.

--- /dev/null
+++ b/crates/standin/src/runtime/api.rs
@@ -0,0 +1,168 @@
+//! Routes of the runtime.
+
+mod renew;
+mod throttle;
+
+use std::{sync::Arc, time::Duration};
+
+use salvo::prelude::*;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+use toucanquay_model::{Attempt, job, task::Id};
+
+use renew::Renew;
+use throttle::Throttle;
+
+use super::{
+    Shared, Start, Task,
+    gate::Gate,
+    table::{Refusal, SAMPLE_EVERY},
+};
+
+/// Largest body of a call.
+const BODY_BYTES_MAX: usize = 4_000_000;
+
+/// Returns the routes behind the gate.
+pub(super) fn router(shared: &Arc<Shared>) -> Router {
+    let task = Router::with_path("tasks/{job}/{index}")
+        .put(start_task)
+        .delete(stop_task)
+        .push(Router::with_path("renew").post(renew_task))
+        .push(Router::with_path("checkpoint").post(take_checkpoint))
+        .push(Router::with_path("throttle").post(throttle_task));
+    Router::with_path("v1")
+        .hoop(Gate::new(Arc::clone(shared)))
+        .push(Router::with_path("tasks").get(list_tasks))
+        .push(Router::with_path("usage").get(read_usage))
+        .push(task)
+}
+
+fn shared(depot: &Depot) -> Arc<Shared> {
+    let shared = depot.get_typed::<Arc<Shared>>();
+    Arc::clone(shared.expect("the gate injects the state before each handler"))
+}
+
+fn id(request: &Request) -> Id {
+    let job: String = request.param("job").unwrap_or_default();
+    Id::new(job::Id(job), request.param("index").unwrap_or(0))
+}
+
+async fn body<T: DeserializeOwned>(request: &mut Request, response: &mut Response) -> Option<T> {
+    let payload = request.payload_with_max_size(BODY_BYTES_MAX).await;
+    let body = payload
+        .ok()
+        .and_then(|bytes| serde_json::from_slice(bytes).ok());
+    if body.is_none() {
+        response.status_code(StatusCode::BAD_REQUEST);
+    }
+    body
+}
+
+fn answer(response: &mut Response, outcome: Result<impl Serialize + Send, Refusal>) {
+    match outcome {
+        Ok(body) => response.render(Json(body)),
+        Err(Refusal::Unknown) => {
+            response.status_code(StatusCode::NOT_FOUND);
+        }
+        Err(Refusal::Conflict(attempt)) => {
+            response.status_code(StatusCode::CONFLICT);
+            response.render(Json(
+                json!({ "epoch": attempt.epoch, "number": attempt.number }),
+            ));
+        }
+    }
+}
+
+#[handler]
+async fn start_task(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Some(order) = body::<Start>(request, response).await else {
+        return;
+    };
+    let id = id(request);
+    let outcome = shared(depot).change(|table| table.start(&id, order, Instant::now()));
+    answer(response, outcome.map(|()| json!({})));
+}
+
+#[handler]
+async fn renew_task(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Some(renew) = body::<Renew>(request, response).await else {
+        return;
+    };
+    let id = id(request);
+    let attempt = Attempt::new(renew.epoch, renew.number);
+    let lease = Duration::from_millis(renew.lease_ms);
+    let outcome = shared(depot).change(|table| table.renew(&id, attempt, lease, Instant::now()));
+    answer(response, outcome.map(|()| json!({})));
+}
+
+#[handler]
+async fn take_checkpoint(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let id = id(request);
+    let outcome = shared(depot).change(|table| table.checkpoint(&id));
+    answer(response, outcome.map(|text| json!({ "checkpoint": text })));
+}
+
+#[handler]
+async fn throttle_task(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Some(throttle) = body::<Throttle>(request, response).await else {
+        return;
+    };
+    let id = id(request);
+    let outcome = shared(depot).change(|table| table.throttle(&id, throttle.share_percent));
+    answer(response, outcome.map(|()| json!({})));
+}
+
+#[handler]
+async fn stop_task(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let (Some(epoch), Some(number)) = (request.query("epoch"), request.query("number")) else {
+        response.status_code(StatusCode::BAD_REQUEST);
+        return;
+    };
+    let id = id(request);
+    let attempt = Attempt::new(epoch, number);
+    let with_checkpoint: bool = request.query("with_checkpoint").unwrap_or(true);
+    let outcome =
+        shared(depot).change(|table| table.stop(&id, attempt, with_checkpoint, Instant::now()));
+    answer(response, outcome.map(|text| json!({ "checkpoint": text })));
+}
+
+#[handler]
+async fn list_tasks(depot: &mut Depot, response: &mut Response) {
+    let now = Instant::now();
+    let tasks: Vec<Value> = shared(depot).change(|table| {
+        let tasks = table.tasks();
+        tasks.map(|(id, task)| describe(id, task, now)).collect()
+    });
+    response.render(Json(json!({ "tasks": tasks })));
+}
+
+fn describe(id: &Id, task: &Task, now: Instant) -> Value {
+    json!({
+        "job": id.job,
+        "index": id.index,
+        "epoch": task.attempt.epoch,
+        "number": task.attempt.number,
+        "kind": task.kind,
+        "state": task.state,
+        "reason": task.reason,
+        "checkpoint": task.checkpoint(),
+        "processors_milli": task.resources.processors_milli,
+        "memory_mb": task.resources.memory_mb,
+        "accelerators": task.resources.accelerators,
+        "share_percent": task.share_percent,
+        "lease_left_ms": task.lease_deadline.saturating_duration_since(now).as_millis(),
+    })
+}
+
+#[handler]
+async fn read_usage(depot: &mut Depot, response: &mut Response) {
+    let now = Instant::now();
+    let sample = shared(depot).change(|table| table.usage(now).cloned());
+    let age = sample.as_ref().map(|sample| (now - sample.at).as_millis());
+    response.render(Json(json!({
+        "age_ms": age,
+        "window_ms": SAMPLE_EVERY.as_millis(),
+        "tasks": sample.map(|sample| sample.tasks).unwrap_or_default(),
+    })));
+}
--- /dev/null
+++ b/crates/standin/src/runtime/api/throttle.rs
@@ -0,0 +1,9 @@
+//! Body of a throttle.
+
+use serde::Deserialize;
+
+/// The share of its speed that a task may have.
+#[derive(Debug, Deserialize)]
+pub(super) struct Throttle {
+    pub(super) share_percent: u32,
+}
--- /dev/null
+++ b/crates/standin/src/runtime/interval.rs
@@ -0,0 +1,47 @@
+//! Times in which tasks ran.
+
+use tokio::time::Instant;
+use toucanquay_model::{Attempt, task};
+
+/// One uninterrupted run of an attempt.
+#[derive(Debug, Clone)]
+pub struct Interval {
+    /// The task.
+    pub task: task::Id,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// When it began.
+    pub began: Instant,
+    /// When it ended, unless it still runs.
+    pub ended: Option<Instant>,
+}
+
+impl Interval {
+    /// Tells whether both intervals belong to the same task and have a moment in common.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.task == other.task
+            && self.began_before_end_of(other)
+            && other.began_before_end_of(self)
+    }
+
+    fn began_before_end_of(&self, other: &Self) -> bool {
+        other.ended.is_none_or(|ended| self.began < ended)
+    }
+}
+
+/// Returns each pair of intervals, of one runtime or of several, in which a task ran twice at once.
+#[must_use]
+pub fn overlaps(intervals: &[Interval]) -> Vec<(Interval, Interval)> {
+    let mut sorted: Vec<&Interval> = intervals.iter().collect();
+    sorted.sort_by(|a, b| (&a.task, a.began).cmp(&(&b.task, b.began)));
+    let mut found = Vec::new();
+    for (index, earlier) in sorted.iter().enumerate() {
+        let later = sorted[index + 1..].iter();
+        let same_task = later.take_while(|later| later.task == earlier.task);
+        for later in same_task.filter(|later| earlier.overlaps(later)) {
+            found.push(((*earlier).clone(), (*later).clone()));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/standin/src/runtime/sample.rs
@@ -0,0 +1,22 @@
+//! Measured usage.
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Usage of the running tasks at one time.
+#[derive(Debug, Clone)]
+pub(super) struct Sample {
+    pub(super) at: Instant,
+    pub(super) tasks: Vec<TaskSample>,
+}
+
+/// Usage of one task.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct TaskSample {
+    pub(super) job: String,
+    pub(super) index: u32,
+    pub(super) epoch: u64,
+    pub(super) number: u32,
+    pub(super) processors_milli: u32,
+    pub(super) memory_mb: u32,
+}
--- /dev/null
+++ b/crates/standin/src/runtime/start.rs
@@ -0,0 +1,42 @@
+//! Body of a start.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use toucanquay_model::{Attempt, Resources};
+
+/// What to run, as which attempt, with which resources and for how long.
+#[derive(Debug, Deserialize)]
+pub(super) struct Start {
+    epoch: u64,
+    number: u32,
+    pub(super) kind: String,
+    pub(super) payload: String,
+    #[serde(default)]
+    pub(super) checkpoint: Option<String>,
+    #[serde(default)]
+    processors_milli: u32,
+    #[serde(default)]
+    memory_mb: u32,
+    #[serde(default)]
+    accelerators: u32,
+    lease_ms: u64,
+}
+
+impl Start {
+    pub(super) const fn attempt(&self) -> Attempt {
+        Attempt::new(self.epoch, self.number)
+    }
+
+    pub(super) const fn resources(&self) -> Resources {
+        Resources {
+            processors_milli: self.processors_milli,
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+
+    pub(super) const fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/runtime/table.rs
@@ -0,0 +1,226 @@
+//! The runtime's tasks and records.
+
+mod refusal;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+use toucanquay_model::{Attempt, Resources, task::Id};
+
+pub(super) use refusal::Refusal;
+
+use super::{Interval, Sample, Start, State, Task, TaskSample};
+
+/// Time between two measurements of usage.
+pub(super) const SAMPLE_EVERY: Duration = Duration::from_millis(100);
+
+/// Measurements kept, enough for a lag of two minutes.
+const SAMPLES_MAX: usize = 1_200;
+
+/// Tasks by id with their history, and the faults.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    tasks: BTreeMap<Id, Task>,
+    samples: VecDeque<Sample>,
+    paused_at: Option<Instant>,
+    pub(super) is_failing: bool,
+    pub(super) is_refusing: bool,
+    pub(super) usage_lag: Duration,
+    pub(super) intervals: Vec<Interval>,
+    pub(super) held_max: Resources,
+}
+
+impl Table {
+    pub(super) const fn is_paused(&self) -> bool {
+        self.paused_at.is_some()
+    }
+
+    pub(super) fn tasks(&self) -> impl Iterator<Item = (&Id, &Task)> {
+        self.tasks.iter()
+    }
+
+    pub(super) fn state(&self, id: &Id) -> Option<State> {
+        self.tasks.get(id).map(|task| task.state)
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.tasks.values().filter(|task| task.is_running()).count()
+    }
+
+    /// Ends the tasks that are complete or whose lease has passed, and measures usage when due.
+    pub(super) fn advance(&mut self, now: Instant) {
+        if self.is_paused() {
+            return;
+        }
+        for task in self.tasks.values_mut() {
+            if let Some(ended) = task.advance(now) {
+                self.intervals[task.interval].ended = Some(ended);
+            }
+        }
+        let last = self.samples.back().map(|sample| sample.at);
+        if last.is_none_or(|last| now - last >= SAMPLE_EVERY) {
+            self.measure(now);
+        }
+    }
+
+    /// Starts an attempt. A repetition of the start of a running attempt changes nothing.
+    pub(super) fn start(&mut self, id: &Id, start: Start, now: Instant) -> Result<(), Refusal> {
+        if let Some(task) = self.tasks.get(id) {
+            if task.is_running() && task.attempt == start.attempt() {
+                return Ok(());
+            }
+            if task.is_running() || start.attempt() <= task.attempt {
+                return Err(Refusal::Conflict(task.attempt));
+            }
+        }
+        let mut task = Task::new(start, now);
+        task.interval = self.intervals.len();
+        self.begin_interval(id, task.attempt, now);
+        if self.is_failing {
+            task.state = State::Failed;
+            task.reason = Some("the runtime fails every task".to_owned());
+            self.intervals[task.interval].ended = Some(now);
+        }
+        self.tasks.insert(id.clone(), task);
+        let running = self.tasks.values().filter(|task| task.is_running());
+        let held = running.fold(Resources::ZERO, |sum, task| sum.plus(&task.resources));
+        self.held_max = self.held_max.max(&held);
+        Ok(())
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        id: &Id,
+        attempt: Attempt,
+        lease: Duration,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let task = self.find(id, Some(attempt))?;
+        if !task.is_running() {
+            return Err(Refusal::Conflict(task.attempt));
+        }
+        task.lease_deadline = task.lease_deadline.max(now + lease);
+        Ok(())
+    }
+
+    pub(super) fn checkpoint(&mut self, id: &Id) -> Result<String, Refusal> {
+        Ok(self.find(id, None)?.checkpoint())
+    }
+
+    pub(super) fn throttle(&mut self, id: &Id, share_percent: u32) -> Result<(), Refusal> {
+        self.find(id, None)?.share_percent = share_percent.min(100);
+        Ok(())
+    }
+
+    /// Stops a running attempt, which stays listed. An ended attempt is no longer listed after a
+    /// stop without checkpoint, as the caller has no more use for it.
+    pub(super) fn stop(
+        &mut self,
+        id: &Id,
+        attempt: Attempt,
+        with_checkpoint: bool,
+        now: Instant,
+    ) -> Result<Option<String>, Refusal> {
+        let task = self.find(id, Some(attempt))?;
+        let checkpoint = with_checkpoint.then(|| task.checkpoint());
+        if task.is_running() {
+            task.state = State::Stopped;
+            let interval = task.interval;
+            self.intervals[interval].ended = Some(now);
+        } else if !with_checkpoint {
+            self.tasks.remove(id);
+        }
+        Ok(checkpoint)
+    }
+
+    /// Returns the newest usage that is at least as old as the lag.
+    pub(super) fn usage(&self, now: Instant) -> Option<&Sample> {
+        let old_enough = |sample: &&Sample| now - sample.at >= self.usage_lag;
+        self.samples.iter().rev().find(old_enough)
+    }
+
+    pub(super) fn set_paused(&mut self, is_paused: bool) {
+        let now = Instant::now();
+        match (self.paused_at, is_paused) {
+            (None, true) => {
+                self.paused_at = Some(now);
+                self.end_intervals(now);
+            }
+            (Some(paused_at), false) => {
+                self.paused_at = None;
+                self.resume(paused_at, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn end_intervals(&mut self, now: Instant) {
+        for task in self.tasks.values().filter(|task| task.is_running()) {
+            self.intervals[task.interval].ended = Some(now);
+        }
+    }
+
+    fn resume(&mut self, paused_at: Instant, now: Instant) {
+        let mut resumed = Vec::new();
+        for (id, task) in self.tasks.iter_mut().filter(|(_, task)| task.is_running()) {
+            if task.lease_deadline <= now {
+                task.advance(paused_at);
+                task.state = State::Lapsed;
+            } else {
+                task.skip_until(now);
+                resumed.push(id.clone());
+            }
+        }
+        for id in resumed {
+            let index = self.intervals.len();
+            if let Some(task) = self.tasks.get_mut(&id) {
+                task.interval = index;
+                let attempt = task.attempt;
+                self.begin_interval(&id, attempt, now);
+            }
+        }
+    }
+
+    fn begin_interval(&mut self, id: &Id, attempt: Attempt, now: Instant) {
+        self.intervals.push(Interval {
+            task: id.clone(),
+            attempt,
+            began: now,
+            ended: None,
+        });
+    }
+
+    fn find(&mut self, id: &Id, attempt: Option<Attempt>) -> Result<&mut Task, Refusal> {
+        let task = self.tasks.get_mut(id).ok_or(Refusal::Unknown)?;
+        if attempt.is_some_and(|attempt| attempt != task.attempt) {
+            return Err(Refusal::Conflict(task.attempt));
+        }
+        Ok(task)
+    }
+
+    fn measure(&mut self, now: Instant) {
+        let running = self.tasks.iter().filter(|(_, task)| task.is_running());
+        let tasks = running.map(|(id, task)| measure(id, task)).collect();
+        self.samples.push_back(Sample { at: now, tasks });
+        if self.samples.len() > SAMPLES_MAX {
+            self.samples.pop_front();
+        }
+    }
+}
+
+fn measure(id: &Id, task: &Task) -> TaskSample {
+    let processors = task.payload.uses_processors_milli;
+    let processors = processors.unwrap_or(task.resources.processors_milli);
+    let memory = task.payload.uses_memory_mb;
+    TaskSample {
+        job: id.job.0.clone(),
+        index: id.index,
+        epoch: task.attempt.epoch,
+        number: task.attempt.number,
+        processors_milli: processors.saturating_mul(task.share_percent) / 100,
+        memory_mb: memory.unwrap_or(task.resources.memory_mb),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,190 @@
+//! Stand-in for the platform's key-value service.
+
+mod api;
+mod call;
+mod change;
+mod gate;
+mod item;
+mod lease;
+mod shared;
+mod state;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+pub use call::Call;
+use change::Change;
+pub use item::Item;
+use lease::Lease;
+use shared::Shared;
+use state::{State, begins_with};
+
+use crate::serving::Serving;
+
+/// How often expired leases are looked for.
+const LEASE_CHECK: Duration = Duration::from_millis(10);
+
+/// Largest value, in bytes.
+pub const VALUE_BYTES_MAX: usize = 1_000_000;
+
+/// A store in this process, and the handle to its faults.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_standin::{Store, store::Call};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// let store = Store::start().await?;
+/// let revision = store.write("config/section/desk", "text");
+/// assert_eq!(store.get("config/section/desk").unwrap().revision, revision);
+/// assert_eq!(store.calls(Call::Put), 0);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    serving: Serving,
+}
+
+impl Store {
+    /// Starts an empty store on a loopback port chosen by the system.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into()).await
+    }
+
+    /// Starts an empty store on `address`.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when `address` can't be bound.
+    pub async fn start_at(address: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let mut serving = Serving::start(address, api::router(&shared)).await?;
+        let expiring = Arc::clone(&shared);
+        serving.spawn(async move {
+            loop {
+                tokio::time::sleep(LEASE_CHECK).await;
+                expiring.change(|_state| ());
+            }
+        });
+        Ok(Self { shared, serving })
+    }
+
+    /// Returns the address that the store listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.serving.address()
+    }
+
+    /// Returns the item at `key`.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Item> {
+        self.shared.change(|state| state.get(key).cloned())
+    }
+
+    /// Returns the items whose key begins with `prefix`.
+    #[must_use]
+    pub fn range(&self, prefix: &str) -> Vec<Item> {
+        self.shared.change(|state| state.range(prefix))
+    }
+
+    /// Returns the revision of the last write.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.change(|state| state.revision())
+    }
+
+    /// Writes `value` at `key` without a call, and returns the revision.
+    pub fn write(&self, key: &str, value: &str) -> u64 {
+        self.shared.change(|state| state.write(key, value, None))
+    }
+
+    /// Deletes `key` without a call.
+    pub fn remove(&self, key: &str) {
+        self.shared.change(|state| state.remove(key));
+    }
+
+    /// While `is_down`, every call fails with 503 without effect and leases do not expire.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.change(|state| state.set_down(is_down));
+    }
+
+    /// Delays every call by `delay` before it takes effect.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.change(|state| state.faults.delay = delay);
+    }
+
+    /// Delays every answer by `delay` after the call took effect.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.shared
+            .change(|state| state.faults.answer_delay = delay);
+    }
+
+    /// Cuts the connection in place of the next `count` answers to `call`, after the effect.
+    pub fn lose_answers(&self, call: Call, count: u32) {
+        self.shared.change(|state| {
+            state.faults.lost_answers.insert(call, count);
+        });
+    }
+
+    /// Cuts the connection of every waiting watch.
+    pub fn drop_watches(&self) {
+        self.shared
+            .change(|state| state.faults.dropped_watches += 1);
+    }
+
+    /// Expires `lease` now, as if its holder had not kept it alive.
+    pub fn expire_lease(&self, lease: u64) {
+        self.shared.change(|state| state.end_lease(lease));
+    }
+
+    /// Expires the lease that holds `key` now, and tells whether there is one.
+    pub fn expire_lease_of(&self, key: &str) -> bool {
+        self.shared.change(|state| {
+            let lease = state.get(key).and_then(|item| item.lease);
+            lease.is_some_and(|lease| state.end_lease(lease))
+        })
+    }
+
+    /// While `is_stale`, get and range answer from the state at the time of this call.
+    pub fn set_stale(&self, is_stale: bool) {
+        self.shared.change(|state| state.set_stale(is_stale));
+    }
+
+    /// Forgets the changes up to now, so that a watch from an earlier revision is refused with 410.
+    pub fn compact(&self) {
+        self.shared.change(State::compact);
+    }
+
+    /// Returns how many calls of this kind arrived, also those that failed.
+    #[must_use]
+    pub fn calls(&self, call: Call) -> u64 {
+        self.shared.change(|state| state.arrivals.count(call))
+    }
+
+    /// Returns how many calls arrived, also those that failed.
+    #[must_use]
+    pub fn calls_total(&self) -> u64 {
+        self.shared.change(|state| state.arrivals.total())
+    }
+
+    /// Returns the largest number of calls that arrived within `window` since `since`.
+    #[must_use]
+    pub fn busiest(&self, since: Instant, window: Duration) -> usize {
+        self.shared
+            .change(|state| state.arrivals.busiest(since, window))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/api/grant.rs
@@ -0,0 +1,9 @@
+//! Body of a lease grant.
+
+use serde::Deserialize;
+
+/// How long the lease lives without being kept alive.
+#[derive(Debug, Deserialize)]
+pub(super) struct Grant {
+    pub(super) ttl_ms: u64,
+}
--- /dev/null
+++ b/crates/standin/src/store/call.rs
@@ -0,0 +1,22 @@
+//! Kinds of calls.
+
+/// Kind of a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Call {
+    /// Read one key.
+    Get,
+    /// Read the keys with a prefix.
+    Range,
+    /// Write one key.
+    Put,
+    /// Delete one key.
+    Delete,
+    /// Grant a lease.
+    Grant,
+    /// Keep a lease alive.
+    KeepAlive,
+    /// Revoke a lease.
+    Revoke,
+    /// Wait for changes.
+    Watch,
+}
--- /dev/null
+++ b/crates/standin/src/store/gate.rs
@@ -0,0 +1,62 @@
+//! Counts calls and applies faults before and after each of them.
+
+use std::sync::Arc;
+
+use salvo::prelude::*;
+
+use super::{Call, Shared};
+
+/// Runs before and after the handler of one kind of call.
+#[derive(Debug)]
+pub(super) struct Gate {
+    shared: Arc<Shared>,
+    call: Call,
+}
+
+impl Gate {
+    pub(super) fn new(shared: &Arc<Shared>, call: Call) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            call,
+        }
+    }
+}
+
+#[handler]
+impl Gate {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        depot: &mut Depot,
+        response: &mut Response,
+        flow: &mut FlowCtrl,
+        connection: &mut ConnCtrl,
+    ) {
+        let delay = self.shared.change(|state| {
+            state
+                .arrivals
+                .record(self.call, tokio::time::Instant::now());
+            state.faults.delay
+        });
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if self.shared.change(|state| state.is_down()) {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            flow.skip_rest();
+            return;
+        }
+        depot.insert_typed(Arc::clone(&self.shared));
+        flow.call_next(request, depot, response).await;
+        let (is_lost, delay) = self.shared.change(|state| {
+            let is_lost = state.faults.take_lost_answer(self.call);
+            (is_lost, state.faults.answer_delay)
+        });
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if is_lost {
+            connection.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/state.rs
@@ -0,0 +1,193 @@
+//! Content of the store, and its faults.
+
+mod arrivals;
+mod faults;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use arrivals::Arrivals;
+use faults::Faults;
+
+use super::{Change, Item, Lease};
+
+/// Changes kept for watches that resume. A watch that is further behind is refused.
+const CHANGES_MAX: usize = 100_000;
+
+/// Items by key, the log of changes, leases, faults and counts.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    changes: VecDeque<Change>,
+    compacted: u64,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+    down_since: Option<Instant>,
+    stale: Option<(u64, BTreeMap<String, Item>)>,
+    pub(super) faults: Faults,
+    pub(super) arrivals: Arrivals,
+}
+
+impl State {
+    pub(super) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) const fn is_down(&self) -> bool {
+        self.down_since.is_some()
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
+    }
+
+    pub(super) fn range(&self, prefix: &str) -> Vec<Item> {
+        begins_with(&self.items, prefix)
+    }
+
+    /// Returns the revision and content that reads are answered from.
+    pub(super) fn read_view(&self) -> (u64, &BTreeMap<String, Item>) {
+        match &self.stale {
+            Some((revision, items)) => (*revision, items),
+            None => (self.revision, &self.items),
+        }
+    }
+
+    /// Tells whether the revision of `key`, with 0 for an absent one, is the expected one.
+    pub(super) fn is_expected(&self, key: &str, expected: Option<u64>) -> bool {
+        let revision = self.items.get(key).map_or(0, |item| item.revision);
+        expected.is_none_or(|expected| expected == revision)
+    }
+
+    pub(super) fn write(&mut self, key: &str, value: &str, lease: Option<u64>) -> u64 {
+        self.revision += 1;
+        let item = Item {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            revision: self.revision,
+            lease,
+        };
+        self.items.insert(item.key.clone(), item);
+        self.log(key, Some(value));
+        self.revision
+    }
+
+    pub(super) fn remove(&mut self, key: &str) -> bool {
+        if self.items.remove(key).is_none() {
+            return false;
+        }
+        self.revision += 1;
+        self.log(key, None);
+        true
+    }
+
+    fn log(&mut self, key: &str, value: Option<&str>) {
+        self.changes.push_back(Change {
+            key: key.to_owned(),
+            value: value.map(str::to_owned),
+            revision: self.revision,
+        });
+        if self.changes.len() > CHANGES_MAX
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.compacted = oldest.revision;
+        }
+    }
+
+    /// Returns the changes after `after`, or `None` when some of them are no longer kept.
+    pub(super) fn changes(&self, prefix: &str, after: u64, most: usize) -> Option<Vec<Change>> {
+        if after < self.compacted {
+            return None;
+        }
+        let first = self
+            .changes
+            .partition_point(|change| change.revision <= after);
+        let later = self.changes.range(first..);
+        let matching = later.filter(|change| change.key.starts_with(prefix));
+        Some(matching.take(most).cloned().collect())
+    }
+
+    pub(super) fn compact(&mut self) {
+        self.changes.clear();
+        self.compacted = self.revision;
+    }
+
+    pub(super) fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
+        self.last_lease += 1;
+        let deadline = now + ttl;
+        self.leases.insert(self.last_lease, Lease { ttl, deadline });
+        self.last_lease
+    }
+
+    pub(super) fn has_lease(&self, lease: u64) -> bool {
+        self.leases.contains_key(&lease)
+    }
+
+    /// Returns the lease's time to live, or `None` when it has ended.
+    pub(super) fn keep_alive(&mut self, lease: u64, now: Instant) -> Option<Duration> {
+        let lease = self.leases.get_mut(&lease)?;
+        lease.deadline = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease and deletes its keys, each as a write.
+    pub(super) fn end_lease(&mut self, lease: u64) -> bool {
+        if self.leases.remove(&lease).is_none() {
+            return false;
+        }
+        let held = self.items.values().filter(|item| item.lease == Some(lease));
+        let keys: Vec<String> = held.map(|item| item.key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+        true
+    }
+
+    /// Ends the leases whose deadline has passed, unless the store is down.
+    pub(super) fn expire(&mut self, now: Instant) {
+        if self.is_down() {
+            return;
+        }
+        let passed = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.deadline <= now);
+        let ended: Vec<u64> = passed.map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    /// Begins or ends an outage. Leases have the same time left after it as before it.
+    pub(super) fn set_down(&mut self, is_down: bool) {
+        let now = Instant::now();
+        match (self.down_since, is_down) {
+            (None, true) => self.down_since = Some(now),
+            (Some(since), false) => {
+                for lease in self.leases.values_mut() {
+                    lease.deadline += now - since;
+                }
+                self.down_since = None;
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn set_stale(&mut self, is_stale: bool) {
+        self.stale = is_stale.then(|| (self.revision, self.items.clone()));
+    }
+}
+
+/// Returns the items whose key begins with `prefix`.
+pub(super) fn begins_with(items: &BTreeMap<String, Item>, prefix: &str) -> Vec<Item> {
+    items
+        .range(prefix.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(prefix))
+        .map(|(_, item)| item.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/store/state/arrivals.rs
@@ -0,0 +1,56 @@
+//! Counts of calls.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::store::Call;
+
+/// Arrival times kept. The oldest ones are dropped, so that a long demo does not grow.
+const TIMES_MAX: usize = 100_000;
+
+/// Calls that arrived, by kind, with the times of the latest ones.
+#[derive(Debug, Default)]
+pub(in crate::store) struct Arrivals {
+    counts: BTreeMap<Call, u64>,
+    times: VecDeque<Instant>,
+}
+
+impl Arrivals {
+    pub(in crate::store) fn record(&mut self, call: Call, now: Instant) {
+        *self.counts.entry(call).or_default() += 1;
+        self.times.push_back(now);
+        if self.times.len() > TIMES_MAX {
+            self.times.pop_front();
+        }
+    }
+
+    pub(in crate::store) fn count(&self, call: Call) -> u64 {
+        self.counts.get(&call).copied().unwrap_or(0)
+    }
+
+    pub(in crate::store) fn total(&self) -> u64 {
+        self.counts.values().sum()
+    }
+
+    pub(in crate::store) fn busiest(&self, since: Instant, window: Duration) -> usize {
+        let times: Vec<Instant> = self
+            .times
+            .iter()
+            .filter(|at| **at >= since)
+            .copied()
+            .collect();
+        let mut first = 0;
+        let mut most = 0;
+        for (last, at) in times.iter().enumerate() {
+            while *at - times[first] >= window {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,115 @@
+//! Stand-in for an upstream.
+
+mod api;
+mod shared;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use shared::Shared;
+
+use crate::serving::Serving;
+
+/// An HTTP upstream in this process, and the handle to its settings and counts.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_standin::Upstream;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// let upstream = Upstream::start().await?;
+/// assert_eq!(upstream.executions("order 17"), 0);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Upstream {
+    shared: Arc<Shared>,
+    serving: Serving,
+}
+
+impl Upstream {
+    /// Starts an upstream on a loopback port chosen by the system.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into()).await
+    }
+
+    /// Starts an upstream on `address`.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when `address` can't be bound.
+    pub async fn start_at(address: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let serving = Serving::start(address, api::router(&shared)).await?;
+        Ok(Self { shared, serving })
+    }
+
+    /// Returns the address that the upstream listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.serving.address()
+    }
+
+    /// Sets how long `/slow` takes to answer; 200 ms by default.
+    pub fn set_slow(&self, delay: Duration) {
+        self.shared.lock().slow = delay;
+    }
+
+    /// Sets the time between two lines of `/feed`; 50 ms by default.
+    pub fn set_feed_interval(&self, interval: Duration) {
+        self.shared.lock().feed_interval = interval;
+    }
+
+    /// Sets whether `/health` answers 200 or 503.
+    pub fn set_healthy(&self, is_healthy: bool) {
+        self.shared.lock().is_healthy = is_healthy;
+    }
+
+    /// Returns how many times `/execute` ran this body.
+    #[must_use]
+    pub fn executions(&self, body: &str) -> u32 {
+        self.shared
+            .lock()
+            .executions
+            .get(body)
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Returns every body that `/execute` ran, with its count.
+    #[must_use]
+    pub fn all_executions(&self) -> Vec<(String, u32)> {
+        let record = self.shared.lock();
+        let counts = record.executions.iter();
+        counts.map(|(body, count)| (body.clone(), *count)).collect()
+    }
+
+    /// Returns how many requests arrived, without those for `/health`.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.shared.lock().requests
+    }
+
+    /// Returns the number of requests in progress, without those for `/health`.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the largest number of requests that were in progress at once.
+    #[must_use]
+    pub fn in_flight_max(&self) -> usize {
+        self.shared.lock().in_flight_max
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream/api.rs
@@ -0,0 +1,148 @@
+//! Routes of the upstream.
+
+mod flight;
+mod guard;
+mod inject;
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use salvo::prelude::*;
+use serde_json::json;
+
+use flight::Flight;
+use inject::Inject;
+
+use super::Shared;
+
+/// Largest body of a request.
+const BODY_BYTES_MAX: usize = 64_000_000;
+
+/// Largest body that `/large` answers with.
+const LARGE_BYTES_MAX: usize = 256_000_000;
+
+/// Length of the pieces that `/large` and `/cut` send.
+const PIECE_BYTES: usize = 16_384;
+
+/// Time between the first piece of `/cut` and the cut. Without it, the server closes the connection
+/// before it has written the head.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+
+/// Header that requests are told apart by.
+const MARKER_HEADER: &str = "x-request-marker";
+
+/// Returns the routes.
+pub(super) fn router(shared: &Arc<Shared>) -> Router {
+    let counted = Router::new()
+        .hoop(Flight::new(Arc::clone(shared)))
+        .push(Router::with_path("lookup/{**rest}").goal(lookup))
+        .push(Router::with_path("execute").post(execute))
+        .push(Router::with_path("slow").goal(slow))
+        .push(Router::with_path("feed").get(feed))
+        .push(Router::with_path("cut").get(cut))
+        .push(Router::with_path("large").get(large));
+    Router::new()
+        .push(
+            Router::with_path("health")
+                .hoop(Inject::new(Arc::clone(shared)))
+                .get(health),
+        )
+        .push(counted)
+}
+
+fn shared(depot: &Depot) -> Arc<Shared> {
+    let shared = depot.get_typed::<Arc<Shared>>();
+    Arc::clone(shared.expect("a hoop injects the state before each handler"))
+}
+
+async fn text(request: &mut Request) -> String {
+    let body = request.payload_with_max_size(BODY_BYTES_MAX).await;
+    body.map(|bytes| String::from_utf8_lossy(bytes).into_owned())
+        .unwrap_or_default()
+}
+
+fn marker(request: &Request) -> Option<String> {
+    request.header(MARKER_HEADER)
+}
+
+#[handler]
+async fn health(depot: &mut Depot, response: &mut Response) {
+    if shared(depot).lock().is_healthy {
+        response.render("ok");
+    } else {
+        response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
+
+#[handler]
+async fn lookup(request: &mut Request, response: &mut Response) {
+    let body = text(request).await;
+    response.render(Json(json!({
+        "method": request.method().as_str(),
+        "path": request.uri().path(),
+        "query": request.uri().query(),
+        "marker": marker(request),
+        "body": body,
+    })));
+}
+
+#[handler]
+async fn execute(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let body = text(request).await;
+    let count = {
+        let shared = shared(depot);
+        let mut record = shared.lock();
+        let count = record.executions.entry(body).or_default();
+        *count += 1;
+        *count
+    };
+    response.render(Json(json!({ "count": count, "marker": marker(request) })));
+}
+
+#[handler]
+async fn slow(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let body = text(request).await;
+    let delay = shared(depot).lock().slow;
+    let delay = request.query("ms").map_or(delay, Duration::from_millis);
+    tokio::time::sleep(delay).await;
+    response.render(Json(json!({ "marker": marker(request), "body": body })));
+}
+
+#[handler]
+async fn feed(depot: &mut Depot, response: &mut Response) {
+    let interval = shared(depot).lock().feed_interval;
+    let lines = stream::unfold(0_u64, move |line| async move {
+        if line > 0 {
+            tokio::time::sleep(interval).await;
+        }
+        let text = Bytes::from(format!("line {line}\n"));
+        Some((Ok::<_, io::Error>(text), line + 1))
+    });
+    response.stream(lines);
+}
+
+#[handler]
+async fn cut(response: &mut Response) {
+    let length = (2 * PIECE_BYTES).to_string();
+    let _ = response.add_header("content-length", length, true);
+    let first = stream::iter([Ok(Bytes::from(vec![b'c'; PIECE_BYTES]))]);
+    let rest = stream::once(async {
+        tokio::time::sleep(CUT_DELAY).await;
+        Err(io::Error::other("cut on purpose"))
+    });
+    response.stream(first.chain(rest));
+}
+
+#[handler]
+async fn large(request: &mut Request, response: &mut Response) {
+    let bytes: usize = request.query("bytes").unwrap_or(1_000_000);
+    let bytes = bytes.min(LARGE_BYTES_MAX);
+    let _ = response.add_header("content-length", bytes.to_string(), true);
+    let pieces = stream::unfold(0, move |sent| async move {
+        let length = PIECE_BYTES.min(bytes - sent);
+        let piece = Bytes::from(vec![b'l'; length]);
+        (length > 0).then_some((Ok::<_, io::Error>(piece), sent + length))
+    });
+    response.stream(pieces);
+}
--- /dev/null
+++ b/crates/standin/tests/runtime.rs
@@ -0,0 +1,124 @@
+//! The task runtime stand-in over HTTP.
+
+use std::time::Duration;
+
+use reqwest::{Client, Method, StatusCode};
+use serde_json::{Value, json};
+use toucanquay_model::task;
+use toucanquay_standin::{
+    Runtime,
+    runtime::{State, overlaps},
+};
+
+async fn call(runtime: &Runtime, method: Method, path: &str, body: Value) -> (StatusCode, Value) {
+    let url = format!("http://{}/v1/{path}", runtime.address());
+    let request = Client::new().request(method, url).json(&body);
+    let response = request.send().await.unwrap();
+    let status = response.status();
+    (status, response.json().await.unwrap_or_default())
+}
+
+fn order(number: u32, payload: &str, checkpoint: Option<&str>, lease_ms: u64) -> Value {
+    json!({
+        "epoch": 1, "number": number, "kind": "plan", "payload": payload,
+        "checkpoint": checkpoint, "processors_milli": 500, "memory_mb": 100,
+        "accelerators": 0, "lease_ms": lease_ms,
+    })
+}
+
+fn id() -> task::Id {
+    task::Id::new("job".into(), 0)
+}
+
+async fn start(runtime: &Runtime, order: Value) -> StatusCode {
+    call(runtime, Method::PUT, "tasks/job/0", order).await.0
+}
+
+async fn sleep_ms(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Guards against a resumed task that starts its work again from the beginning.
+#[tokio::test]
+async fn checkpoint_keeps_the_work_done() {
+    let runtime = Runtime::start().await.unwrap();
+    start(&runtime, order(1, r#"{"run_ms":300}"#, None, 5_000)).await;
+    sleep_ms(200).await;
+    let path = "tasks/job/0?epoch=1&number=1&with_checkpoint=true";
+
+    let stopped = call(&runtime, Method::DELETE, path, Value::Null).await.1;
+    let checkpoint = stopped["checkpoint"].as_str().unwrap();
+    let resumed = order(2, r#"{"run_ms":300}"#, Some(checkpoint), 5_000);
+    start(&runtime, resumed).await;
+    sleep_ms(200).await;
+
+    assert!(checkpoint.parse::<u64>().unwrap() >= 190);
+    assert_eq!(runtime.state(&id()), Some(State::Finished));
+    assert!(overlaps(&runtime.intervals()).is_empty());
+}
+
+/// Guards against a task that runs on after its lease, while another worker runs it again.
+#[tokio::test]
+async fn task_lapses_at_its_lease_deadline() {
+    let runtime = Runtime::start().await.unwrap();
+    start(&runtime, order(1, r#"{"run_ms":60000}"#, None, 100)).await;
+    let renewal = json!({ "epoch": 1, "number": 1, "lease_ms": 200 });
+    call(&runtime, Method::POST, "tasks/job/0/renew", renewal).await;
+
+    sleep_ms(140).await;
+    let renewed = runtime.state(&id());
+    sleep_ms(150).await;
+
+    assert_eq!(renewed, Some(State::Running));
+    assert_eq!(runtime.state(&id()), Some(State::Lapsed));
+    let ran = &runtime.intervals()[0];
+    assert!(ran.ended.unwrap() - ran.began < Duration::from_millis(260));
+}
+
+/// Guards against a pause after which a task goes on although its lease has passed.
+#[tokio::test]
+async fn pause_beyond_the_lease_ends_the_task() {
+    let runtime = Runtime::start().await.unwrap();
+    start(&runtime, order(1, r#"{"run_ms":60000}"#, None, 100)).await;
+
+    runtime.set_paused(true);
+    sleep_ms(150).await;
+    runtime.set_paused(false);
+
+    assert_eq!(runtime.state(&id()), Some(State::Lapsed));
+    assert_eq!(runtime.intervals().len(), 1);
+}
+
+/// Guards against a late, repeated start that runs an attempt again.
+#[tokio::test]
+async fn ended_attempt_does_not_start_again() {
+    let runtime = Runtime::start().await.unwrap();
+    let fails = order(1, r#"{"fail":"no paper"}"#, None, 5_000);
+    let first = start(&runtime, fails.clone()).await;
+    sleep_ms(20).await;
+
+    let again = start(&runtime, fails).await;
+    let list = call(&runtime, Method::GET, "tasks", Value::Null).await.1;
+
+    assert_eq!((first, again), (StatusCode::OK, StatusCode::CONFLICT));
+    assert_eq!(list["tasks"][0]["state"], "failed");
+    assert_eq!(list["tasks"][0]["reason"], "no paper");
+    assert_eq!(runtime.held_max().processors_milli, 500);
+}
+
+/// Guards against usage that is served without its lag, which would make tests of lag prove nothing.
+#[tokio::test]
+async fn usage_lags() {
+    let runtime = Runtime::start().await.unwrap();
+    runtime.set_usage_lag(Duration::from_millis(300));
+    start(&runtime, order(1, r#"{"run_ms":60000}"#, None, 60_000)).await;
+
+    sleep_ms(150).await;
+    let early = call(&runtime, Method::GET, "usage", Value::Null).await.1;
+    sleep_ms(400).await;
+    let later = call(&runtime, Method::GET, "usage", Value::Null).await.1;
+
+    assert_eq!(early["tasks"], json!([]));
+    assert_eq!(later["tasks"][0]["processors_milli"], 500);
+    assert!(later["age_ms"].as_u64().unwrap() >= 300);
+}
