companion: tests of forwarding over loopback

The forwarding path had no tests. They run a companion beside the stand-in upstream and speak the entry's side of the protocol: whole and cut responses, crossed and short ends, tombstones before and after arrival, repeats, restarts, slots, deadlines and entries that go away. Incarnations now grow with the wall clock, as the roster and the cell owner expect of a later run.

--- a/crates/companion/src/companion.rs
+++ b/crates/companion/src/companion.rs
@@ -1,6 +1,10 @@
 //! A running companion.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use slog::{Logger, info, o, warn};
 use tokio::{
@@ -51,7 +55,7 @@
     /// wrong or can't be used on this host.
     pub async fn start(settings: Settings, log: Logger) -> Result<Self, Vec<Error>> {
         settings.check()?;
-        let incarnation: Incarnation = rand::random();
+        let incarnation = next_incarnation();
         let log = log.new(o!("worker" => settings.worker.clone()));
         let upstream = Upstream::new(&settings).map_err(|error| vec![error])?;
         let server = Server::bind(settings.listen, log.clone())
@@ -139,3 +143,12 @@
         }
     }
 }
+
+/// Returns a number that is higher than that of an earlier run, as long as the host's wall clock
+/// does not go back. The low bits tell two runs apart that start in the same microsecond.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.map_or(0, |time| time.as_micros());
+    let micros = Incarnation::try_from(micros).unwrap_or(0);
+    (micros << 8) | Incarnation::from(rand::random::<u8>())
+}
--- /dev/null
+++ b/crates/companion/tests/support/mod.rs
@@ -0,0 +1,159 @@
+//! Fixtures: a companion beside a stand-in upstream, and the entry's side of a request.
+
+#![expect(dead_code, reason = "each test program uses a part of the fixtures")]
+
+pub mod entry;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use slog::{Discard, Logger, o};
+use tokio::time::{Instant, timeout};
+use toucanquay_companion::{Companion, Settings};
+use toucanquay_model::{Error, ErrorKind, Incarnation, request};
+use toucanquay_standin::Upstream;
+use toucanquay_wire::{End, Frame, Pool, Stream, Tombstone, request::Head};
+
+/// Bound on each wait of a test.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub const SERVICE: &str = "lookup";
+pub const TEAM: &str = "desk";
+
+pub fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub fn settings(upstream: SocketAddr) -> Settings {
+    Settings::new("w1", SERVICE, TEAM, format!("http://{upstream}"))
+}
+
+pub async fn upstream() -> Upstream {
+    Upstream::start().await.unwrap()
+}
+
+pub async fn companion(settings: Settings) -> Companion {
+    Companion::start(settings, log()).await.unwrap()
+}
+
+/// A companion without entries, beside `upstream`.
+pub async fn alone(upstream: &Upstream) -> Companion {
+    companion(settings(upstream.address())).await
+}
+
+pub fn id(number: u64) -> request::Id {
+    request::Id::new(1, number)
+}
+
+pub fn head(number: u64, incarnation: Incarnation, method: &str, target: &str) -> Head {
+    Head {
+        id: id(number),
+        incarnation,
+        service: SERVICE.to_owned(),
+        method: method.to_owned(),
+        target: target.to_owned(),
+        headers: Vec::new(),
+        remaining_micros: Some(5_000_000),
+        is_keyed: false,
+    }
+}
+
+/// What the entry's side gets back.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A whole response: status and body.
+    Whole(u16, Vec<u8>),
+    /// A failure, and whether it came after the head of a response.
+    Failed(ErrorKind, bool),
+    /// The stream ended without `End` or `Failure`.
+    Broken,
+}
+
+impl Reply {
+    pub fn text(&self) -> String {
+        match self {
+            Self::Whole(200, body) => String::from_utf8(body.clone()).unwrap(),
+            other => panic!("no whole response: {other:?}"),
+        }
+    }
+}
+
+pub async fn open(address: SocketAddr) -> Stream {
+    let deadline = Instant::now() + PATIENCE;
+    Pool::new().open(address, deadline).await.unwrap()
+}
+
+/// Sends a request whole and leaves the stream open for the reply.
+pub async fn send(address: SocketAddr, head: Head, body: &[u8]) -> Stream {
+    let mut stream = open(address).await;
+    let end = End {
+        id: head.id,
+        length: body.len() as u64,
+    };
+    stream.send(&Frame::Request(head)).await.unwrap();
+    for part in body.chunks(100_000) {
+        let part = Frame::Body(Bytes::copy_from_slice(part));
+        stream.send(&part).await.unwrap();
+    }
+    stream.send(&Frame::End(end)).await.unwrap();
+    stream.finish().unwrap();
+    stream
+}
+
+/// Receives the reply to request `number`, checking ids and lengths.
+pub async fn receive(mut stream: Stream, number: u64) -> Reply {
+    let collect = async {
+        let mut status = None;
+        let mut body = Vec::new();
+        loop {
+            match stream.recv().await {
+                Ok(Some(Frame::Response(head))) => {
+                    assert_eq!(head.id, id(number));
+                    status = Some(head.status);
+                }
+                Ok(Some(Frame::Body(part))) => body.extend_from_slice(&part),
+                Ok(Some(Frame::End(end))) => {
+                    assert_eq!((end.id, end.length), (id(number), body.len() as u64));
+                    return Reply::Whole(status.unwrap(), body);
+                }
+                Ok(Some(Frame::Failure(failure))) => {
+                    assert_eq!(failure.id, id(number));
+                    return Reply::Failed(failure.error.kind(), status.is_some());
+                }
+                Ok(None) | Err(_) => return Reply::Broken,
+                Ok(Some(other)) => panic!("unexpected frame {other:?}"),
+            }
+        }
+    };
+    timeout(PATIENCE, collect).await.unwrap()
+}
+
+/// Sends a request whole and receives its reply.
+pub async fn call(address: SocketAddr, head: Head, body: &[u8]) -> Reply {
+    let number = head.id.number();
+    receive(send(address, head, body).await, number).await
+}
+
+/// Sends one frame and returns the one that answers it.
+pub async fn ask(address: SocketAddr, frame: &Frame) -> Result<Frame, Error> {
+    let deadline = Instant::now() + PATIENCE;
+    Pool::new().call(address, frame, deadline).await
+}
+
+pub async fn tombstone(address: SocketAddr, number: u64, incarnation: Incarnation) -> Frame {
+    let tombstone = Tombstone {
+        id: id(number),
+        incarnation,
+    };
+    ask(address, &Frame::Tombstone(tombstone)).await.unwrap()
+}
+
+/// Waits until `is_so` holds.
+pub async fn until(mut is_so: impl FnMut() -> bool) {
+    let wait = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap();
+}
