companion: exchange with the cell owner and tests of its lifecycle

A worker needs to run batch tasks under the owner's leases, and the lifecycle of a companion had no tests. The task loop drives control::agent: one exchange is outstanding, leases count from the time of sending and are shortened by the longest time that a call to the runtime may take, ends of tasks supersede a held exchange, and usage of tasks and service goes along with its age.

--- a/crates/companion/src/companion.rs
+++ b/crates/companion/src/companion.rs
@@ -15,7 +15,10 @@
 use toucanquay_model::{Error, Incarnation};
 use toucanquay_wire::Server;
 
-use crate::{Context, Settings, Upstream, forward, health, heartbeat};
+use crate::{
+    Context, Settings, Upstream, forward, health, heartbeat,
+    tasks::{self, Runtime},
+};
 
 /// Time beyond the deadline of a graceful stop in which cut requests are told so.
 const CUT_GRACE: Duration = Duration::from_secs(1);
@@ -58,12 +61,14 @@
         let incarnation = next_incarnation();
         let log = log.new(o!("worker" => settings.worker.clone()));
         let upstream = Upstream::new(&settings).map_err(|error| vec![error])?;
+        let runtime = settings.runtime.as_deref().map(Runtime::new).transpose();
+        let runtime = runtime.map_err(|error| vec![error])?;
         let server = Server::bind(settings.listen, log.clone())
             .await
             .map_err(|error| vec![error])?;
         let address = server.address();
         let context = Context::new(settings, address, upstream, incarnation, log);
-        let companion = Self::run(Arc::new(context), server);
+        let companion = Self::run(Arc::new(context), server, runtime);
         info!(companion.context.log, "companion_started";
             "incarnation" => incarnation, "address" => %address);
         Ok(companion)
@@ -87,19 +92,21 @@
         &self.context
     }
 
-    /// Stops gracefully, and tells whether no request was cut off.
+    /// Stops gracefully, and tells whether no request was cut off and no task was left.
     ///
-    /// New requests are refused and entries hear of it at once. Requests in flight may end until
-    /// the deadline of the settings; what remains then is logged and cut off.
+    /// New requests are refused and entries hear of it at once. Tasks are stopped with a checkpoint
+    /// and handed back to the cell owner. Requests in flight may end until the deadline of the
+    /// settings; what remains then is logged and cut off.
     pub async fn stop(self) -> bool {
         let context = &self.context;
         let deadline = Instant::now() + Duration::from_millis(context.settings.stop_deadline_ms);
         info!(context.log, "stop_begun"; "in_flight" => context.admission.in_flight());
         context.admission.stop();
         heartbeat::last(context).await;
-        let is_clean = timeout_at(deadline, context.admission.idle()).await.is_ok();
+        let is_clean = timeout_at(deadline, drained(context)).await.is_ok();
         if !is_clean {
-            warn!(context.log, "stop_deadline"; "in_flight" => context.admission.in_flight());
+            warn!(context.log, "stop_deadline"; "in_flight" => context.admission.in_flight(),
+                "tasks" => context.tasks.borrow().running);
             context.cut.cancel();
         }
         heartbeat::last(context).await;
@@ -118,7 +125,7 @@
         is_clean
     }
 
-    fn run(context: Arc<Context>, server: Server) -> Self {
+    fn run(context: Arc<Context>, server: Server, runtime: Option<Runtime>) -> Self {
         let loops = TaskTracker::new();
         let stop_loops = CancellationToken::new();
         let stop_server = CancellationToken::new();
@@ -133,6 +140,12 @@
             .clone()
             .run_until_cancelled_owned(health::run(context.clone()));
         loops.spawn(health);
+        if let Some(runtime) = runtime {
+            let tasks = stop_loops
+                .clone()
+                .run_until_cancelled_owned(tasks::run(context.clone(), runtime));
+            loops.spawn(tasks);
+        }
         Self {
             context,
             address,
@@ -144,6 +157,14 @@
     }
 }
 
+/// Waits until no request is in flight and no task is left.
+async fn drained(context: &Context) {
+    let mut tasks = context.tasks.subscribe();
+    context.admission.idle().await;
+    // The sender belongs to the context, so waiting can't fail.
+    let _ = tasks.wait_for(|load| load.is_drained).await;
+}
+
 /// Returns a number that is higher than that of an earlier run, as long as the host's wall clock
 /// does not go back. The low bits tell two runs apart that start in the same microsecond.
 fn next_incarnation() -> Incarnation {
--- a/crates/companion/src/context.rs
+++ b/crates/companion/src/context.rs
@@ -15,7 +15,9 @@
 use toucanquay_model::{Incarnation, Time, section::State, upstream::Announcement, worker};
 use toucanquay_wire::{Pool, heartbeat::Beat, heartbeat::Owner};
 
-use crate::{Clock, Meters, Settings, Upstream, admission::Admission, heartbeat::Entries};
+use crate::{
+    Clock, Meters, Settings, Upstream, admission::Admission, heartbeat::Entries, tasks::Load,
+};
 
 /// What the loops and streams of one companion share.
 #[derive(Debug)]
@@ -48,8 +50,8 @@
     pub owner: watch::Sender<Option<Owner>>,
     /// Counts changes that entries should hear of before the next heartbeat is due.
     pub news: watch::Sender<u64>,
-    /// Tasks that hold resources of the worker.
-    pub tasks: watch::Sender<u32>,
+    /// Tasks of the worker.
+    pub tasks: watch::Sender<Load>,
     register: Mutex<Register>,
     is_healthy: AtomicBool,
     sequence: AtomicU64,
@@ -66,6 +68,12 @@
         log: Logger,
     ) -> Self {
         let clock = Clock::start();
+        let has_runtime = settings.runtime.is_some();
+        let load = if has_runtime {
+            Load::UNKNOWN
+        } else {
+            Load::NONE
+        };
         let meters = Meters::new(&settings.worker);
         let admission = Admission::new(incarnation, settings.slots, clock, meters.clone());
         Self {
@@ -82,7 +90,7 @@
             cut: CancellationToken::new(),
             owner: watch::Sender::new(None),
             news: watch::Sender::new(0),
-            tasks: watch::Sender::new(0),
+            tasks: watch::Sender::new(load),
             register: Mutex::new(Register::new()),
             is_healthy: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
@@ -158,8 +166,8 @@
             in_flight,
             is_healthy: self.is_healthy.load(Ordering::Relaxed),
             is_leaving,
-            is_drained: is_leaving && in_flight == 0 && tasks == 0,
-            tasks,
+            is_drained: is_leaving && in_flight == 0 && tasks.is_drained,
+            tasks: tasks.running,
         }
     }
 
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod meters;
 pub mod settings;
+pub mod tasks;
 pub mod upstream;
 
 pub use clock::Clock;
--- a/crates/companion/src/meters.rs
+++ b/crates/companion/src/meters.rs
@@ -19,6 +19,9 @@
     heartbeats_failed: Counter,
     revision: Gauge,
     healthy: Gauge,
+    exchanges: Counter,
+    exchanges_failed: Counter,
+    tasks: Gauge,
 }
 
 impl Meters {
@@ -34,6 +37,10 @@
             counter!("toucanquay_companion_heartbeats_total",
                 "worker" => worker.clone(), "result" => result)
         };
+        let exchanges = |result: &'static str| {
+            counter!("toucanquay_companion_exchanges_total",
+                "worker" => worker.clone(), "result" => result)
+        };
         Self {
             whole: requests("whole"),
             not_run: requests("not_run"),
@@ -47,6 +54,9 @@
             heartbeats_failed: beats("failed"),
             revision: gauge!("toucanquay_companion_revision", "worker" => worker.clone()),
             healthy: gauge!("toucanquay_companion_upstream_healthy", "worker" => worker.clone()),
+            exchanges: exchanges("answered"),
+            exchanges_failed: exchanges("failed"),
+            tasks: gauge!("toucanquay_companion_tasks", "worker" => worker.clone()),
         }
     }
 
@@ -89,6 +99,26 @@
         }
     }
 
+    /// Counts an exchange with the cell owner by whether it was answered.
+    pub fn exchange(&self, is_answered: bool) {
+        if is_answered {
+            self.exchanges.increment(1);
+        } else {
+            self.exchanges_failed.increment(1);
+        }
+    }
+
+    /// Records the tasks that hold resources.
+    pub fn tasks(&self, running: u32) {
+        self.tasks.set(f64::from(running));
+    }
+
+    /// Counts a violation of the invariant `number` of docs/design.md.
+    pub fn violated(&self, number: u8) {
+        counter!("toucanquay_invariant_violations_total", "invariant" => number.to_string())
+            .increment(1);
+    }
+
     /// Records the configuration revision that is held.
     pub fn revision(&self, revision: u64) {
         #[expect(clippy::cast_precision_loss, reason = "revisions stay far below 2^52")]
--- a/crates/companion/src/settings.rs
+++ b/crates/companion/src/settings.rs
@@ -92,6 +92,11 @@
     #[arg(long, env = "TOUCANQUAY_ACCELERATORS", default_value_t = 0)]
     pub accelerators: u32,
 
+    /// Time after the start in which new tasks are refused, in milliseconds; less than 10000 is
+    /// safe only when no companion ran on this worker before
+    #[arg(long, env = "TOUCANQUAY_SETTLE_MS", default_value_t = 10_000)]
+    pub settle_ms: u64,
+
     /// Longest graceful stop, in milliseconds
     #[arg(long, env = "TOUCANQUAY_STOP_DEADLINE_MS", default_value_t = 30_000)]
     pub stop_deadline_ms: u64,
@@ -129,6 +134,7 @@
             processors_milli: 0,
             memory_mb: 0,
             accelerators: 0,
+            settle_ms: 10_000,
             stop_deadline_ms: 30_000,
             metrics_listen: None,
         }
@@ -200,6 +206,13 @@
         self
     }
 
+    /// Sets the time after the start in which new tasks are refused, in milliseconds.
+    #[must_use]
+    pub const fn settle_ms(mut self, millis: u64) -> Self {
+        self.settle_ms = millis;
+        self
+    }
+
     /// Sets the longest graceful stop, in milliseconds.
     #[must_use]
     pub const fn stop_deadline_ms(mut self, millis: u64) -> Self {
--- /dev/null
+++ b/crates/companion/src/tasks/call.rs
@@ -0,0 +1,152 @@
+//! Carries out one action at the task runtime.
+
+use slog::{Logger, info, warn};
+use toucanquay_control::agent::{Action, Event, Outcome};
+use toucanquay_model::{Attempt, Time, exchange::Grant, task};
+
+use super::runtime::{LEASE_CALL_MS, Refusal, Runtime};
+use crate::Clock;
+
+/// Carries out one action and returns what the runtime has said, if that matters.
+pub async fn call(runtime: &Runtime, clock: Clock, log: &Logger, action: Action) -> Option<Event> {
+    match action {
+        Action::Start { grant, deadline } => start(runtime, clock, log, &grant, deadline).await,
+        Action::Renew {
+            task,
+            attempt,
+            deadline,
+        } => renew(runtime, clock, log, &task, attempt, deadline).await,
+        Action::Stop {
+            task,
+            attempt,
+            with_checkpoint,
+        } => stop(runtime, clock, log, &task, attempt, with_checkpoint).await,
+        Action::Throttle {
+            task,
+            attempt,
+            share_percent,
+        } => {
+            let result = runtime.throttle(&task, share_percent).await;
+            info!(log, "task_throttled"; "task" => %task, "attempt" => %attempt,
+                "share_percent" => share_percent, "is_done" => result.is_ok());
+            None
+        }
+        Action::Forget { task, attempt } => {
+            // A result that stays listed is reported and acknowledged once more.
+            let _ = runtime.stop(&task, attempt, false).await;
+            None
+        }
+        Action::List => list(runtime, clock, log).await,
+    }
+}
+
+/// Asks for the list of attempts.
+pub async fn list(runtime: &Runtime, clock: Clock, log: &Logger) -> Option<Event> {
+    let called_at = clock.now();
+    match runtime.list().await {
+        Ok(listing) => Some(Event::Listed {
+            called_at,
+            tasks: listing.into_listed(called_at),
+        }),
+        Err(refusal) => {
+            warn!(log, "task_list_failed"; "reason" => ?refusal);
+            None
+        }
+    }
+}
+
+async fn start(
+    runtime: &Runtime,
+    clock: Clock,
+    log: &Logger,
+    grant: &Grant,
+    deadline: Time,
+) -> Option<Event> {
+    let result = match lease_ms(deadline, clock) {
+        Some(lease_ms) => runtime.start(grant, lease_ms).await,
+        None => Err(Refusal::NotDone("the lease has ended".to_owned())),
+    };
+    info!(log, "task_start"; "task" => %grant.task, "attempt" => %grant.attempt,
+        "epoch" => grant.attempt.epoch, "result" => ?result);
+    let outcome = match result {
+        Ok(()) => Outcome::Started,
+        Err(Refusal::Unknown(_)) => Outcome::StartUnanswered,
+        // The attempt itself is listed, so it has run: only the list tells how it ended.
+        Err(Refusal::Conflict(listed)) if listed == grant.attempt => {
+            return list(runtime, clock, log).await;
+        }
+        Err(Refusal::NotDone(_) | Refusal::Conflict(_) | Refusal::Absent) => Outcome::StartRefused,
+    };
+    Some(Event::Task {
+        task: grant.task.clone(),
+        attempt: grant.attempt,
+        outcome,
+    })
+}
+
+async fn renew(
+    runtime: &Runtime,
+    clock: Clock,
+    log: &Logger,
+    task: &task::Id,
+    attempt: Attempt,
+    deadline: Time,
+) -> Option<Event> {
+    let lease_ms = lease_ms(deadline, clock)?;
+    match runtime.renew(task, attempt, lease_ms).await {
+        Ok(()) => None,
+        // The attempt has ended.
+        Err(Refusal::Absent | Refusal::Conflict(_)) => list(runtime, clock, log).await,
+        Err(refusal) => {
+            warn!(log, "task_renew_failed"; "task" => %task, "attempt" => %attempt,
+                "reason" => ?refusal);
+            None
+        }
+    }
+}
+
+/// Stops an attempt. How it ended is taken from the list, since it may have ended by itself.
+async fn stop(
+    runtime: &Runtime,
+    clock: Clock,
+    log: &Logger,
+    task: &task::Id,
+    attempt: Attempt,
+    with_checkpoint: bool,
+) -> Option<Event> {
+    let is_ended = !with_checkpoint && is_ended(runtime, task, attempt).await;
+    if !is_ended {
+        // A stop without checkpoint would make the runtime forget an attempt that has ended.
+        let result = runtime.stop(task, attempt, with_checkpoint).await;
+        info!(log, "task_stop"; "task" => %task, "attempt" => %attempt,
+            "epoch" => attempt.epoch, "with_checkpoint" => with_checkpoint,
+            "result" => ?result);
+        if result == Err(Refusal::Absent) {
+            return Some(Event::Task {
+                task: task.clone(),
+                attempt,
+                outcome: Outcome::Absent,
+            });
+        }
+    }
+    list(runtime, clock, log).await
+}
+
+async fn is_ended(runtime: &Runtime, task: &task::Id, attempt: Attempt) -> bool {
+    let Ok(listing) = runtime.list().await else {
+        return false;
+    };
+    let listed = listing.into_listed(Time::ZERO);
+    listed
+        .iter()
+        .any(|line| line.task == *task && line.attempt == attempt && !line.state.holds_resources())
+}
+
+/// Returns the lease that a call may give, so that it ends by `deadline` even when the call takes
+/// as long as it may.
+fn lease_ms(deadline: Time, clock: Clock) -> Option<u64> {
+    let left_ms = deadline.micros_since(clock.now()) / 1_000;
+    left_ms
+        .checked_sub(LEASE_CALL_MS)
+        .filter(|lease_ms| *lease_ms > 0)
+}
--- /dev/null
+++ b/crates/companion/src/tasks/listing.rs
@@ -0,0 +1,71 @@
+//! The task runtime's list of attempts.
+
+use serde::Deserialize;
+use toucanquay_control::agent::Listed;
+use toucanquay_model::{Attempt, Resources, Time, exchange::TaskState, job, task};
+
+/// The task runtime's list of attempts.
+#[derive(Debug, Deserialize)]
+pub struct Listing {
+    tasks: Vec<Line>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Line {
+    job: String,
+    index: u32,
+    epoch: u64,
+    number: u32,
+    state: Stage,
+    reason: Option<String>,
+    checkpoint: Option<String>,
+    processors_milli: u32,
+    memory_mb: u32,
+    accelerators: u32,
+    lease_left_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Stage {
+    Running,
+    Finished,
+    Failed,
+    Stopped,
+    Lapsed,
+}
+
+impl Listing {
+    /// Returns the attempts of a list that was asked for at `called_at`.
+    ///
+    /// Lease deadlines count from that time, so they are not later than the runtime's.
+    pub fn into_listed(self, called_at: Time) -> Vec<Listed> {
+        let lines = self.tasks.into_iter();
+        lines.map(|line| line.into_listed(called_at)).collect()
+    }
+}
+
+impl Line {
+    fn into_listed(self, called_at: Time) -> Listed {
+        Listed {
+            task: task::Id::new(job::Id(self.job), self.index),
+            attempt: Attempt::new(self.epoch, self.number),
+            demand: Resources {
+                processors_milli: self.processors_milli,
+                memory_mb: self.memory_mb,
+                accelerators: self.accelerators,
+            },
+            deadline: called_at.plus_millis(self.lease_left_ms),
+            state: match self.state {
+                Stage::Running => TaskState::Running,
+                Stage::Finished => TaskState::Finished,
+                Stage::Failed => TaskState::Failed {
+                    reason: self.reason.unwrap_or_default(),
+                },
+                Stage::Stopped | Stage::Lapsed => TaskState::Stopped {
+                    checkpoint: self.checkpoint,
+                },
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/companion/src/tasks/sample.rs
@@ -0,0 +1,46 @@
+//! The task runtime's measurement of usage.
+
+use serde::Deserialize;
+use toucanquay_model::{Attempt, Time, exchange::TaskUsage, job, task};
+
+/// The task runtime's newest measurement, which lags behind.
+#[derive(Debug, Deserialize)]
+pub struct Sample {
+    age_ms: Option<u64>,
+    window_ms: u64,
+    tasks: Vec<Line>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Line {
+    job: String,
+    index: u32,
+    epoch: u64,
+    number: u32,
+    processors_milli: u32,
+    memory_mb: u32,
+}
+
+impl Sample {
+    /// Returns when the window ended, for a measurement asked for at `called_at`, or `None` when
+    /// there is no measurement yet.
+    pub fn measured_at(&self, called_at: Time) -> Option<Time> {
+        let age_micros = self.age_ms?.saturating_mul(1_000);
+        let micros = called_at.as_micros().saturating_sub(age_micros);
+        Some(Time::from_micros(micros))
+    }
+
+    /// Returns the usage of each attempt, for a window that ended `age_micros` ago.
+    pub fn into_usage(self, age_micros: u64) -> Vec<TaskUsage> {
+        let window_micros = self.window_ms.saturating_mul(1_000);
+        let lines = self.tasks.into_iter().map(|line| TaskUsage {
+            task: task::Id::new(job::Id(line.job), line.index),
+            attempt: Attempt::new(line.epoch, line.number),
+            age_micros,
+            window_micros,
+            processors_milli: line.processors_milli,
+            memory_mb: line.memory_mb,
+        });
+        lines.collect()
+    }
+}
--- /dev/null
+++ b/crates/companion/src/tasks/usage.rs
@@ -0,0 +1,83 @@
+//! Lagging measurements for the cell owner.
+
+use toucanquay_model::{
+    Time,
+    exchange::{Report, ServiceUsage},
+};
+
+use super::{quantile::quantile, sample::Sample};
+use crate::admission::Admission;
+
+/// Length of the windows in which the service's latencies are counted, in milliseconds.
+const WINDOW_MS: u64 = 1_000;
+
+/// Measurements that the next report takes along.
+#[derive(Debug)]
+pub struct Usage {
+    service: String,
+    window_began: Time,
+    windows: Vec<(Time, ServiceUsage)>,
+    sample: Option<(Time, Sample)>,
+    measured_at: Time,
+}
+
+impl Usage {
+    /// Returns the measurements of `service`, from `now` on.
+    pub const fn new(service: String, now: Time) -> Self {
+        Self {
+            service,
+            window_began: now,
+            windows: Vec::new(),
+            sample: None,
+            measured_at: Time::ZERO,
+        }
+    }
+
+    /// Takes in a measurement of the tasks, unless it was reported before.
+    pub fn take(&mut self, called_at: Time, sample: Sample) {
+        if let Some(measured_at) = sample.measured_at(called_at)
+            && measured_at > self.measured_at
+        {
+            self.measured_at = measured_at;
+            self.sample = Some((measured_at, sample));
+        }
+    }
+
+    /// Ends the service's window when it is over, and tells whether it did.
+    pub fn tick(&mut self, admission: &Admission, now: Time) -> bool {
+        let window_micros = now.micros_since(self.window_began);
+        if window_micros < WINDOW_MS * 1_000 {
+            return false;
+        }
+        self.window_began = now;
+        let (mut latencies, in_flight_max) = admission.take_latencies();
+        latencies.sort_unstable();
+        let window = ServiceUsage {
+            service: self.service.clone(),
+            age_micros: 0,
+            window_micros,
+            requests: u32::try_from(latencies.len()).unwrap_or(u32::MAX),
+            p50_micros: quantile(&latencies, 50),
+            p99_micros: quantile(&latencies, 99),
+            in_flight_max,
+        };
+        self.windows.push((now, window));
+        // Without an owner nobody takes the windows; old ones are of no use to the next one.
+        if self.windows.len() > 10 {
+            self.windows.remove(0);
+        }
+        true
+    }
+
+    /// Adds the measurements to a report that is sent now.
+    pub fn add_to(&mut self, report: &mut Report, now: Time) {
+        let windows = self.windows.drain(..).map(|(ended, mut window)| {
+            window.age_micros = now.micros_since(ended);
+            window
+        });
+        report.service_usage = windows.collect();
+        if let Some((measured_at, sample)) = self.sample.take() {
+            report.task_usage = sample.into_usage(now.micros_since(measured_at));
+        }
+    }
+}
--- a/crates/companion/tests/support/entry.rs
+++ b/crates/companion/tests/support/entry.rs
@@ -1,15 +1,17 @@
-//! A fake entry: replies to heartbeats and hands out sections.
+//! A fake entry: replies to heartbeats, hands out sections and owns the cell.
 
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::task::JoinHandle;
 use tokio_util::sync::{CancellationToken, DropGuard};
+use toucanquay_model::exchange::{Command, Report};
 use toucanquay_wire::{
     Frame, Server, Stream,
-    heartbeat::{Beat, Reply},
+    heartbeat::{Beat, Owner, Reply},
     section,
 };
 
@@ -27,8 +29,15 @@
     beats: Vec<Beat>,
     reply: Reply,
     sections: Option<section::Reply>,
+    reports: Vec<Report>,
+    order: Command,
+    is_silent: bool,
+    keeps_ends: bool,
 }
 
+/// Time for which an answer without an order is held back.
+const HOLD: Duration = Duration::from_millis(50);
+
 impl Entry {
     pub async fn start() -> Self {
         Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
@@ -71,6 +80,47 @@
         });
     }
 
+    /// Makes the entry the cell's owner of `epoch`.
+    pub fn own(&self, epoch: u64) {
+        let mut state = self.state.lock().unwrap();
+        state.order.epoch = epoch;
+        state.reply.owner = Some(Owner {
+            address: self.address,
+            epoch,
+        });
+    }
+
+    /// Gives an order with the answer to the next report.
+    pub fn order(&self, change: impl FnOnce(&mut Command)) {
+        change(&mut self.state.lock().unwrap().order);
+    }
+
+    /// While `is_silent`, reports get no answer.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.lock().unwrap().is_silent = is_silent;
+    }
+
+    /// While `keeps_ends`, the ends of attempts are not acknowledged.
+    pub fn set_keeps_ends(&self, keeps_ends: bool) {
+        self.state.lock().unwrap().keeps_ends = keeps_ends;
+    }
+
+    /// Returns the reports received so far.
+    pub fn reports(&self) -> Vec<Report> {
+        self.state.lock().unwrap().reports.clone()
+    }
+
+    /// Waits for a report that `is_so`.
+    pub async fn report(&self, is_so: impl Fn(&Report) -> bool) -> Report {
+        let mut found = None;
+        super::until(|| {
+            found = self.reports().into_iter().find(&is_so);
+            found.is_some()
+        })
+        .await;
+        found.unwrap()
+    }
+
     /// Returns the heartbeats received so far.
     pub fn beats(&self) -> Vec<Beat> {
         self.state.lock().unwrap().beats.clone()
@@ -92,21 +142,60 @@
     let Ok(Some(frame)) = stream.recv().await else {
         return;
     };
-    let reply = {
-        let mut state = state.lock().unwrap();
+    let is_report = matches!(frame, Frame::Report(_));
+    if is_report {
+        tokio::time::sleep(HOLD).await;
+    }
+    let reply = state.lock().unwrap().reply_to(frame);
+    match reply {
+        Some(reply) if stream.send(&reply).await.is_ok() => {
+            let _ = stream.finish();
+        }
+        _ => stream.closed().await,
+    }
+}
+
+impl State {
+    fn reply_to(&mut self, frame: Frame) -> Option<Frame> {
         match frame {
             Frame::Heartbeat(beat) => {
-                let mut reply = state.reply.clone();
-                let has_announced = state.beats.iter().any(|beat| beat.announcement.is_some());
+                let mut reply = self.reply.clone();
+                let has_announced = self.beats.iter().any(|beat| beat.announcement.is_some());
                 reply.wants_announcement = beat.announcement.is_none() && !has_announced;
-                state.beats.push(beat);
-                Frame::HeartbeatReply(reply)
+                self.beats.push(beat);
+                Some(Frame::HeartbeatReply(reply))
+            }
+            Frame::SectionQuery(_) => Some(Frame::SectionReply(self.sections.clone().unwrap())),
+            Frame::Report(report) => {
+                let command = self.command(&report);
+                self.reports.push(report);
+                (!self.is_silent).then_some(Frame::Command(command))
             }
-            Frame::SectionQuery(_) => Frame::SectionReply(state.sections.clone().unwrap()),
             other => panic!("unexpected frame {other:?}"),
         }
-    };
-    if stream.send(&reply).await.is_ok() {
-        let _ = stream.finish();
+    }
+
+    fn command(&mut self, report: &Report) -> Command {
+        let ends = report
+            .tasks
+            .iter()
+            .filter(|line| !self.keeps_ends && !line.state.holds_resources())
+            .map(|line| (line.task.clone(), line.attempt))
+            .collect();
+        let next = Command {
+            epoch: self.order.epoch,
+            ..Command::default()
+        };
+        let order = if self.is_silent {
+            next
+        } else {
+            std::mem::replace(&mut self.order, next)
+        };
+        Command {
+            sequence: report.sequence,
+            lease_micros: 10_000_000,
+            acknowledged: ends,
+            ..order
+        }
     }
 }
