companion: test that the end of a task supersedes a held exchange

The fake owner now records a report when it arrives and answers only the last one, as the cell owner does.

--- a/crates/companion/tests/support/entry.rs
+++ b/crates/companion/tests/support/entry.rs
@@ -31,13 +31,11 @@
     sections: Option<section::Reply>,
     reports: Vec<Report>,
     order: Command,
+    hold: Duration,
     is_silent: bool,
     keeps_ends: bool,
 }
 
-/// Time for which an answer without an order is held back.
-const HOLD: Duration = Duration::from_millis(50);
-
 impl Entry {
     pub async fn start() -> Self {
         Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
@@ -48,6 +46,7 @@
         let address = server.address();
         let state = Arc::new(Mutex::new(State::default()));
         state.lock().unwrap().reply.entries = vec![address];
+        state.lock().unwrap().hold = Duration::from_millis(50);
         let stop = CancellationToken::new();
         let shared = state.clone();
         let run = server.run(stop.clone(), move |stream| serve(shared.clone(), stream));
@@ -95,6 +94,11 @@
         change(&mut self.state.lock().unwrap().order);
     }
 
+    /// Sets the time for which answers to reports are held back; 50 ms by default.
+    pub fn set_hold(&self, hold: Duration) {
+        self.state.lock().unwrap().hold = hold;
+    }
+
     /// While `is_silent`, reports get no answer.
     pub fn set_silent(&self, is_silent: bool) {
         self.state.lock().unwrap().is_silent = is_silent;
@@ -142,9 +146,13 @@
     let Ok(Some(frame)) = stream.recv().await else {
         return;
     };
-    let is_report = matches!(frame, Frame::Report(_));
-    if is_report {
-        tokio::time::sleep(HOLD).await;
+    if let Frame::Report(report) = &frame {
+        let hold = {
+            let mut state = state.lock().unwrap();
+            state.reports.push(report.clone());
+            state.hold
+        };
+        tokio::time::sleep(hold).await;
     }
     let reply = state.lock().unwrap().reply_to(frame);
     match reply {
@@ -167,9 +175,9 @@
             }
             Frame::SectionQuery(_) => Some(Frame::SectionReply(self.sections.clone().unwrap())),
             Frame::Report(report) => {
-                let command = self.command(&report);
-                self.reports.push(report);
-                (!self.is_silent).then_some(Frame::Command(command))
+                let is_last = self.reports.last() == Some(&report);
+                let is_answered = is_last && !self.is_silent;
+                is_answered.then(|| Frame::Command(self.command(&report)))
             }
             other => panic!("unexpected frame {other:?}"),
         }
@@ -186,11 +194,7 @@
             epoch: self.order.epoch,
             ..Command::default()
         };
-        let order = if self.is_silent {
-            next
-        } else {
-            std::mem::replace(&mut self.order, next)
-        };
+        let order = std::mem::replace(&mut self.order, next);
         Command {
             sequence: report.sequence,
             lease_micros: 10_000_000,
--- a/crates/companion/tests/tasks.rs
+++ b/crates/companion/tests/tasks.rs
@@ -105,6 +105,24 @@
     assert_eq!(worker.runtime.intervals().len(), 1);
 }
 
+/// Guards against free room that the owner hears of only when a held answer has arrived.
+#[tokio::test]
+async fn end_of_a_task_is_reported_while_an_answer_is_held_back() {
+    let worker = worker().await;
+    worker.entry.set_hold(Duration::from_secs(2));
+    worker
+        .entry
+        .order(|order| order.grants = vec![grant(0, 1, 300)]);
+    until(|| worker.runtime.running() == 1).await;
+    let begun = tokio::time::Instant::now();
+
+    let is_finished = |report: &Report| state(report, 0) == Some(&TaskState::Finished);
+    worker.entry.report(is_finished).await;
+
+    let elapsed = begun.elapsed();
+    assert!(elapsed < Duration::from_millis(1_500), "{elapsed:?}");
+}
+
 /// Guards against more tasks than the worker's resources hold, whatever the owner grants.
 #[tokio::test]
 async fn grant_beyond_the_capacity_is_refused() {
