--- a/crates/control/src/cell/durability.rs
+++ b/crates/control/src/cell/durability.rs
@@ -53,6 +53,13 @@
         writes
     }
 
+    /// Tells whether a change is not durable yet.
+    #[must_use]
+    pub fn has_pending_writes(&self) -> bool {
+        let is_pending = |segment: &Segment| segment.version > segment.durable;
+        self.segments.iter().any(is_pending)
+    }
+
     /// Takes in that a write is durable.
     pub fn durable(&mut self, segment: u32, version: u64, now: Time) {
         let Some(segment) = self.segments.get_mut(segment as usize) else {
--- /dev/null
+++ b/crates/entry/src/claim/claims.rs
@@ -0,0 +1,207 @@
+//! A request with an idempotency key.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use toucanquay_model::{Error, ErrorKind, Revision, error::Run, request::Verdict};
+use toucanquay_policy::route::{self, Request};
+use toucanquay_store::{Expected, Item, Put};
+
+use super::Record;
+use crate::{
+    Context,
+    forward::{Answer, Call, Outcome, after_refusal, attempt, tombstone},
+    lane::{Permit, Refused, Turn},
+};
+
+/// Attempts at one request at the most, by this entry.
+const ATTEMPTS_MAX: u32 = 4;
+
+/// What a client gets: an answer, with the permit where this request itself was sent.
+type Answered = (Box<Answer>, Option<Permit>);
+
+/// A request with an idempotency key, through its claim and its attempts.
+#[derive(Debug)]
+pub struct Claims<'a> {
+    context: &'a Arc<Context>,
+    call: &'a Call,
+    key: String,
+    request: Request,
+}
+
+/// What follows from the claim that is in the store.
+enum Standing {
+    /// The claim is this request's, at this revision.
+    Held(Revision),
+    /// Another request has the claim; its record and revision.
+    Foreign(Record, Revision),
+}
+
+impl<'a> Claims<'a> {
+    /// Returns a request that was not sent yet. `call` has a key.
+    #[must_use]
+    pub fn new(context: &'a Arc<Context>, call: &'a Call) -> Self {
+        let name = call.key.as_deref().unwrap_or_default();
+        Self {
+            context,
+            call,
+            key: format!("claim/{}/{name}", call.service),
+            request: Request::new(call.deadline),
+        }
+    }
+
+    /// Claims the key and sends the request, or answers with what became of the first one.
+    ///
+    /// # Errors
+    ///
+    /// An error whose kind says truthfully whether the request ran.
+    pub async fn answer(mut self) -> Result<Answered, Refused> {
+        let mut expected = Expected::Absent;
+        let mut turn = Turn::First;
+        let mut last = Refused::from(Error::new(ErrorKind::NoUpstream));
+        for _ in 0..ATTEMPTS_MAX {
+            let permit = match self.acquire(turn).await {
+                Ok(permit) => permit,
+                Err(refused) => return Err(refused),
+            };
+            match self.claim(&permit, expected).await? {
+                Standing::Held(revision) => {
+                    expected = Expected::Revision(revision);
+                    match self.send(permit).await {
+                        Ok(answered) => return Ok(answered),
+                        Err((refused, Some(next))) => (last, turn) = (refused, next),
+                        Err((refused, None)) => return Err(refused),
+                    }
+                }
+                Standing::Foreign(record, revision) => {
+                    drop(permit);
+                    if let Some(answer) = self.learn(&record).await? {
+                        return Ok((answer, None));
+                    }
+                    expected = Expected::Revision(revision);
+                    turn = Turn::Again;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn acquire(&self, turn: Turn) -> Result<Permit, Refused> {
+        let lane = self
+            .context
+            .lane(&self.call.service)
+            .ok_or_else(|| Error::new(ErrorKind::NoUpstream))?;
+        lane.acquire(&self.request, turn).await
+    }
+
+    /// Writes the claim, or finds the one that is there.
+    async fn claim(&self, permit: &Permit, expected: Expected) -> Result<Standing, Error> {
+        let record = Record::new(self.call, permit.target().clone());
+        let value = serde_json::to_string(&record).expect("a claim is plain data");
+        let store = &self.context.store;
+        let lease = self.context.claim_leases.current(store).await?;
+        let put = store.put(&self.key, &value, expected, Some(lease)).await;
+        match put.map_err(not_sent)? {
+            Put::Stored(revision) => Ok(Standing::Held(revision)),
+            Put::Conflict(Some(item)) => self.foreign(&item),
+            Put::Conflict(None) => Err(unavailable("the claim ended meanwhile")),
+            Put::LeaseEnded => {
+                self.context.claim_leases.forget().await;
+                Err(unavailable("the lease of the claim ended"))
+            }
+        }
+    }
+
+    fn foreign(&self, item: &Item) -> Result<Standing, Error> {
+        let record: Record = serde_json::from_str(&item.value).map_err(|cause| {
+            Error::new(ErrorKind::Protocol)
+                .field(&item.key)
+                .context(cause)
+        })?;
+        if !record.is_for(self.call) {
+            return Err(Error::new(ErrorKind::KeyConflict)
+                .field("idempotency-key")
+                .value(self.call.key.as_deref().unwrap_or_default())
+                .expected("a key that was not used with another request"));
+        }
+        Ok(Standing::Foreign(record, item.revision))
+    }
+
+    /// Sends the request; an error tells whether and how it may be sent again.
+    async fn send(&mut self, permit: Permit) -> Result<Answered, (Refused, Option<Turn>)> {
+        let context = self.context;
+        let target = permit.target().clone();
+        self.request.excluded.push(permit.key());
+        let outcome = attempt(&context.pool, context.clock, &target, self.call).await;
+        let error = match outcome {
+            Outcome::Answered(answer) => return Ok((answer, Some(permit))),
+            Outcome::NotRun(error) => {
+                let (outcome, next) = after_refusal(error.kind());
+                permit.end(outcome);
+                return Err((error.into(), next));
+            }
+            Outcome::Unknown(error) => error,
+        };
+        warn!(context.log, "attempt_broken"; "request" => %self.call.id,
+            "worker" => %target.worker, "cause" => %error);
+        permit.end(route::Outcome::Unreachable);
+        match tombstone(&context.pool, &target, self.call.id, target.incarnation).await {
+            Verdict::NotRun if error.kind() == ErrorKind::DeadlineWhileRunning => {
+                Err((Error::new(ErrorKind::DeadlineBeforeSend).into(), None))
+            }
+            Verdict::NotRun => {
+                let error = Error::new(ErrorKind::PeerUnavailable).context(error);
+                Err((error.into(), Some(Turn::Retry)))
+            }
+            Verdict::Running | Verdict::Finished | Verdict::Unknown => Err((error.into(), None)),
+        }
+    }
+
+    /// Learns what became of the request that has the claim: its answer, or `None` when it did not
+    /// run and never will.
+    async fn learn(&self, record: &Record) -> Result<Option<Box<Answer>>, Error> {
+        let context = self.context;
+        let first = record.request.parse()?;
+        let target = &record.target;
+        let verdict = tombstone(&context.pool, target, first, target.incarnation).await;
+        info!(context.log, "claim_found"; "request" => %self.call.id, "first" => %first,
+            "worker" => %target.worker, "verdict" => ?verdict);
+        match verdict {
+            Verdict::NotRun => Ok(None),
+            Verdict::Running => Err(Error::new(ErrorKind::KeyInUse)),
+            Verdict::Unknown => Err(Error::new(ErrorKind::OutcomeUnknown)
+                .context("the first request with this key may have run")),
+            Verdict::Finished => self.replay(first, record).await.map(Some),
+        }
+    }
+
+    /// Asks the companion for the kept answer. The companion's ledger has the request, so that it
+    /// does not run again.
+    async fn replay(
+        &self,
+        first: toucanquay_model::request::Id,
+        record: &Record,
+    ) -> Result<Box<Answer>, Error> {
+        let mut repeat = self.call.clone();
+        repeat.id = first;
+        let context = self.context;
+        match attempt(&context.pool, context.clock, &record.target, &repeat).await {
+            Outcome::Answered(answer) => Ok(answer),
+            Outcome::NotRun(error) | Outcome::Unknown(error) => {
+                Err(Error::new(ErrorKind::OutcomeUnknown).context(error))
+            }
+        }
+    }
+}
+
+/// Turns the error of a claim's write into that of the request, which was not sent.
+fn not_sent(error: Error) -> Error {
+    if error.kind().answer().run == Run::NotRun {
+        return error;
+    }
+    unavailable(&error.to_string())
+}
+
+fn unavailable(cause: &str) -> Error {
+    Error::new(ErrorKind::StoreUnavailable).context(cause)
+}
--- /dev/null
+++ b/crates/entry/src/claim/leases.rs
@@ -0,0 +1,44 @@
+//! Leases that claims end with.
+
+use tokio::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+use toucanquay_model::Error;
+use toucanquay_store::Client;
+
+/// Shortest time for which a claim lasts.
+const CLAIM: Duration = Duration::from_secs(24 * 3_600);
+
+/// Time during which new claims share a lease. One lease for each claim would double the writes.
+const SHARED: Duration = Duration::from_secs(3_600);
+
+/// The lease that new claims share.
+#[derive(Debug, Default)]
+pub struct Leases {
+    current: Mutex<Option<(u64, Instant)>>,
+}
+
+impl Leases {
+    /// Returns a lease that lasts for at least 24 hours.
+    ///
+    /// # Errors
+    ///
+    /// The kinds of [`Client::grant`].
+    pub async fn current(&self, store: &Client) -> Result<u64, Error> {
+        let mut current = self.current.lock().await;
+        if let Some((lease, until)) = *current
+            && Instant::now() < until
+        {
+            return Ok(lease);
+        }
+        let lease = store.grant(CLAIM + SHARED).await?;
+        *current = Some((lease.id, Instant::now() + SHARED));
+        Ok(lease.id)
+    }
+
+    /// Forgets the lease, for example because the store says that it has ended.
+    pub async fn forget(&self) {
+        *self.current.lock().await = None;
+    }
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -15,7 +15,7 @@
 use toucanquay_store::Client;
 use toucanquay_wire::{Pool, heartbeat::Owner};
 
-use crate::{Clock, Settings, lane::Lane, member::Peer, owner::Role};
+use crate::{Clock, Settings, claim::Leases, lane::Lane, member::Peer, owner::Role};
 
 /// What the listeners and loops of one entry share.
 #[derive(Debug)]
@@ -34,6 +34,8 @@
     pub store: Client,
     /// Role of the cell's owner, while this entry holds it.
     pub role: Role,
+    /// Leases of idempotency claims.
+    pub claim_leases: Leases,
     /// Stops the loops, which hold no request in progress.
     pub stop: CancellationToken,
     /// Requests in progress.
@@ -65,6 +67,7 @@
             incarnation,
             pool: Pool::new(),
             store,
+            claim_leases: Leases::default(),
             stop: CancellationToken::new(),
             requests: TaskTracker::new(),
             is_ready: AtomicBool::new(false),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -170,11 +170,9 @@
 }
 
 fn store(settings: &Settings, incarnation: Incarnation) -> Result<Client, Error> {
-    Client::builder(&settings.store)
-        .writer(format!("{}-{incarnation}", settings.name))
+    Client::builder(settings.store, format!("{}-{incarnation}", settings.name))
         .calls_per_second(settings.store_calls_per_second)
         .build()
-        .map_err(|error| Error::new(ErrorKind::InvalidSetting).field("--store").context(error))
 }
 
 /// Returns the process's metrics; the first call installs the recorder.
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use tokio::time::{Duration, Instant, timeout_at};
-use toucanquay_model::{Error, ErrorKind, Time, request::Verdict};
+use toucanquay_model::{
+    Error, ErrorKind, Incarnation, Time,
+    request::{self, Verdict},
+};
 use toucanquay_wire::{End, Frame, Pool, Stream, Tombstone};
 
 use super::{Answer, Call, Outcome, Target};
@@ -39,20 +42,17 @@
     }
 }
 
-/// Asks the companion to refuse the request for good, and what became of it.
+/// Asks the companion to refuse a request for good, and what became of it.
 ///
-/// `age_micros` is the time since the request was first sent. Any doubt is [`Verdict::Unknown`].
+/// `incarnation` is the run of the companion that the request was sent to. Any doubt is
+/// [`Verdict::Unknown`].
 pub async fn tombstone(
     pool: &Pool,
     target: &Target,
-    call: &Call,
-    age_micros: u64,
+    id: request::Id,
+    incarnation: Incarnation,
 ) -> Verdict {
-    let frame = Frame::Tombstone(Tombstone {
-        id: call.id,
-        incarnation: target.incarnation,
-        age_micros,
-    });
+    let frame = Frame::Tombstone(Tombstone { id, incarnation });
     // The request's own connection may be broken or silent; a new one is not behind it.
     pool.forget(target.address);
     match ask(pool, target.address, &frame).await {
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -74,7 +74,6 @@
         permit: Permit,
     ) -> Result<(Box<Answer>, Permit), (Refused, bool)> {
         let target = permit.target().clone();
-        let first_sent = self.context.clock.now();
         let outcome = attempt(&self.context.pool, self.context.clock, &target, self.call).await;
         self.request.excluded.push(permit.key());
         match outcome {
@@ -94,8 +93,8 @@
                     self.turn = Turn::Retry;
                     return Err((error.into(), !is_late));
                 }
-                let age = self.context.clock.now().micros_since(first_sent);
-                let verdict = tombstone(&self.context.pool, &target, self.call, age).await;
+                let pool = &self.context.pool;
+                let verdict = tombstone(pool, &target, self.call.id, target.incarnation).await;
                 info!(self.context.log, "tombstone_verdict"; "request" => %self.call.id,
                     "worker" => %target.worker, "verdict" => ?verdict);
                 if verdict == Verdict::NotRun {
@@ -111,19 +110,12 @@
     }
 
     fn not_run(&mut self, error: Error, permit: Permit) -> (Refused, bool) {
-        let (outcome, turn) = match error.kind() {
-            ErrorKind::Overloaded => (route::Outcome::Refused, Turn::Again),
-            ErrorKind::Leaving | ErrorKind::ShuttingDown => (route::Outcome::Leaving, Turn::Again),
-            ErrorKind::NoUpstream => (route::Outcome::Failed, Turn::Retry),
-            ErrorKind::PeerUnavailable => (route::Outcome::Unreachable, Turn::Retry),
-            _ => {
-                permit.end(route::Outcome::Cancelled);
-                return (error.into(), false);
-            }
-        };
+        let (outcome, next) = after_refusal(error.kind());
         permit.end(outcome);
-        self.turn = turn;
-        (error.into(), true)
+        if let Some(turn) = next {
+            self.turn = turn;
+        }
+        (error.into(), next.is_some())
     }
 
     /// Replaces a "not run" that an earlier attempt makes false.
@@ -142,3 +134,18 @@
 fn not_run(cause: &Error) -> Error {
     Error::new(ErrorKind::PeerUnavailable).context(cause)
 }
+
+/// Says what a refusal as not run means for the upstream, and whether the request may be sent
+/// again.
+#[must_use]
+pub const fn after_refusal(kind: ErrorKind) -> (route::Outcome, Option<Turn>) {
+    match kind {
+        ErrorKind::Overloaded => (route::Outcome::Refused, Some(Turn::Again)),
+        ErrorKind::Leaving | ErrorKind::ShuttingDown => {
+            (route::Outcome::Leaving, Some(Turn::Again))
+        }
+        ErrorKind::NoUpstream => (route::Outcome::Failed, Some(Turn::Retry)),
+        ErrorKind::PeerUnavailable => (route::Outcome::Unreachable, Some(Turn::Retry)),
+        _ => (route::Outcome::Cancelled, None),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/owner/desk.rs
@@ -0,0 +1,148 @@
+//! Calls and reports that wait for the owner's answer.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard},
+};
+
+use foldhash::fast::RandomState;
+use tokio::sync::{Notify, oneshot};
+use toucanquay_control::cell::{Cell, Token, Write};
+use toucanquay_model::{
+    Error, ErrorKind, Time,
+    exchange::{Command, Report},
+    job::{Call, Reply},
+    worker,
+};
+
+use crate::Clock;
+
+/// The cell with the calls and reports that wait for its answers.
+#[derive(Debug)]
+pub struct Desk {
+    clock: Clock,
+    inner: Mutex<Inner>,
+    woken: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    cell: Cell,
+    last_token: Token,
+    calls: HashMap<Token, oneshot::Sender<Reply>, RandomState>,
+    reports: HashMap<worker::Id, oneshot::Sender<Command>, RandomState>,
+}
+
+impl Desk {
+    /// Returns the desk of a cell that was taken over.
+    #[must_use]
+    pub fn new(cell: Cell, clock: Clock) -> Self {
+        let inner = Inner {
+            cell,
+            last_token: 0,
+            calls: HashMap::default(),
+            reports: HashMap::default(),
+        };
+        Self {
+            clock,
+            inner: Mutex::new(inner),
+            woken: Notify::new(),
+        }
+    }
+
+    /// Answers a companion's report once there is something to order, or after a while.
+    ///
+    /// Returns `None` when the report is not for this owner, or the role ends meanwhile.
+    pub async fn exchange(&self, report: Report) -> Option<Command> {
+        let receiver = {
+            let mut inner = self.lock();
+            if !inner.cell.receive(&report, self.clock.now()) {
+                return None;
+            }
+            let (sender, receiver) = oneshot::channel();
+            // A companion that reports again has given up its earlier report.
+            inner.reports.insert(report.worker, sender);
+            receiver
+        };
+        self.wake();
+        receiver.await.ok()
+    }
+
+    /// Answers a call about jobs, changes after their durable write.
+    ///
+    /// Returns `None` when the role ends meanwhile.
+    pub async fn job(&self, call: &Call) -> Option<Reply> {
+        let receiver = match call {
+            Call::List => return Some(Reply::Many(self.lock().cell.list())),
+            Call::Show(id) => {
+                let unknown = || Error::new(ErrorKind::UnknownJob).field("id").value(id);
+                let status = self.lock().cell.show(id);
+                return Some(status.map_or_else(|| Reply::Refused(unknown()), Reply::One));
+            }
+            Call::Submit(spec) => {
+                let (token, receiver) = self.begin();
+                let now = self.clock.now();
+                self.lock().cell.submit(spec.clone(), token, now);
+                receiver
+            }
+            Call::Cancel(id) => {
+                let (token, receiver) = self.begin();
+                let now = self.clock.now();
+                self.lock().cell.cancel(id, token, now);
+                receiver
+            }
+        };
+        self.wake();
+        receiver.await.ok()
+    }
+
+    /// Has the cell's driver look at it at once.
+    pub fn wake(&self) {
+        self.woken.notify_one();
+    }
+
+    pub(super) async fn woken(&self) {
+        self.woken.notified().await;
+    }
+
+    /// Changes the cell.
+    pub(super) fn change<T>(&self, change: impl FnOnce(&mut Cell, Time) -> T) -> T {
+        let now = self.clock.now();
+        change(&mut self.lock().cell, now)
+    }
+
+    /// Does what is due, hands out the answers, and returns the writes that are due.
+    pub(super) fn step(&self) -> Vec<Write> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.cell.tick(now);
+        for (token, reply) in inner.cell.drain_answers(now) {
+            if let Some(sender) = inner.calls.remove(&token) {
+                // A caller that is gone asks again; the job id makes that harmless.
+                let _ = sender.send(reply);
+            }
+        }
+        for (worker, command) in inner.cell.drain_replies(now) {
+            if let Some(sender) = inner.reports.remove(&worker) {
+                // A companion that is gone lacks the grants in its next report.
+                let _ = sender.send(command);
+            }
+        }
+        inner.cell.drain_writes(now)
+    }
+
+    fn begin(&self) -> (Token, oneshot::Receiver<Reply>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        inner.last_token += 1;
+        let token = inner.last_token;
+        inner.calls.insert(token, sender);
+        (token, receiver)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .expect("no holder of this lock panics while it changes the cell")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/owner/drive.rs
@@ -0,0 +1,204 @@
+//! Driving the cell while the role is held.
+
+use std::sync::{Arc, Mutex};
+
+use slog::{info, warn};
+use tokio::time::{Duration, Instant};
+use toucanquay_control::cell::Write;
+use toucanquay_model::{ErrorKind, Revision, Time};
+use toucanquay_store::{Expected, Lease, Put};
+
+use super::{Desk, Tenure, takeover::segment_key};
+use crate::Context;
+
+/// Longest time between two looks at the cell. Waits and lease bounds are multiples of it.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Renewals within one lease.
+const RENEWALS_PER_LEASE: u32 = 6;
+
+/// Part of the lease, in fifths, during which the process acts as owner. The rest covers clocks of
+/// different rates and the time between a check and its effect.
+const ACTING_FIFTHS: u32 = 4;
+
+/// Longest time for the last writes of an owner that retires.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Acts as owner until the role is lost or given up.
+pub(super) async fn hold(context: &Arc<Context>, tenure: Tenure) {
+    let lease = tenure.lease;
+    let desk = Arc::new(Desk::new(tenure.cell, context.clock));
+    let revisions = Arc::new(Mutex::new(tenure.revisions));
+    extend(context, &desk, lease);
+    context.role.set_desk(Some(desk.clone()));
+    tokio::select! {
+        () = drive(context, &desk, &revisions) => {}
+        () = renew(context, &desk, lease) => {}
+        () = context.role.retired() => flush(context, &desk, &revisions).await,
+    }
+    context.role.set_desk(None);
+    desk.change(|cell, now| {
+        cell.hold(Time::ZERO);
+        cell.depose();
+        cell.drain_answers(now);
+    });
+    if let Err(error) = context.store.revoke(lease.id).await {
+        warn!(context.log, "lease_not_revoked"; "error" => %error);
+    }
+    // The next try must not wait for a change of the key that came before this point.
+    context.role.vacate();
+}
+
+/// Runs the cell until another process is found to own it.
+async fn drive(context: &Arc<Context>, desk: &Arc<Desk>, revisions: &Arc<Mutex<Vec<Revision>>>) {
+    let mut held = Revision::MAX;
+    loop {
+        configure(context, desk, &mut held);
+        for write in desk.step() {
+            tokio::spawn(store(
+                context.clone(),
+                desk.clone(),
+                revisions.clone(),
+                write,
+            ));
+        }
+        if desk.change(|cell, _| cell.is_deposed()) {
+            warn!(context.log, "role_lost"; "cell" => context.settings.cell);
+            return;
+        }
+        tokio::select! {
+            () = desk.woken() => {}
+            () = tokio::time::sleep(STEP) => {}
+        }
+    }
+}
+
+/// Gives the cell the configuration where that has changed.
+fn configure(context: &Context, desk: &Desk, held: &mut Revision) {
+    let register = context.register();
+    let known = register.revision_known();
+    if *held == register.revision() {
+        desk.change(|cell, _| cell.learn(known));
+        return;
+    }
+    *held = register.revision();
+    let sections = register
+        .sections()
+        .map(|(team, section)| (team.to_owned(), section.clone()))
+        .collect();
+    desk.change(|cell, _| cell.configure(sections, *held, known));
+}
+
+/// Renews the lease until it has ended.
+async fn renew(context: &Context, desk: &Desk, mut lease: Lease) {
+    let ttl = Duration::from_millis(context.settings.holder_lease_ms);
+    loop {
+        tokio::time::sleep(ttl / RENEWALS_PER_LEASE).await;
+        match context.store.keep_alive(lease.id).await {
+            Ok(Some(renewed)) => {
+                lease = renewed;
+                extend(context, desk, lease);
+            }
+            Ok(None) => {
+                warn!(context.log, "holder_lease_ended"; "cell" => context.settings.cell);
+                return;
+            }
+            Err(error) => {
+                warn!(context.log, "holder_lease_not_renewed"; "error" => %error);
+            }
+        }
+    }
+}
+
+/// Lets the cell act until a part of the lease has passed, counted from the sending of the call.
+fn extend(context: &Context, desk: &Desk, lease: Lease) {
+    let ttl = Duration::from_millis(context.settings.holder_lease_ms);
+    let until = lease.deadline - ttl / 5 * (5 - ACTING_FIFTHS);
+    let ahead = until.saturating_duration_since(Instant::now());
+    let ahead = u64::try_from(ahead.as_micros()).unwrap_or(u64::MAX);
+    desk.change(|cell, now| cell.hold(now.plus_micros(ahead)));
+}
+
+/// Makes the last changes durable before the role is handed over.
+async fn flush(context: &Arc<Context>, desk: &Arc<Desk>, revisions: &Arc<Mutex<Vec<Revision>>>) {
+    info!(context.log, "role_retiring"; "cell" => context.settings.cell);
+    let rounds = async {
+        loop {
+            let writes = desk.step();
+            if writes.is_empty() && !desk.change(|cell, _| cell.has_pending_writes()) {
+                return;
+            }
+            for write in writes {
+                store(context.clone(), desk.clone(), revisions.clone(), write).await;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    };
+    if tokio::time::timeout(FLUSH_TIMEOUT, rounds).await.is_err() {
+        warn!(context.log, "flush_incomplete"; "cell" => context.settings.cell);
+    }
+    desk.step();
+}
+
+/// Makes one write, and tells the cell how it ended.
+async fn store(
+    context: Arc<Context>,
+    desk: Arc<Desk>,
+    revisions: Arc<Mutex<Vec<Revision>>>,
+    write: Write,
+) {
+    let Write {
+        segment,
+        version,
+        value,
+    } = write;
+    let known = revision(&revisions, segment);
+    let expected = match known {
+        0 => Expected::Absent,
+        known => Expected::Revision(known),
+    };
+    let key = segment_key(context.settings.cell, segment);
+    match context.store.put(&key, &value, expected, None).await {
+        Ok(Put::Stored(revision)) => {
+            set_revision(&revisions, segment, revision);
+            desk.change(|cell, now| cell.durable(segment, version, now));
+        }
+        Ok(Put::Conflict(Some(item))) if is_own(&context, &item) => {
+            // An earlier write whose answer was lost has taken effect after all.
+            set_revision(&revisions, segment, item.revision);
+            desk.change(|cell, now| cell.failed(segment, version, false, now));
+        }
+        Ok(Put::Conflict(_) | Put::LeaseEnded) => desk.change(|cell, _| cell.depose()),
+        Err(error) => {
+            warn!(context.log, "segment_not_written"; "segment" => segment, "error" => %error);
+            let is_certain = error.kind() != ErrorKind::OutcomeUnknown;
+            desk.change(|cell, now| cell.failed(segment, version, is_certain, now));
+        }
+    }
+    desk.wake();
+}
+
+fn is_own(context: &Context, item: &toucanquay_store::Item) -> bool {
+    item.stamp
+        .as_ref()
+        .is_some_and(|stamp| stamp.writer == context.store.writer())
+}
+
+fn revision(revisions: &Mutex<Vec<Revision>>, segment: u32) -> Revision {
+    lock(revisions).get(segment as usize).copied().unwrap_or(0)
+}
+
+fn set_revision(revisions: &Mutex<Vec<Revision>>, segment: u32, revision: Revision) {
+    let mut revisions = lock(revisions);
+    let place = segment as usize;
+    if revisions.len() <= place {
+        revisions.resize(place + 1, 0);
+    }
+    revisions[place] = revision;
+}
+
+fn lock(revisions: &Mutex<Vec<Revision>>) -> std::sync::MutexGuard<'_, Vec<Revision>> {
+    revisions
+        .lock()
+        .expect("no holder of this lock panics while it changes the list")
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -66,7 +66,7 @@
     pub store_calls_per_second: u32,
 
     /// Lease of the cell's owner in the store, in milliseconds
-    #[arg(long, env = "TOUCANQUAY_HOLDER_LEASE_MS", default_value_t = 30_000)]
+    #[arg(long, env = "TOUCANQUAY_HOLDER_LEASE_MS", default_value_t = 10_000)]
     pub holder_lease_ms: u64,
 
     /// Time between "not ready" and the end of the listeners in a graceful stop, in milliseconds
@@ -93,7 +93,7 @@
             peers: Vec::new(),
             cell: 0,
             store_calls_per_second: 20,
-            holder_lease_ms: 30_000,
+            holder_lease_ms: 10_000,
             balancer_wait_ms: 2_000,
             stop_deadline_ms: 30_000,
         }
