store: client with compare-and-swap, leases and watches

Cause: the entry needs the platform's store without overloading it and without mistaking a lost answer for a write that had no effect.

Change: Client over reqwest with get, range, put, delete, lease calls and a watch that resumes from a revision. A budget, a breaker and backoff decide when a call is sent; a stamp in the first line of each value tells after a lost answer whether the write took effect.

--- /dev/null
+++ b/crates/store/src/breaker.rs
@@ -0,0 +1,143 @@
+//! When not to call at all.
+
+mod admission;
+mod state;
+
+use toucanquay_model::Time;
+
+pub use admission::Admission;
+pub use state::State;
+
+use crate::Backoff;
+
+/// Failures in a row that open the breaker. One lost answer among good ones must not do it.
+const FAILURES_TO_OPEN: u32 = 5;
+
+/// Shortest time that the breaker stays open, in microseconds.
+const OPEN_FIRST_MICROS: u64 = 250_000;
+
+/// Longest time that the breaker stays open, in microseconds. It bounds how late a client notices
+/// the end of an outage.
+const OPEN_MOST_MICROS: u64 = 5_000_000;
+
+/// Circuit breaker: refuses calls after several failures in a row, and lets one probe through when
+/// a growing, jittered time has passed.
+///
+/// A success of the probe closes it; a failure opens it for longer. Outcomes of calls that were
+/// admitted before the last change of state are ignored.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_model::Time;
+/// use toucanquay_store::{Breaker, breaker::Admission};
+///
+/// let mut breaker = Breaker::default();
+/// let now = Time::ZERO;
+/// for _ in 0..5 {
+///     let Admission::Admitted(permit) = breaker.admit(now) else { panic!() };
+///     breaker.fail(permit, now, 0.5);
+/// }
+/// assert!(matches!(breaker.admit(now), Admission::Refused { .. }));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Breaker {
+    state: State,
+    failures: u32,
+    openings: u32,
+    /// Number of the present state; a permit of an earlier one has no say any more.
+    generation: u64,
+    backoff: Backoff,
+    probe_micros: u64,
+}
+
+impl Breaker {
+    /// Returns a closed breaker whose probes are taken as lost after `probe_micros`.
+    #[must_use]
+    pub const fn new(backoff: Backoff, probe_micros: u64) -> Self {
+        Self {
+            state: State::Closed,
+            failures: 0,
+            openings: 0,
+            generation: 0,
+            backoff,
+            probe_micros,
+        }
+    }
+
+    /// Returns the state.
+    #[must_use]
+    pub const fn state(&self) -> State {
+        self.state
+    }
+
+    /// Tells whether a call would be refused now.
+    #[must_use]
+    pub fn refuses(&self, now: Time) -> bool {
+        match self.state {
+            State::Closed => false,
+            State::Open { until } | State::HalfOpen { until } => now < until,
+        }
+    }
+
+    /// Admits or refuses a call. The caller reports the outcome of an admitted one.
+    pub fn admit(&mut self, now: Time) -> Admission {
+        match self.state {
+            State::Closed => Admission::Admitted(self.generation),
+            State::Open { until } | State::HalfOpen { until } if now < until => {
+                Admission::Refused { until }
+            }
+            // A probe whose caller went away never reports; the next one takes its place.
+            State::Open { .. } | State::HalfOpen { .. } => {
+                let until = now.plus_micros(self.probe_micros);
+                self.enter(State::HalfOpen { until });
+                Admission::Probe(self.generation)
+            }
+        }
+    }
+
+    /// Notes that the store answered. Returns whether this closed the breaker.
+    pub fn succeed(&mut self, permit: u64) -> bool {
+        if permit != self.generation {
+            return false;
+        }
+        self.failures = 0;
+        self.openings = 0;
+        if self.state == State::Closed {
+            return false;
+        }
+        self.enter(State::Closed);
+        true
+    }
+
+    /// Notes that the store did not answer; `random` is from 0.0 to 1.0. Returns whether this
+    /// opened the breaker.
+    pub fn fail(&mut self, permit: u64, now: Time, random: f64) -> bool {
+        if permit != self.generation {
+            return false;
+        }
+        self.failures += 1;
+        if self.state == State::Closed && self.failures < FAILURES_TO_OPEN {
+            return false;
+        }
+        let wait_micros = self.backoff.wait_micros(self.openings, random);
+        self.openings = self.openings.saturating_add(1);
+        self.failures = 0;
+        self.enter(State::Open {
+            until: now.plus_micros(wait_micros),
+        });
+        true
+    }
+
+    fn enter(&mut self, state: State) {
+        self.state = state;
+        self.generation += 1;
+    }
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        let backoff = Backoff::new(2 * OPEN_FIRST_MICROS, OPEN_MOST_MICROS);
+        Self::new(backoff, OPEN_MOST_MICROS)
+    }
+}
--- /dev/null
+++ b/crates/store/src/budget.rs
@@ -0,0 +1,81 @@
+//! How often a client may call.
+
+use toucanquay_model::Time;
+
+/// Debt up to which urgent calls are sent. Ordinary calls never owe more than their deadline, which
+/// is shorter, so urgent ones are refused only when there are too many of themselves.
+pub const URGENT_DEBT_MICROS: u64 = 10_000_000;
+
+/// Token bucket that hands out times to send at.
+///
+/// It holds up to one second's calls, so that a short burst goes out at once. Callers get later
+/// and later times once the bucket is empty, and are refused when theirs is beyond their deadline.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_model::Time;
+/// use toucanquay_store::Budget;
+///
+/// let now = Time::from_millis(5_000);
+/// let mut budget = Budget::new(2, now);
+/// assert_eq!(budget.take(now, now), Some(now));
+/// assert_eq!(budget.take(now, now), Some(now));
+/// assert_eq!(budget.take(now, now), None);
+/// assert_eq!(budget.take(now, now.plus_millis(500)), Some(now.plus_millis(500)));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Budget {
+    interval_micros: u64,
+    burst_micros: u64,
+    /// When the bucket would be full again if no more calls were made.
+    full_at: Time,
+}
+
+impl Budget {
+    /// Returns a full bucket for `calls_per_second`, at least one.
+    #[must_use]
+    pub fn new(calls_per_second: u32, now: Time) -> Self {
+        let interval_micros = 1_000_000 / u64::from(calls_per_second.clamp(1, 1_000_000));
+        Self {
+            interval_micros,
+            burst_micros: interval_micros * u64::from(calls_per_second.max(1)),
+            full_at: now,
+        }
+    }
+
+    /// Takes a token and returns when the call may be sent, or `None`, taking nothing, when that
+    /// is after `latest`.
+    pub fn take(&mut self, now: Time, latest: Time) -> Option<Time> {
+        let full_at = self.full_at.max(now).plus_micros(self.interval_micros);
+        let wait_micros = full_at.micros_since(now.plus_micros(self.burst_micros));
+        let send_at = now.plus_micros(wait_micros);
+        if send_at > latest {
+            return None;
+        }
+        self.full_at = full_at;
+        Some(send_at)
+    }
+
+    /// Takes a token for a call that must not wait behind others, such as keeping a lease alive, and
+    /// tells whether it may be sent now. Later calls wait for the token that it borrows.
+    ///
+    /// It is refused when the bucket owes more than [`URGENT_DEBT_MICROS`].
+    pub fn take_urgent(&mut self, now: Time) -> bool {
+        let full_at = self.full_at.max(now).plus_micros(self.interval_micros);
+        let debt_micros = full_at.micros_since(now.plus_micros(self.burst_micros));
+        if debt_micros > URGENT_DEBT_MICROS {
+            return false;
+        }
+        self.full_at = full_at;
+        true
+    }
+
+    /// Removes the saved burst, so that calls go out one interval apart from now on.
+    ///
+    /// After an outage every client has a full bucket, and all of them together would send their
+    /// bursts at the same moment.
+    pub fn drain(&mut self, now: Time) {
+        self.full_at = self.full_at.max(now.plus_micros(self.burst_micros));
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,364 @@
+//! Makes calls.
+
+mod answer;
+mod body;
+mod call;
+mod failure;
+mod gate;
+mod retry;
+mod transport;
+mod write;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use reqwest::{Method, RequestBuilder, StatusCode};
+use serde_json::json;
+use tokio::time::Instant;
+use toucanquay_model::{Error, ErrorKind, Revision};
+
+pub(crate) use answer::Answer;
+pub(crate) use body::WireWatch;
+use body::{WireConflict, WireItem, WireLease, WireRange, WireTtl};
+pub(crate) use call::Call;
+pub(crate) use failure::Failure;
+use retry::Retry;
+use transport::Transport;
+use write::Write;
+
+use crate::{Backoff, Builder, Delete, Expected, Item, Lease, Put, Range, Stamp, Watch};
+
+/// Longest key, in bytes.
+pub const KEY_BYTES_MAX: usize = 512;
+
+/// Largest stored text, in bytes: a value and the line with its stamp.
+pub const VALUE_BYTES_MAX: usize = 1_000_000;
+
+/// A client of the store. Clones share the budget, the breaker and the connections.
+///
+/// Every call ends by the call deadline. A failure to reach the store is
+/// [`ErrorKind::StoreUnavailable`]. A failed comparison is an outcome, not an error.
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_standin::Store;
+/// use toucanquay_store::{Client, Expected, Put};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let store = Store::start().await?;
+/// let client = Client::builder(store.address(), "entry-1").build()?;
+///
+/// let Put::Stored(revision) = client.put("config/section/desk", "a", Expected::Absent, None).await?
+/// else {
+///     panic!("the key is new");
+/// };
+/// let again = client.put("config/section/desk", "b", Expected::Absent, None).await?;
+///
+/// assert!(matches!(again, Put::Conflict(Some(item)) if item.revision == revision));
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug, Clone)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    transport: Transport,
+    writer: String,
+    sequence: AtomicU64,
+    call_deadline: Duration,
+    backoff: Backoff,
+}
+
+impl Client {
+    /// Begins to build a client for the store at `address` whose values name `writer`.
+    #[must_use]
+    pub fn builder(address: SocketAddr, writer: impl Into<String>) -> Builder {
+        Builder::new(address, writer)
+    }
+
+    pub(crate) fn new(builder: Builder) -> Result<Self, Error> {
+        // A restarted process counts from zero again, so its id must differ from its predecessor's.
+        let run: u64 = rand::random();
+        Ok(Self {
+            shared: Arc::new(Shared {
+                writer: format!("{}.{run:016x}", builder.writer),
+                sequence: AtomicU64::new(0),
+                call_deadline: builder.call_deadline,
+                backoff: Backoff::default(),
+                transport: Transport::new(builder)?,
+            }),
+        })
+    }
+
+    /// Returns the writer id with the part that belongs to this run.
+    #[must_use]
+    pub fn writer(&self) -> &str {
+        &self.shared.writer
+    }
+
+    /// Returns the highest revision of the store that this client has seen.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.shared.transport.revision()
+    }
+
+    /// Tells whether calls are sent at present, rather than refused by the breaker.
+    #[must_use]
+    pub fn is_available(&self) -> bool {
+        self.shared.transport.is_available()
+    }
+
+    /// Returns the item at `key`, or `None` when the key is absent.
+    ///
+    /// The answer is never older than anything that this client saw before the call.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] when there is no answer, or only stale ones, by the
+    /// deadline; [`ErrorKind::InvalidField`] for a malformed key.
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        let path = key_path(key)?;
+        self.get_by(&path, self.deadline()).await
+    }
+
+    /// Returns the items whose key begins with `prefix`, all read at one revision.
+    ///
+    /// # Errors
+    ///
+    /// The kinds of [`Self::get`].
+    pub async fn range(&self, prefix: &str) -> Result<Range, Error> {
+        let query = [("prefix", prefix.to_owned())];
+        let call = || self.request(Method::GET, &["range"], &query);
+        let answer = self.repeat(Call::Range, call, self.deadline()).await?;
+        let range: WireRange = answer.parse()?;
+        Ok(Range {
+            revision: range.revision,
+            items: range.items.into_iter().map(WireItem::open).collect(),
+        })
+    }
+
+    /// Writes `value` at `key` when the key is as expected; with a lease, the key ends with it.
+    ///
+    /// When an answer is lost, the client finds out by its stamp whether the write took effect,
+    /// and repeats it if not.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] when the write had no effect and never will;
+    /// [`ErrorKind::OutcomeUnknown`] when it may have had one or may still have one;
+    /// [`ErrorKind::BodyTooLarge`] for a value over 1 MB; [`ErrorKind::InvalidField`] for a
+    /// malformed key.
+    pub async fn put(
+        &self,
+        key: &str,
+        value: &str,
+        expected: Expected,
+        lease: Option<u64>,
+    ) -> Result<Put, Error> {
+        let path = key_path(key)?;
+        let stamp = self.next_stamp();
+        let stored = stamp.seal(value);
+        if stored.len() > VALUE_BYTES_MAX {
+            return Err(Error::new(ErrorKind::BodyTooLarge)
+                .field(key)
+                .value(stored.len())
+                .expected("at most 1000000 bytes with the stamp"));
+        }
+        let body = json!({ "value": stored, "expected": expected.to_wire(), "lease": lease });
+        let write = Write {
+            key,
+            path,
+            stamp,
+            body,
+            expected,
+            known: self.revision(),
+            deadline: self.deadline(),
+        };
+        write.run(self).await
+    }
+
+    /// Deletes `key` when it is as expected.
+    ///
+    /// # Errors
+    ///
+    /// The kinds of [`Self::put`].
+    pub async fn delete(&self, key: &str, expected: Expected) -> Result<Delete, Error> {
+        let path = key_path(key)?;
+        let deadline = self.deadline();
+        let revision = expected.to_wire();
+        let query: Vec<_> = revision
+            .iter()
+            .map(|revision| ("expected", revision.to_string()))
+            .collect();
+        let mut retry = Retry::new(deadline);
+        loop {
+            let request = self.request(Method::DELETE, &path, &query);
+            match self.transport().send(Call::Delete, request, deadline).await {
+                Ok(answer) => return deleted(&answer, retry.is_ambiguous()),
+                Err(failure) => retry.wait(self, failure).await?,
+            }
+        }
+    }
+
+    /// Grants a lease that ends `ttl` after it was last kept alive.
+    ///
+    /// After a lost answer, a lease that nobody uses may remain in the store until it expires.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] when there is no answer by the deadline.
+    pub async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        let body = json!({ "ttl_ms": millis(ttl) });
+        let deadline = self.deadline();
+        let call = || self.request(Method::POST, &["leases"], &[]).json(&body);
+        let answer = self.repeat(Call::Grant, call, deadline).await?;
+        let granted: WireLease = answer.parse()?;
+        Ok(Lease {
+            id: granted.lease,
+            deadline: answer.sent_at + ttl,
+        })
+    }
+
+    /// Keeps a lease alive, and returns it with its new deadline, or `None` when it has ended.
+    ///
+    /// This call does not wait behind others for the budget.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] when there is no answer by the deadline.
+    pub async fn keep_alive(&self, lease: u64) -> Result<Option<Lease>, Error> {
+        let id = lease.to_string();
+        let path = ["leases", &id, "keepalive"];
+        let call = || self.request(Method::POST, &path, &[]);
+        let answer = self.repeat(Call::KeepAlive, call, self.deadline()).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let kept: WireTtl = answer.parse()?;
+        Ok(Some(Lease {
+            id: lease,
+            deadline: answer.sent_at + Duration::from_millis(kept.ttl_ms),
+        }))
+    }
+
+    /// Ends a lease and deletes its keys. A lease that has ended is left alone.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] when there is no answer by the deadline.
+    pub async fn revoke(&self, lease: u64) -> Result<(), Error> {
+        let id = lease.to_string();
+        let path = ["leases", &id];
+        let call = || self.request(Method::DELETE, &path, &[]);
+        self.repeat(Call::Revoke, call, self.deadline()).await?;
+        Ok(())
+    }
+
+    /// Watches the keys that begin with `prefix` for the changes after a revision, usually that of
+    /// a [`Range`].
+    #[must_use]
+    pub fn watch(&self, prefix: impl Into<String>, after: Revision) -> Watch {
+        Watch::new(self.clone(), prefix.into(), after)
+    }
+
+    pub(crate) fn request(
+        &self,
+        method: Method,
+        path: &[&str],
+        query: &[(&str, String)],
+    ) -> RequestBuilder {
+        self.shared.transport.request(method, path, query)
+    }
+
+    pub(crate) fn transport(&self) -> &Transport {
+        &self.shared.transport
+    }
+
+    /// Reads one key by `deadline`.
+    async fn get_by(&self, path: &[&str], deadline: Instant) -> Result<Option<Item>, Error> {
+        let call = || self.request(Method::GET, path, &[]);
+        let answer = self.repeat(Call::Get, call, deadline).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let item: WireItem = answer.parse()?;
+        Ok(Some(item.open()))
+    }
+
+    /// Makes a call that may be made twice until there is an answer.
+    async fn repeat(
+        &self,
+        call: Call,
+        request: impl Fn() -> RequestBuilder,
+        deadline: Instant,
+    ) -> Result<Answer, Error> {
+        let mut retry = Retry::new(deadline);
+        loop {
+            match self.transport().send(call, request(), deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => retry.wait(self, failure.without_effect()).await?,
+            }
+        }
+    }
+
+    pub(crate) fn backoff_wait(&self, failures: u32) -> Duration {
+        let micros = self.shared.backoff.wait_micros(failures, rand::random());
+        Duration::from_micros(micros)
+    }
+
+    fn deadline(&self) -> Instant {
+        Instant::now() + self.shared.call_deadline
+    }
+
+    fn next_stamp(&self) -> Stamp {
+        Stamp {
+            writer: self.shared.writer.clone(),
+            sequence: self.shared.sequence.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
+
+fn deleted(answer: &Answer, is_ambiguous: bool) -> Result<Delete, Error> {
+    match answer.status {
+        StatusCode::NOT_FOUND if is_ambiguous => Ok(Delete::Deleted),
+        StatusCode::NOT_FOUND => Ok(Delete::Absent),
+        StatusCode::CONFLICT => {
+            let conflict: WireConflict = answer.parse()?;
+            let current = conflict.current.map(WireItem::open);
+            Ok(current.map_or(Delete::Absent, Delete::Conflict))
+        }
+        _ => Ok(Delete::Deleted),
+    }
+}
+
+/// Splits a key into the segments of its path.
+fn key_path(key: &str) -> Result<Vec<&str>, Error> {
+    // A URL can't hold these segments: they are dropped when it is put together.
+    let is_odd = |segment: &str| matches!(segment, "" | "." | "..");
+    let is_malformed = key.len() > KEY_BYTES_MAX || key.contains(char::is_control);
+    if is_malformed || key.split('/').any(is_odd) {
+        return Err(Error::new(ErrorKind::InvalidField)
+            .field("store key")
+            .value(key)
+            .expected(
+                "1 to 512 bytes of segments other than \".\" and \"..\", with \"/\" between",
+            ));
+    }
+    Ok(std::iter::once("keys").chain(key.split('/')).collect())
+}
+
+/// Returns the whole milliseconds of a duration.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/store/src/client/call.rs
@@ -0,0 +1,39 @@
+//! Kinds of calls.
+
+/// Kind of a call, as metrics name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Call {
+    Get,
+    Range,
+    Put,
+    Delete,
+    Grant,
+    KeepAlive,
+    Revoke,
+    Watch,
+}
+
+impl Call {
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::Range => "range",
+            Self::Put => "put",
+            Self::Delete => "delete",
+            Self::Grant => "grant",
+            Self::KeepAlive => "keep_alive",
+            Self::Revoke => "revoke",
+            Self::Watch => "watch",
+        }
+    }
+
+    /// Tells whether a stale answer could make the caller's view go back.
+    pub(crate) const fn is_read(self) -> bool {
+        matches!(self, Self::Get | Self::Range)
+    }
+
+    /// Tells whether the call may not wait behind others.
+    pub(crate) const fn is_urgent(self) -> bool {
+        matches!(self, Self::KeepAlive)
+    }
+}
--- /dev/null
+++ b/crates/store/src/put.rs
@@ -0,0 +1,16 @@
+//! Outcomes of writes.
+
+use toucanquay_model::Revision;
+
+use crate::Item;
+
+/// Outcome of a write that the store has decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Put {
+    /// It took effect.
+    Stored(Revision),
+    /// It had no effect, because the key was not as expected.
+    Conflict(Option<Item>),
+    /// It had no effect, because its lease has ended.
+    LeaseEnded,
+}
--- /dev/null
+++ b/crates/store/src/watch.rs
@@ -0,0 +1,116 @@
+//! Follows changes.
+
+use std::{collections::VecDeque, time::Duration};
+
+use reqwest::{Method, StatusCode};
+use tokio::time::Instant;
+use toucanquay_model::{Error, Revision};
+
+use crate::{
+    Change, Client, Event,
+    client::{Call, WireWatch},
+};
+
+/// How long the store holds a poll when nothing changes. Each poll is a call of the budget.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Time beyond the wait in which the answer must arrive.
+const MARGIN: Duration = Duration::from_secs(3);
+
+/// The changes of the keys with a prefix, in the order of their revisions.
+///
+/// A break, such as an outage of the store, delays changes; none is lost and none repeated. A
+/// watch that the history has left behind ends with [`Event::Gap`].
+///
+/// # Examples
+///
+/// ```
+/// use toucanquay_standin::Store;
+/// use toucanquay_store::{Client, Event};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let store = Store::start().await?;
+/// let client = Client::builder(store.address(), "entry-1").build()?;
+/// let range = client.range("config/").await?;
+/// let mut watch = client.watch("config/", range.revision);
+///
+/// store.write("config/section/desk", "text");
+///
+/// let Event::Change(change) = watch.next().await else { panic!("nothing was compacted") };
+/// assert_eq!(change.value.as_deref(), Some("text"));
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Watch {
+    client: Client,
+    prefix: String,
+    /// Revision up to which all changes have been received.
+    after: Revision,
+    received: VecDeque<Change>,
+    has_gap: bool,
+    failures: u32,
+}
+
+impl Watch {
+    pub(crate) const fn new(client: Client, prefix: String, after: Revision) -> Self {
+        Self {
+            client,
+            prefix,
+            after,
+            received: VecDeque::new(),
+            has_gap: false,
+            failures: 0,
+        }
+    }
+
+    /// Waits for the next change, through breaks of any length.
+    ///
+    /// Dropping the future before it is ready loses no change.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            if let Some(change) = self.received.pop_front() {
+                return Event::Change(change);
+            }
+            if self.has_gap {
+                return Event::Gap { after: self.after };
+            }
+            match self.poll().await {
+                Ok(()) => self.failures = 0,
+                Err(_cause) => {
+                    let wait = self.client.backoff_wait(self.failures);
+                    self.failures += 1;
+                    tokio::time::sleep(wait).await;
+                }
+            }
+        }
+    }
+
+    /// Asks once for changes. The state changes only after the last point at which it waits.
+    async fn poll(&mut self) -> Result<(), Error> {
+        let query = [
+            ("prefix", self.prefix.clone()),
+            ("after", self.after.to_string()),
+            ("wait_ms", WAIT.as_millis().to_string()),
+        ];
+        let request = self.client.request(Method::GET, &["watch"], &query);
+        let deadline = Instant::now() + WAIT + MARGIN;
+        let sent = self.client.transport().send(Call::Watch, request, deadline);
+        let answer = sent.await.map_err(|failure| failure.error)?;
+        if answer.status == StatusCode::GONE {
+            self.has_gap = true;
+            return Ok(());
+        }
+        let watch: WireWatch = answer.parse()?;
+        for change in watch.events {
+            if change.revision > self.after {
+                self.after = change.revision;
+                self.received.push_back(change.open());
+            }
+        }
+        self.after = self.after.max(watch.revision);
+        self.client.transport().see(self.after);
+        Ok(())
+    }
+}
