--- a/crates/entry/src/client/jobs.rs
+++ b/crates/entry/src/client/jobs.rs
@@ -194,14 +194,19 @@
             .expected("a team that has a section in the document"));
     };
     if section.state == section::State::Leaving {
-        return Err(Error::new(ErrorKind::Leaving).field("team").value(&spec.team));
+        return Err(Error::new(ErrorKind::Leaving)
+            .field("team")
+            .value(&spec.team));
     }
     if !section.batch.contains_key(&spec.kind) {
         let kinds: Vec<&str> = section.batch.keys().map(String::as_str).collect();
         return Err(Error::new(ErrorKind::InvalidField)
             .field("kind")
             .value(&spec.kind)
-            .expected(format!("a kind of the team's section: {}", kinds.join(", "))));
+            .expected(format!(
+                "a kind of the team's section: {}",
+                kinds.join(", ")
+            )));
     }
     Ok(())
 }
@@ -211,7 +216,9 @@
     if let Some(reply) = context.role.job(&call).await {
         return Ok(reply);
     }
-    let owner = context.owner().ok_or_else(|| Error::new(ErrorKind::NoOwner))?;
+    let owner = context
+        .owner()
+        .ok_or_else(|| Error::new(ErrorKind::NoOwner))?;
     if owner.address == context.settings.peer_listen {
         return Err(Error::new(ErrorKind::NoOwner));
     }
--- a/crates/entry/src/client/service.rs
+++ b/crates/entry/src/client/service.rs
@@ -105,7 +105,14 @@
             let is_error = status.is_server_error();
             match pump(answer, &mut sender).await {
                 Ok(()) => {
-                    end(permit, if is_error { Outcome::Failed } else { Outcome::Answered });
+                    end(
+                        permit,
+                        if is_error {
+                            Outcome::Failed
+                        } else {
+                            Outcome::Answered
+                        },
+                    );
                     count("answered");
                     record(&context, started_at);
                 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
-use toucanquay_model::{Error, ErrorKind, Incarnation};
+use toucanquay_model::{Error, Incarnation};
 use toucanquay_store::Client;
 use toucanquay_wire::Server;
 
@@ -48,9 +48,12 @@
     ///
     /// [`ErrorKind::InvalidSetting`] for the first setting that is wrong.
     pub async fn start(mut settings: Settings, log: Logger) -> Result<Self, Error> {
-        settings
-            .check()
-            .map_err(|faults| faults.into_iter().next().expect("a failed check names a fault"))?;
+        settings.check().map_err(|faults| {
+            faults
+                .into_iter()
+                .next()
+                .expect("a failed check names a fault")
+        })?;
         let log = log.new(o!("entry" => settings.name.clone()));
         let clients = Listener::bind("--client-listen", settings.client_listen).await?;
         let operators = Listener::bind("--operator-listen", settings.operator_listen).await?;
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -83,7 +83,6 @@
             headers: self.headers.clone(),
             remaining_micros: has_deadline.then(|| self.deadline.micros_since(now)),
             is_keyed: self.key.is_some(),
-            is_replay: false,
         }
     }
 }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -69,10 +69,7 @@
     }
 
     /// Makes one attempt; an error tells whether another attempt may follow.
-    async fn attempt(
-        &mut self,
-        permit: Permit,
-    ) -> Result<(Box<Answer>, Permit), (Refused, bool)> {
+    async fn attempt(&mut self, permit: Permit) -> Result<(Box<Answer>, Permit), (Refused, bool)> {
         let target = permit.target().clone();
         let outcome = attempt(&self.context.pool, self.context.clock, &target, self.call).await;
         self.request.excluded.push(permit.key());
@@ -100,7 +97,11 @@
                 if verdict == Verdict::NotRun {
                     self.turn = Turn::Retry;
                     let kind = ErrorKind::DeadlineBeforeSend;
-                    let error = if is_late { Error::new(kind) } else { not_run(&error) };
+                    let error = if is_late {
+                        Error::new(kind)
+                    } else {
+                        not_run(&error)
+                    };
                     return Err((error.into(), !is_late));
                 }
                 self.may_have_run = true;
--- a/crates/entry/src/member/hear.rs
+++ b/crates/entry/src/member/hear.rs
@@ -24,9 +24,10 @@
         }
     }
     let load = load(&beat);
-    let heard = context
-        .roster()
-        .heartbeat(&beat.worker, beat.incarnation, beat.sequence, load, now);
+    let heard =
+        context
+            .roster()
+            .heartbeat(&beat.worker, beat.incarnation, beat.sequence, load, now);
     if heard == Heard::Known {
         follow(context, &beat);
     }
--- a/crates/entry/src/operator/routes/document.rs
+++ b/crates/entry/src/operator/routes/document.rs
@@ -98,12 +98,7 @@
             revision => Expected::Revision(revision),
         };
         let key = format!("{SECTION_PREFIX}{team}");
-        match self
-            .context
-            .store
-            .put(&key, &value, expected, None)
-            .await?
-        {
+        match self.context.store.put(&key, &value, expected, None).await? {
             Put::Stored(revision) => {
                 info!(self.context.log, "section_accepted"; "team" => team,
                     "revision" => revision, "author" => stored.author);
--- a/crates/entry/src/owner/takeover.rs
+++ b/crates/entry/src/owner/takeover.rs
@@ -106,11 +106,7 @@
     Ok(matches!(put, Put::Stored(_)))
 }
 
-async fn raise_term(
-    context: &Context,
-    epoch: Epoch,
-    known: Option<Revision>,
-) -> Result<(), Error> {
+async fn raise_term(context: &Context, epoch: Epoch, known: Option<Revision>) -> Result<(), Error> {
     let expected = known.map_or(Expected::Absent, Expected::Revision);
     let value = serde_json::to_string(&Term { epoch }).expect("a term is plain data");
     let key = term_key(context);
--- a/crates/entry/src/registry/configuration.rs
+++ b/crates/entry/src/registry/configuration.rs
@@ -31,7 +31,12 @@
         };
         let mut watch = context.store.watch(SECTION_PREFIX, after);
         while let Event::Change(change) = watch.next().await {
-            apply(context, &change.key, change.value.as_deref(), change.revision);
+            apply(
+                context,
+                &change.key,
+                change.value.as_deref(),
+                change.revision,
+            );
             advance(context, change.revision);
         }
         warn!(context.log, "configuration_gap"; "after" => after);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -81,7 +81,7 @@
 impl Settings {
     /// Returns settings for an entry on loopback, with listeners on ports that the system chooses.
     #[must_use]
-    pub fn new(name: impl Into<String>, zone: impl Into<String>, store: impl Into<String>) -> Self {
+    pub fn new(name: impl Into<String>, zone: impl Into<String>, store: SocketAddr) -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
             name: name.into(),
--- a/crates/toucanquay/src/command/upstreams.rs
+++ b/crates/toucanquay/src/command/upstreams.rs
@@ -33,7 +33,15 @@
         let api = Api::new(self.operator);
         let all: Vec<Upstream> = api.json(api.call(Method::GET, "/upstreams")).await?;
         let header = [
-            "WORKER", "SERVICE", "TEAM", "ZONE", "RACK", "SLOTS", "IN FLIGHT", "TASKS", "REVISION",
+            "WORKER",
+            "SERVICE",
+            "TEAM",
+            "ZONE",
+            "RACK",
+            "SLOTS",
+            "IN FLIGHT",
+            "TASKS",
+            "REVISION",
             "STATE",
         ];
         self.output.print(&header, &all, |upstream| {
--- /dev/null
+++ b/crates/toucanquay/src/demo/system.rs
@@ -0,0 +1,189 @@
+//! The demo's processes, all in this one.
+
+use reqwest::Method;
+use serde_json::json;
+use slog::Logger;
+use tokio::time::{Duration, Instant};
+use toucanquay_companion::{Companion, Settings as CompanionSettings};
+use toucanquay_entry::{
+    Entry, Settings as EntrySettings,
+    operator::{Applied, InForce, Upstream as KnownUpstream},
+};
+use toucanquay_model::{Error, ErrorKind, Resources};
+use toucanquay_standin::{Runtime, Store, Upstream, runtime};
+
+use crate::api::Api;
+
+/// Longest time until everything has found each other.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The section of the demo's team.
+const SECTION: &str = "\
+[services.stile-desk]
+deadline_ms = 5000
+[batch.repair-plan]
+";
+
+/// What one worker holds for batch tasks.
+const CAPACITY: Resources = Resources {
+    processors_milli: 12_000,
+    memory_mb: 48_000,
+    accelerators: 0,
+};
+
+/// One worker with its upstream and its companion.
+#[derive(Debug)]
+struct Worker {
+    upstream: Upstream,
+    runtime: Runtime,
+    companion: Companion,
+}
+
+/// The demo's processes.
+#[derive(Debug)]
+pub struct System {
+    /// Dropping it ends the store.
+    _store: Store,
+    entries: Vec<Entry>,
+    workers: Vec<Worker>,
+}
+
+impl System {
+    /// Starts everything and waits until it has found each other.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::PeerUnavailable`] when that takes too long.
+    pub async fn start(log: Logger) -> Result<Self, Error> {
+        let store = Store::start().await.map_err(broken)?;
+        let mut entries = Vec::new();
+        for (name, zone) in [("entry-1", "a"), ("entry-2", "b")] {
+            let settings = EntrySettings::new(name, zone, store.address()).balancer_wait_ms(100);
+            entries.push(Entry::start(settings, log.clone()).await?);
+        }
+        let peers: Vec<_> = entries.iter().map(Entry::peer_address).collect();
+        let mut workers = Vec::new();
+        for (name, zone) in [("worker-a", "a"), ("worker-b", "b"), ("worker-c", "c")] {
+            let upstream = Upstream::start().await.map_err(broken)?;
+            let runtime = Runtime::start().await.map_err(broken)?;
+            let address = format!("http://{}", upstream.address());
+            let settings = CompanionSettings::new(name, "stile-desk", "stile-desk", address)
+                .entries(peers.clone())
+                .place(zone, "1")
+                .health_path("/health")
+                .runtime(format!("http://{}", runtime.address()))
+                .capacity(CAPACITY);
+            let companion = Companion::start(settings, log.clone())
+                .await
+                .map_err(|faults| first(&faults))?;
+            workers.push(Worker {
+                upstream,
+                runtime,
+                companion,
+            });
+        }
+        let system = Self {
+            _store: store,
+            entries,
+            workers,
+        };
+        system.configure().await?;
+        Ok(system)
+    }
+
+    /// Returns calls to each entry's listener for clients.
+    pub fn clients(&self) -> Vec<Api> {
+        let base = |entry: &Entry| Api::new(format!("http://{}", entry.client_address()));
+        self.entries.iter().map(base).collect()
+    }
+
+    /// Returns how often an upstream ran a report.
+    pub fn executions(&self, body: &str) -> u32 {
+        let runs = |worker: &Worker| worker.upstream.executions(body);
+        self.workers.iter().map(runs).sum()
+    }
+
+    /// Returns what the workers saw that must not happen.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut intervals = Vec::new();
+        for worker in &self.workers {
+            let held = worker.runtime.held_max();
+            if !held.fits(&CAPACITY) {
+                faults.push(format!("a worker held {held}"));
+            }
+            intervals.extend(worker.runtime.intervals());
+        }
+        let overlaps = runtime::overlaps(&intervals);
+        if !overlaps.is_empty() {
+            faults.push(format!("{} tasks ran in two places", overlaps.len()));
+        }
+        faults
+    }
+
+    /// Stops everything gracefully and returns what was cut off.
+    pub async fn stop(self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for worker in self.workers {
+            if !worker.companion.stop().await {
+                faults.push("a companion cut off requests".to_owned());
+            }
+        }
+        for entry in self.entries {
+            if entry.stop().await > 0 {
+                faults.push("an entry cut off requests".to_owned());
+            }
+        }
+        faults
+    }
+
+    /// Writes the configuration, and waits until it is in force and every entry has all upstreams.
+    async fn configure(&self) -> Result<(), Error> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        let operators: Vec<Api> = self
+            .entries
+            .iter()
+            .map(|entry| Api::new(format!("http://{}", entry.operator_address())))
+            .collect();
+        let body = json!({ "text": SECTION, "expected": 0, "author": "demo" });
+        let call = operators[0].call(Method::PUT, "/document/stile-desk");
+        let applied: Applied = operators[0].json(call.json(&body)).await?;
+        for api in &operators {
+            while !self.is_complete(api).await? {
+                if Instant::now() > deadline {
+                    return Err(Error::new(ErrorKind::PeerUnavailable)
+                        .context("the processes did not find each other"));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let route = format!("/document-in-force?revision={}", applied.revision);
+            let state: InForce = api.json(api.call(Method::GET, &route)).await?;
+            if !state.is_in_force {
+                return Err(Error::new(ErrorKind::PeerUnavailable)
+                    .value(state.lagging.join(", "))
+                    .expected("the configuration in force"));
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_complete(&self, operator: &Api) -> Result<bool, Error> {
+        let call = operator.call(Method::GET, "/upstreams");
+        let known: Vec<KnownUpstream> = operator.json(call).await?;
+        let available = known
+            .iter()
+            .filter(|upstream| upstream.state == "available");
+        Ok(available.count() == self.workers.len() && self.entries.iter().any(Entry::is_owner))
+    }
+}
+
+fn broken(cause: std::io::Error) -> Error {
+    Error::new(ErrorKind::PeerUnavailable).context(cause)
+}
+
+fn first(faults: &[Error]) -> Error {
+    faults
+        .first()
+        .cloned()
+        .unwrap_or_else(|| Error::new(ErrorKind::InvalidSetting))
+}
