--- a/crates/entry/src/lane/service.rs
+++ b/crates/entry/src/lane/service.rs
@@ -166,7 +166,7 @@
             Turn::Retry => inner
                 .balancer
                 .retry(request, now, random)
-                .ok_or_else(|| refused_by_budget())?,
+                .ok_or_else(refused_by_budget)?,
         };
         match decision {
             Decision::Send(key) => {
--- a/crates/entry/src/member/hear.rs
+++ b/crates/entry/src/member/hear.rs
@@ -15,7 +15,7 @@
 const WARM_MS: u64 = 3_000;
 
 /// Takes in a heartbeat and returns the reply.
-pub fn hear(context: &Arc<Context>, beat: Beat) -> Reply {
+pub fn hear(context: &Arc<Context>, beat: &Beat) -> Reply {
     let now = context.clock.now();
     if let Some(announcement) = &beat.announcement {
         let heard = context.roster().announce(announcement.clone(), now);
@@ -23,13 +23,13 @@
             join(context, announcement);
         }
     }
-    let load = load(&beat);
+    let load = load(beat);
     let heard =
         context
             .roster()
             .heartbeat(&beat.worker, beat.incarnation, beat.sequence, load, now);
     if heard == Heard::Known {
-        follow(context, &beat);
+        follow(context, beat);
     }
     let mut register = context.register();
     register.learn(beat.revision_known);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -40,7 +40,7 @@
 
 async fn answer(context: &Arc<Context>, frame: Frame) -> Result<Frame, Error> {
     match frame {
-        Frame::Heartbeat(beat) => Ok(Frame::HeartbeatReply(member::hear(context, beat))),
+        Frame::Heartbeat(beat) => Ok(Frame::HeartbeatReply(member::hear(context, &beat))),
         Frame::SectionQuery(query) => {
             let snapshot = context.register().snapshot(query.after);
             Ok(Frame::SectionReply(reply(snapshot)))
