--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -46,11 +46,11 @@
         clock: Clock,
         request: &mut Request,
     ) -> Result<Self, Error> {
-        let deadline = deadline(rules, clock, request)?;
         let key = key(request)?;
         let headers = headers::forwarded(request.headers());
         let method = request.method().as_str().to_owned();
         let target = target(service, request);
+        let deadline = deadline(rules, clock, &target, request)?;
         let body = body(rules, request).await?;
         Ok(Self {
             id,
@@ -87,9 +87,14 @@
     }
 }
 
-fn deadline(rules: &section::Service, clock: Clock, request: &Request) -> Result<Time, Error> {
+fn deadline(
+    rules: &section::Service,
+    clock: Clock,
+    target: &str,
+    request: &Request,
+) -> Result<Time, Error> {
     let Some(value) = request.headers().get(DEADLINE_HEADER) else {
-        if rules.is_watch {
+        if rules.is_watch(target) {
             return Ok(Time::NEVER);
         }
         return Ok(clock.now().plus_millis(rules.deadline_ms));
--- a/crates/model/src/section.rs
+++ b/crates/model/src/section.rs
@@ -30,12 +30,19 @@
     /// Largest request body, in bytes.
     #[serde(default = "Service::default_body_bytes_max")]
     pub body_bytes_max: u64,
-    /// Whether answers may stay open without end, as a watch does; such requests get no deadline.
+    /// Path prefixes, such as `/feed`, whose answers may stay open without end, as a watch does.
+    /// Such requests have no deadline unless the client names one.
     #[serde(default)]
-    pub is_watch: bool,
+    pub watches: Vec<String>,
 }
 
 impl Service {
+    /// Tells whether the answer to a request for `path` may stay open without end.
+    #[must_use]
+    pub fn is_watch(&self, path: &str) -> bool {
+        self.watches.iter().any(|prefix| path.starts_with(prefix))
+    }
+
     const fn default_deadline_ms() -> u64 {
         2_000
     }
@@ -118,6 +125,12 @@
                     .value(service.deadline_ms)
                     .expected(format!("{} to {}", DEADLINE_MS.start(), DEADLINE_MS.end())));
             }
+            if let Some(prefix) = service.watches.iter().find(|path| !path.starts_with('/')) {
+                return Err(Error::new(ErrorKind::InvalidField)
+                    .field(format!("{team}.services.{name}.watches"))
+                    .value(prefix)
+                    .expected("path prefixes that start with '/'"));
+            }
         }
         for name in self.batch.keys() {
             job::check_name("batch", name)?;
--- a/crates/toucanquay/src/demo/load.rs
+++ b/crates/toucanquay/src/demo/load.rs
@@ -26,15 +26,17 @@
         .map(Work::Lookup)
         .chain((0..reports).map(Work::Report));
     stream::iter(work)
-        .for_each_concurrent(CONCURRENCY, |work| async {
-            match work {
-                Work::Lookup(number) => look_up(&clients, &tally, number).await,
-                Work::Report(number) => file(&clients, &tally, number).await,
-            }
-        })
+        .for_each_concurrent(CONCURRENCY, |work| send(&clients, &tally, work))
         .await;
 }
 
+async fn send(clients: &[Api], tally: &Tally, work: Work) {
+    match work {
+        Work::Lookup(number) => look_up(clients, tally, number).await,
+        Work::Report(number) => file(clients, tally, number).await,
+    }
+}
+
 /// Returns the body of a report.
 pub fn report(number: u32) -> String {
     format!("broken step on stile {number}")
--- /dev/null
+++ b/crates/toucanquay/tests/support/process.rs
@@ -0,0 +1,81 @@
+//! One of the real programs.
+
+use std::{
+    path::{Path, PathBuf},
+    process::Stdio,
+};
+
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, Command},
+};
+
+use super::PATIENCE;
+
+/// A running program, which is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the entry's program and returns it with its first line of output.
+    pub async fn entry(arguments: &[String]) -> (Self, String) {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_toucanquay"));
+        let mut process = Self::start(&program, arguments);
+        let stdout = process.child.stdout.take().expect("the output is piped");
+        let mut lines = BufReader::new(stdout).lines();
+        let line = tokio::time::timeout(PATIENCE, lines.next_line())
+            .await
+            .expect("the entry prints its addresses in time")
+            .expect("the output is readable")
+            .expect("the entry prints its addresses");
+        (process, line)
+    }
+
+    /// Starts the companion's program.
+    pub fn companion(arguments: &[String]) -> Self {
+        let entry = Path::new(env!("CARGO_BIN_EXE_toucanquay"));
+        let program = entry.with_file_name("toucanquay-companion");
+        assert!(
+            program.exists(),
+            "toucanquay-companion is not built: run `cargo test --workspace`"
+        );
+        Self::start(&program, arguments)
+    }
+
+    /// Sends a signal by its name, for example `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().expect("the process runs").to_string();
+        let status = std::process::Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "kill -{name} {id}");
+    }
+
+    /// Waits for the end of the program and returns its exit code, or `None` after a signal.
+    pub async fn end(&mut self) -> Option<i32> {
+        tokio::time::timeout(PATIENCE, self.child.wait())
+            .await
+            .expect("the process ends in time")
+            .expect("the process can be waited for")
+            .code()
+    }
+
+    fn start(program: &Path, arguments: &[String]) -> Self {
+        let log = match std::env::var_os("TOUCANQUAY_TEST_LOG") {
+            Some(_) => Stdio::inherit(),
+            None => Stdio::null(),
+        };
+        let child = Command::new(program)
+            .args(arguments)
+            .env_clear()
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+}
--- /dev/null
+++ b/crates/toucanquay/tests/support/site.rs
@@ -0,0 +1,264 @@
+//! A whole site: store, entries, workers.
+
+use reqwest::{Client, Method, Response};
+use serde_json::{Value, json};
+use toucanquay_model::{Resources, job};
+use toucanquay_standin::{Runtime, Store, Upstream};
+
+use super::{Process, eventually};
+
+/// The section of the site's only team.
+pub const SECTION: &str = "\
+[services.desk]
+deadline_ms = 10000
+body_bytes_max = 2000
+watches = [\"/feed\"]
+[batch.plan]
+";
+
+/// One worker: its upstream and task runtime in this process, its companion as a process.
+#[derive(Debug)]
+pub struct Worker {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// The task runtime.
+    pub runtime: Runtime,
+    /// The companion.
+    pub companion: Process,
+    arguments: Vec<String>,
+}
+
+/// One entry as a process.
+#[derive(Debug)]
+pub struct Entry {
+    /// The program.
+    pub process: Process,
+    /// Address of the listener for clients.
+    pub client: String,
+    /// Address of the listener for operators.
+    pub operator: String,
+    /// Address of the listener for peers.
+    pub peer: String,
+}
+
+/// A whole site.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform's store.
+    pub store: Store,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    http: Client,
+}
+
+impl Site {
+    /// Starts a site whose configuration is in force and whose entries know all upstreams.
+    pub async fn start(entries: usize, workers: usize) -> Self {
+        let store = Store::start().await.expect("the store starts");
+        store.write("config/section/team", SECTION);
+        let mut site = Self {
+            store,
+            entries: Vec::new(),
+            workers: Vec::new(),
+            http: Client::new(),
+        };
+        for number in 0..entries {
+            site.add_entry(number).await;
+        }
+        for number in 0..workers {
+            site.add_worker(number).await;
+        }
+        site.settle().await;
+        site
+    }
+
+    /// Starts one more entry.
+    pub async fn add_entry(&mut self, number: usize) {
+        let entry = Entry::start(number, &self.store, &[]).await;
+        self.entries.push(entry);
+    }
+
+    /// Waits until each entry that answers sees as many available upstreams as there are workers,
+    /// and the cell has an owner.
+    pub async fn settle(&self) {
+        for entry in 0..self.entries.len() {
+            eventually("all upstreams are available", || async {
+                let known = self.upstreams(entry).await?;
+                let is_available = |upstream: &&Value| upstream["state"] == "available";
+                let count = known.as_array()?.iter().filter(is_available).count();
+                (count == self.workers.len()).then_some(())
+            })
+            .await;
+        }
+        eventually("the cell has an owner", || async {
+            let answer = self.call(0, Method::GET, "/jobs").send().await.ok()?;
+            answer.status().is_success().then_some(())
+        })
+        .await;
+    }
+
+    /// Returns what an entry tells operators of the upstreams.
+    pub async fn upstreams(&self, entry: usize) -> Option<Value> {
+        let url = format!("http://{}/upstreams", self.entries[entry].operator);
+        self.http.get(url).send().await.ok()?.json().await.ok()
+    }
+
+    /// Begins a call to an entry's listener for clients.
+    pub fn call(&self, entry: usize, method: Method, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.entries[entry].client);
+        self.http.request(method, url)
+    }
+
+    /// Begins a call to an entry's listener for operators.
+    pub fn operate(&self, entry: usize, method: Method, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.entries[entry].operator);
+        self.http.request(method, url)
+    }
+
+    /// Submits a job whose tasks run for `run_ms` and returns the answer.
+    pub async fn submit(&self, entry: usize, id: &str, tasks: u32, run_ms: u64) -> Response {
+        let spec = job::Spec {
+            id: id.into(),
+            team: "team".to_owned(),
+            kind: "plan".to_owned(),
+            tasks,
+            demand: Resources {
+                processors_milli: 1_000,
+                memory_mb: 1_000,
+                accelerators: 0,
+            },
+            urgency: job::Urgency::Normal,
+            finish_by_unix_ms: None,
+            payload: json!({ "run_ms": run_ms }).to_string(),
+        };
+        self.call(entry, Method::POST, "/jobs")
+            .json(&spec)
+            .send()
+            .await
+            .expect("the entry answers")
+    }
+
+    /// Returns the status of a job, if the entry and the owner can be reached.
+    pub async fn job(&self, entry: usize, id: &str) -> Option<job::Status> {
+        let call = self.call(entry, Method::GET, &format!("/jobs/{id}"));
+        call.send().await.ok()?.json().await.ok()
+    }
+
+    /// Waits until a job is over.
+    pub async fn finished(&self, entry: usize, id: &str) -> job::Status {
+        eventually("the job is over", || async {
+            let status = self.job(entry, id).await?;
+            status.is_over().then_some(status)
+        })
+        .await
+    }
+
+    /// Returns how often the upstreams executed a body.
+    pub fn executions(&self, body: &str) -> u32 {
+        let runs = |worker: &Worker| worker.upstream.executions(body);
+        self.workers.iter().map(runs).sum()
+    }
+
+    /// Asserts that no task ran in two places at once and that no worker held more than it can.
+    pub fn assert_tasks_ran_once_at_a_time(&self) {
+        let intervals: Vec<_> = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runtime.intervals())
+            .collect();
+        let overlaps = toucanquay_standin::runtime::overlaps(&intervals);
+        assert!(overlaps.is_empty(), "ran in two places: {overlaps:?}");
+        for worker in &self.workers {
+            let held = worker.runtime.held_max();
+            assert!(held.fits(&CAPACITY), "a worker held {held}");
+        }
+    }
+
+    async fn add_worker(&mut self, number: usize) {
+        let upstream = Upstream::start().await.expect("the upstream starts");
+        let runtime = Runtime::start().await.expect("the runtime starts");
+        let peers: Vec<&str> = self
+            .entries
+            .iter()
+            .map(|entry| entry.peer.as_str())
+            .collect();
+        let arguments = companion_arguments(number, &upstream, &runtime, &peers.join(","));
+        let companion = Process::companion(&arguments);
+        self.workers.push(Worker {
+            upstream,
+            runtime,
+            companion,
+            arguments,
+        });
+    }
+}
+
+/// What one worker holds for batch tasks.
+const CAPACITY: Resources = Resources {
+    processors_milli: 4_000,
+    memory_mb: 8_000,
+    accelerators: 0,
+};
+
+impl Worker {
+    /// Starts the companion anew, after the former one has ended.
+    pub fn restart(&mut self) {
+        self.companion = Process::companion(&self.arguments);
+    }
+}
+
+impl Entry {
+    /// Starts an entry.
+    pub async fn start(number: usize, store: &Store, more: &[&str]) -> Self {
+        let zone = ["a", "b", "c"][number % 3];
+        let mut arguments = vec![
+            "entry".to_owned(),
+            format!("--name=entry-{number}"),
+            format!("--zone={zone}"),
+            format!("--store={}", store.address()),
+            "--client-listen=127.0.0.1:0".to_owned(),
+            "--operator-listen=127.0.0.1:0".to_owned(),
+            "--peer-listen=127.0.0.1:0".to_owned(),
+            "--balancer-wait-ms=100".to_owned(),
+            "--holder-lease-ms=2000".to_owned(),
+        ];
+        arguments.extend(more.iter().map(|&argument| argument.to_owned()));
+        let (process, line) = Process::entry(&arguments).await;
+        let address = |name: &str| {
+            line.split_whitespace()
+                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+                .expect("the line has the address")
+                .to_owned()
+        };
+        Self {
+            process,
+            client: address("client"),
+            operator: address("operator"),
+            peer: address("peer"),
+        }
+    }
+}
+
+fn companion_arguments(
+    number: usize,
+    upstream: &Upstream,
+    runtime: &Runtime,
+    peers: &str,
+) -> Vec<String> {
+    let zone = ["a", "b", "c"][number % 3];
+    vec![
+        format!("--worker=worker-{number}"),
+        format!("--zone={zone}"),
+        format!("--entries={peers}"),
+        format!("--upstream=http://{}", upstream.address()),
+        format!("--runtime=http://{}", runtime.address()),
+        "--service=desk".to_owned(),
+        "--team=team".to_owned(),
+        "--listen=127.0.0.1:0".to_owned(),
+        "--health-path=/health".to_owned(),
+        format!("--processors-milli={}", CAPACITY.processors_milli),
+        format!("--memory-mb={}", CAPACITY.memory_mb),
+    ]
+}
--- /dev/null
+++ b/crates/toucanquay/tests/support/transcript.rs
@@ -0,0 +1,56 @@
+//! Record of a session for a golden file.
+
+use std::fmt::Write;
+
+use reqwest::{RequestBuilder, Response};
+use serde_json::Value;
+
+/// Fields that differ from run to run.
+const VOLATILE: [&str; 3] = ["request", "hint", "retry_after_ms"];
+
+/// Requests and answers of one session, without what differs from run to run.
+#[derive(Debug, Default)]
+pub struct Transcript {
+    text: String,
+}
+
+impl Transcript {
+    /// Sends a call and records it with its answer.
+    pub async fn send(&mut self, title: &str, call: RequestBuilder) {
+        let response = call.send().await.expect("the entry answers");
+        self.record(title, response).await;
+    }
+
+    /// Records an answer.
+    pub async fn record(&mut self, title: &str, response: Response) {
+        let status = response.status().as_u16();
+        let body = response
+            .text()
+            .await
+            .unwrap_or_else(|_| "<cut off>".to_owned());
+        let body = match serde_json::from_str::<Value>(&body) {
+            Ok(value) => stable(value).to_string(),
+            Err(_) => body,
+        };
+        self.note(&format!("{title}\n  {status} {}", body.trim_end()));
+    }
+
+    /// Records a line.
+    pub fn note(&mut self, line: &str) {
+        writeln!(self.text, "{line}").expect("writing to a string succeeds");
+    }
+
+    /// Returns the record.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+}
+
+fn stable(mut value: Value) -> Value {
+    if let Some(object) = value.as_object_mut() {
+        for name in VOLATILE {
+            object.remove(name);
+        }
+    }
+    value
+}
