store: urgent calls, lost probes and probing watches

Cause: a keep-alive could wait behind other calls until its lease ended, a probe whose caller went away kept the breaker shut, and a waiting watch could reserve calls for 13 s ahead or answer as a probe only after 10 s.

Change: keep-alives borrow from the budget, probes expire, a watch polls without waiting while the breaker is not closed, and outcomes of an earlier state of the breaker are ignored.

--- a/crates/standin/src/store/api.rs
+++ b/crates/standin/src/store/api.rs
@@ -222,9 +222,8 @@
         };
         if !changes.is_empty() || Instant::now() >= deadline {
             mark(response, revision);
-            let is_cut = changes.len() == CHANGES_MAX;
-            let last = changes.last().map_or(revision, |change| change.revision);
-            let revision = if is_cut { last } else { revision };
+            // There may be more changes than one answer holds, so it vouches for its last one only.
+            let revision = changes.last().map_or(revision, |change| change.revision);
             response.render(Json(json!({ "revision": revision, "events": changes })));
             return;
         }
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -18,6 +18,9 @@
 /// Changes kept for watches that resume. A watch that is further behind is refused.
 const CHANGES_MAX: usize = 100_000;
 
+/// Bytes of values after which no more changes are put into one answer.
+const CHANGES_BYTES_MAX: usize = 4_000_000;
+
 /// Items by key, the log of changes, leases, faults and counts.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -100,6 +103,8 @@
     }
 
     /// Returns the changes after `after`, or `None` when some of them are no longer kept.
+    ///
+    /// There are at most `most` of them, and no more than about [`CHANGES_BYTES_MAX`].
     pub(super) fn changes(&self, prefix: &str, after: u64, most: usize) -> Option<Vec<Change>> {
         if after < self.compacted {
             return None;
@@ -109,7 +114,13 @@
             .partition_point(|change| change.revision <= after);
         let later = self.changes.range(first..);
         let matching = later.filter(|change| change.key.starts_with(prefix));
-        Some(matching.take(most).cloned().collect())
+        let mut bytes = 0;
+        let bounded = matching.take_while(|change| {
+            let is_room = bytes < CHANGES_BYTES_MAX;
+            bytes += change.value.as_ref().map_or(0, String::len);
+            is_room
+        });
+        Some(bounded.take(most).cloned().collect())
     }
 
     pub(super) fn compact(&mut self) {
--- a/crates/store/src/breaker.rs
+++ b/crates/store/src/breaker.rs
@@ -1,11 +1,11 @@
 //! When not to call at all.
 
-mod admission;
+mod permit;
 mod state;
 
 use toucanquay_model::Time;
 
-pub use admission::Admission;
+pub use permit::Permit;
 pub use state::State;
 
 use crate::Backoff;
@@ -13,10 +13,11 @@
 /// Failures in a row that open the breaker. One lost answer among good ones must not do it.
 const FAILURES_TO_OPEN: u32 = 5;
 
-/// Shortest time that the breaker stays open, in microseconds.
-const OPEN_FIRST_MICROS: u64 = 250_000;
+/// Longest time that the breaker stays open at first, in microseconds. The jitter takes up to half
+/// of it away.
+const OPEN_FIRST_MICROS: u64 = 500_000;
 
-/// Longest time that the breaker stays open, in microseconds. It bounds how late a client notices
+/// Longest time that the breaker stays open at all, in microseconds. It bounds how late a client notices
 /// the end of an outage.
 const OPEN_MOST_MICROS: u64 = 5_000_000;
 
@@ -30,15 +31,15 @@
 ///
 /// ```
 /// use toucanquay_model::Time;
-/// use toucanquay_store::{Breaker, breaker::Admission};
+/// use toucanquay_store::Breaker;
 ///
-/// let mut breaker = Breaker::default();
+/// let mut breaker = Breaker::new(1_000_000);
 /// let now = Time::ZERO;
 /// for _ in 0..5 {
-///     let Admission::Admitted(permit) = breaker.admit(now) else { panic!() };
+///     let permit = breaker.admit(now).unwrap();
 ///     breaker.fail(permit, now, 0.5);
 /// }
-/// assert!(matches!(breaker.admit(now), Admission::Refused { .. }));
+/// assert!(breaker.admit(now).is_none());
 /// ```
 #[derive(Debug, Clone)]
 pub struct Breaker {
@@ -54,13 +55,13 @@
 impl Breaker {
     /// Returns a closed breaker whose probes are taken as lost after `probe_micros`.
     #[must_use]
-    pub const fn new(backoff: Backoff, probe_micros: u64) -> Self {
+    pub const fn new(probe_micros: u64) -> Self {
         Self {
+            backoff: Backoff::new(OPEN_FIRST_MICROS, OPEN_MOST_MICROS),
             state: State::Closed,
             failures: 0,
             openings: 0,
             generation: 0,
-            backoff,
             probe_micros,
         }
     }
@@ -80,25 +81,26 @@
         }
     }
 
-    /// Admits or refuses a call. The caller reports the outcome of an admitted one.
-    pub fn admit(&mut self, now: Time) -> Admission {
-        match self.state {
-            State::Closed => Admission::Admitted(self.generation),
-            State::Open { until } | State::HalfOpen { until } if now < until => {
-                Admission::Refused { until }
-            }
-            // A probe whose caller went away never reports; the next one takes its place.
-            State::Open { .. } | State::HalfOpen { .. } => {
-                let until = now.plus_micros(self.probe_micros);
-                self.enter(State::HalfOpen { until });
-                Admission::Probe(self.generation)
-            }
+    /// Admits a call, whose outcome the caller reports, or returns `None`.
+    pub fn admit(&mut self, now: Time) -> Option<Permit> {
+        if self.refuses(now) {
+            return None;
+        }
+        let is_probe = self.state != State::Closed;
+        if is_probe {
+            // A probe whose caller went away never reports; the next one then takes its place.
+            let until = now.plus_micros(self.probe_micros);
+            self.enter(State::HalfOpen { until });
         }
+        Some(Permit {
+            generation: self.generation,
+            is_probe,
+        })
     }
 
     /// Notes that the store answered. Returns whether this closed the breaker.
-    pub fn succeed(&mut self, permit: u64) -> bool {
-        if permit != self.generation {
+    pub fn succeed(&mut self, permit: Permit) -> bool {
+        if permit.generation != self.generation {
             return false;
         }
         self.failures = 0;
@@ -112,8 +114,8 @@
 
     /// Notes that the store did not answer; `random` is from 0.0 to 1.0. Returns whether this
     /// opened the breaker.
-    pub fn fail(&mut self, permit: u64, now: Time, random: f64) -> bool {
-        if permit != self.generation {
+    pub fn fail(&mut self, permit: Permit, now: Time, random: f64) -> bool {
+        if permit.generation != self.generation {
             return false;
         }
         self.failures += 1;
@@ -134,10 +136,3 @@
         self.generation += 1;
     }
 }
-
-impl Default for Breaker {
-    fn default() -> Self {
-        let backoff = Backoff::new(2 * OPEN_FIRST_MICROS, OPEN_MOST_MICROS);
-        Self::new(backoff, OPEN_MOST_MICROS)
-    }
-}
--- a/crates/store/src/client/call.rs
+++ b/crates/store/src/client/call.rs
@@ -11,6 +11,8 @@
     KeepAlive,
     Revoke,
     Watch,
+    /// A look at the changes of a key.
+    History,
 }
 
 impl Call {
@@ -24,6 +26,7 @@
             Self::KeepAlive => "keep_alive",
             Self::Revoke => "revoke",
             Self::Watch => "watch",
+            Self::History => "history",
         }
     }
 
@@ -32,6 +35,11 @@
         matches!(self, Self::Get | Self::Range)
     }
 
+    /// Tells whether the store holds the call until there is something to tell.
+    pub(crate) const fn is_long(self) -> bool {
+        matches!(self, Self::Watch)
+    }
+
     /// Tells whether the call may not wait behind others.
     pub(crate) const fn is_urgent(self) -> bool {
         matches!(self, Self::KeepAlive)
--- a/crates/store/src/client/gate.rs
+++ b/crates/store/src/client/gate.rs
@@ -1,16 +1,19 @@
 //! Decides when a call is sent.
 
-use std::sync::{Mutex, MutexGuard};
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
 
 use metrics::{counter, gauge};
 use slog::{Logger, info, warn};
 use tokio::time::Instant;
 use toucanquay_model::{Error, ErrorKind, Time};
 
-use super::{Call, Failure};
+use super::{Call, Failure, millis};
 use crate::{
     Breaker, Budget,
-    breaker::{Admission, State},
+    breaker::{Permit, State},
 };
 
 /// The budget and the breaker of a client, on the clock of the process.
@@ -22,11 +25,12 @@
 }
 
 impl Gate {
-    pub(super) fn new(calls_per_second: u32, log: Logger) -> Self {
+    pub(super) fn new(calls_per_second: u32, probe_limit: Duration, log: Logger) -> Self {
         let budget = Budget::new(calls_per_second, Time::ZERO);
+        let breaker = Breaker::new(1_000 * millis(probe_limit));
         Self {
             zero: Instant::now(),
-            limits: Mutex::new((budget, Breaker::default())),
+            limits: Mutex::new((budget, breaker)),
             log,
         }
     }
@@ -36,23 +40,25 @@
         !self.lock().1.refuses(self.now())
     }
 
-    /// Waits for the budget, then asks the breaker.
-    pub(super) async fn pass(&self, call: Call, deadline: Instant) -> Result<Admission, Failure> {
-        let send_at = self.reserve(call, deadline)?;
+    /// Tells whether the breaker has let every call through since the last success.
+    pub(super) fn is_closed(&self) -> bool {
+        self.lock().1.state() == State::Closed
+    }
+
+    /// Waits for the budget, at most until `latest`, then asks the breaker.
+    pub(super) async fn pass(&self, call: Call, latest: Instant) -> Result<Permit, Failure> {
+        let send_at = self.reserve(call, latest)?;
         tokio::time::sleep_until(send_at).await;
-        let admission = self.lock().1.admit(self.now());
-        match admission {
-            Admission::Refused { .. } => Err(refuse("breaker")),
-            Admission::Probe(_) => {
-                self.show_state();
-                Ok(admission)
-            }
-            Admission::Admitted(_) => Ok(admission),
+        let admitted = self.lock().1.admit(self.now());
+        let permit = admitted.ok_or_else(|| refuse("breaker"))?;
+        if permit.is_probe {
+            self.show_state();
         }
+        Ok(permit)
     }
 
     /// Notes that the store answered.
-    pub(super) fn succeed(&self, permit: u64) {
+    pub(super) fn succeed(&self, permit: Permit) {
         let now = self.now();
         let mut limits = self.lock();
         if limits.1.succeed(permit) {
@@ -64,7 +70,7 @@
     }
 
     /// Notes that the store did not answer.
-    pub(super) fn fail(&self, permit: u64, cause: &Error) {
+    pub(super) fn fail(&self, permit: Permit, cause: &Error) {
         let now = self.now();
         if self.lock().1.fail(permit, now, rand::random()) {
             warn!(self.log, "store_unavailable"; "cause" => %cause);
@@ -72,7 +78,7 @@
         }
     }
 
-    fn reserve(&self, call: Call, deadline: Instant) -> Result<Instant, Failure> {
+    fn reserve(&self, call: Call, latest: Instant) -> Result<Instant, Failure> {
         let now = self.now();
         let mut limits = self.lock();
         let (budget, breaker) = &mut *limits;
@@ -82,10 +88,10 @@
         let send_at = if call.is_urgent() {
             budget.take_urgent(now).then_some(now)
         } else {
-            budget.take(now, self.to_time(deadline))
+            budget.take(now, self.to_time(latest))
         };
         let send_at = send_at.ok_or_else(|| refuse("budget"))?;
-        Ok(self.zero + std::time::Duration::from_micros(send_at.as_micros()))
+        Ok(self.zero + Duration::from_micros(send_at.as_micros()))
     }
 
     fn now(&self) -> Time {
--- a/crates/store/src/client/transport.rs
+++ b/crates/store/src/client/transport.rs
@@ -6,12 +6,12 @@
 };
 
 use metrics::counter;
-use reqwest::{Client as Http, Method, RequestBuilder, StatusCode, Url};
+use reqwest::{Client as Http, Method, RequestBuilder, StatusCode, Url, redirect::Policy};
 use tokio::time::Instant;
 use toucanquay_model::{Error, ErrorKind, Revision};
 
 use super::{Answer, Call, Failure, gate::Gate};
-use crate::{Builder, breaker::Admission};
+use crate::{Builder, breaker::Permit};
 
 /// Header with the store-wide revision that an answer reflects.
 const REVISION_HEADER: &str = "store-revision";
@@ -25,6 +25,7 @@
     http: Http,
     base: Url,
     gate: Gate,
+    call_limit: Duration,
     attempt_limit: Duration,
     /// Highest revision of the store that was seen.
     seen: AtomicU64,
@@ -34,12 +35,14 @@
     pub(super) fn new(builder: Builder) -> Result<Self, Error> {
         let invalid = |cause: String| Error::new(ErrorKind::InvalidSetting).context(cause);
         let base = format!("http://{}/v1", builder.address);
-        let http = Http::builder().no_proxy().build();
+        let http = Http::builder().no_proxy().redirect(Policy::none()).build();
+        let attempt_limit = builder.call_deadline / ATTEMPTS;
         Ok(Self {
             http: http.map_err(|cause| invalid(cause.to_string()))?,
             base: Url::parse(&base).map_err(|cause| invalid(cause.to_string()))?,
-            gate: Gate::new(builder.calls_per_second, builder.log),
-            attempt_limit: builder.call_deadline / ATTEMPTS,
+            gate: Gate::new(builder.calls_per_second, attempt_limit, builder.log),
+            call_limit: builder.call_deadline,
+            attempt_limit,
             seen: AtomicU64::new(0),
         })
     }
@@ -52,6 +55,11 @@
         self.gate.is_available()
     }
 
+    /// Tells whether no outage is noticed at present.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.gate.is_closed()
+    }
+
     /// Returns a request for the path, whose segments are escaped.
     pub(super) fn request(
         &self,
@@ -70,36 +78,42 @@
     }
 
     /// Sends a request when the budget and the breaker let it, and returns its answer.
+    ///
+    /// An attempt may take a part of the call's deadline; a watch may take all of it.
     pub(crate) async fn send(
         &self,
         call: Call,
         request: RequestBuilder,
         deadline: Instant,
     ) -> Result<Answer, Failure> {
-        let permit = match self.gate.pass(call, deadline).await? {
-            Admission::Admitted(permit) | Admission::Probe(permit) => permit,
-            Admission::Refused { .. } => unreachable!("the gate turns it into a failure"),
-        };
+        // A waiting watch must not reserve calls of the far future before others.
+        let latest = deadline.min(Instant::now() + self.call_limit);
+        let permit = self.gate.pass(call, latest).await?;
         let seen = self.revision();
         let sent_at = Instant::now();
         let limit = match call {
-            Call::Watch => deadline,
+            _ if call.is_long() && !permit.is_probe => deadline,
             _ => deadline.min(sent_at + self.attempt_limit),
         };
         let outcome = self.exchange(request, sent_at, limit).await;
-        let name = call.name();
-        match outcome {
-            Ok((answer, revision)) => {
-                self.gate.succeed(permit);
-                counter!("store_calls_total", "call" => name, "outcome" => "answered").increment(1);
-                self.check(call, revision, seen)?;
-                Ok(answer)
-            }
-            Err(failure) => {
-                self.gate.fail(permit, &failure.error);
-                counter!("store_calls_total", "call" => name, "outcome" => "failed").increment(1);
-                Err(failure)
-            }
+        self.report(call, permit, outcome.as_ref().err());
+        let (answer, revision) = outcome?;
+        self.check(call, revision, seen)?;
+        Ok(answer)
+    }
+
+    /// Tells the breaker and the metrics how an attempt ended.
+    fn report(&self, call: Call, permit: Permit, failure: Option<&Failure>) {
+        let outcome = match failure {
+            None => "answered",
+            Some(_) => "failed",
+        };
+        counter!("store_calls_total", "call" => call.name(), "outcome" => outcome).increment(1);
+        match failure {
+            None => self.gate.succeed(permit),
+            // The end of a connection on which a poll waited says little about other calls.
+            Some(failure) if call.is_long() && failure.may_have_run && !permit.is_probe => {}
+            Some(failure) => self.gate.fail(permit, &failure.error),
         }
     }
 
--- a/crates/store/src/client/write.rs
+++ b/crates/store/src/client/write.rs
@@ -124,7 +124,7 @@
                 ("wait_ms", "0".to_owned()),
             ];
             let call = || client.request(Method::GET, &["watch"], &query);
-            let answer = client.repeat(Call::Watch, call, self.deadline).await?;
+            let answer = client.repeat(Call::History, call, self.deadline).await?;
             if answer.status == StatusCode::GONE {
                 let error = Error::new(ErrorKind::StoreUnavailable);
                 return Err(error.context("the changes since the write are no longer kept"));
--- a/crates/store/src/put.rs
+++ b/crates/store/src/put.rs
@@ -11,6 +11,6 @@
     Stored(Revision),
     /// It had no effect, because the key was not as expected.
     Conflict(Option<Item>),
-    /// It had no effect, because its lease has ended.
+    /// Its lease has ended, so that it had no effect or none that lasted.
     LeaseEnded,
 }
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -89,10 +89,13 @@
 
     /// Asks once for changes. The state changes only after the last point at which it waits.
     async fn poll(&mut self) -> Result<(), Error> {
+        // A poll that may become the breaker's probe must be answered at once.
+        let is_closed = self.client.transport().is_closed();
+        let wait = if is_closed { WAIT } else { Duration::ZERO };
         let query = [
             ("prefix", self.prefix.clone()),
             ("after", self.after.to_string()),
-            ("wait_ms", WAIT.as_millis().to_string()),
+            ("wait_ms", wait.as_millis().to_string()),
         ];
         let request = self.client.request(Method::GET, &["watch"], &query);
         let deadline = Instant::now() + WAIT + MARGIN;
--- /dev/null
+++ b/crates/store/tests/limits.rs
@@ -0,0 +1,199 @@
+//! The decisions about when a call is sent.
+
+use proptest::prelude::*;
+use toucanquay_model::Time;
+use toucanquay_store::{Backoff, Breaker, Budget, Stamp, breaker::State};
+
+const PROBE_MICROS: u64 = 1_000_000;
+
+fn opened(now: Time) -> Breaker {
+    let mut breaker = Breaker::new(PROBE_MICROS);
+    while breaker.state() == State::Closed {
+        let permit = breaker.admit(now).unwrap();
+        breaker.fail(permit, now, 0.0);
+    }
+    breaker
+}
+
+fn open_until(breaker: &Breaker) -> Time {
+    match breaker.state() {
+        State::Open { until } => until,
+        other => panic!("not open: {other:?}"),
+    }
+}
+
+/// Guards against a breaker that cuts off a healthy store because of a few lost answers.
+#[test]
+fn breaker_stays_closed_when_answers_come_between_failures() {
+    let now = Time::ZERO;
+    let mut breaker = Breaker::new(PROBE_MICROS);
+
+    for call in 0..100 {
+        let permit = breaker.admit(now).unwrap();
+        if call % 4 == 0 {
+            breaker.succeed(permit);
+        } else {
+            breaker.fail(permit, now, 0.0);
+        }
+    }
+
+    assert_eq!(breaker.state(), State::Closed);
+}
+
+/// Guards against a stampede of calls of one client when the breaker's time has passed.
+#[test]
+fn breaker_lets_one_probe_through() {
+    let mut breaker = opened(Time::ZERO);
+    let until = open_until(&breaker);
+
+    let early = breaker.admit(Time::from_micros(until.as_micros() - 1));
+    let probe = breaker.admit(until);
+    let second = breaker.admit(until);
+
+    assert_eq!((early, second), (None, None));
+    assert!(probe.unwrap().is_probe);
+    assert!(breaker.succeed(probe.unwrap()));
+    assert!(breaker.admit(until).is_some());
+}
+
+/// Guards against a breaker that stays shut for ever because the caller of its probe went away.
+#[test]
+fn lost_probe_is_replaced() {
+    let mut breaker = opened(Time::ZERO);
+    let until = open_until(&breaker);
+    let lost = breaker.admit(until).unwrap();
+    let later = until.plus_micros(PROBE_MICROS);
+
+    let next = breaker.admit(later).unwrap();
+    let is_closed_by_lost = breaker.succeed(lost);
+    let is_closed_by_next = breaker.succeed(next);
+
+    assert_eq!((is_closed_by_lost, is_closed_by_next), (false, true));
+}
+
+/// Guards against late failures of an outage that open the breaker again after its end.
+#[test]
+fn outcomes_of_an_earlier_state_are_ignored() {
+    let now = Time::ZERO;
+    let mut breaker = Breaker::new(PROBE_MICROS);
+    let late = breaker.admit(now).unwrap();
+    while breaker.state() == State::Closed {
+        let permit = breaker.admit(now).unwrap();
+        breaker.fail(permit, now, 0.0);
+    }
+    let until = open_until(&breaker);
+    let probe = breaker.admit(until).unwrap();
+    breaker.succeed(probe);
+
+    for _ in 0..100 {
+        breaker.fail(late, until, 0.0);
+    }
+
+    assert_eq!(breaker.state(), State::Closed);
+}
+
+/// Guards against a lease that ends because its keep-alive waits behind other calls.
+#[test]
+fn urgent_call_does_not_wait_and_is_paid_for() {
+    let now = Time::ZERO;
+    let mut budget = Budget::new(10, now);
+    while budget.take(now, now.plus_millis(1_000)).is_some() {}
+
+    let is_sent = budget.take_urgent(now);
+    let next = budget.take(now, Time::NEVER);
+
+    assert!(is_sent);
+    assert_eq!(next, Some(now.plus_millis(1_200)));
+}
+
+proptest! {
+    /// Guards against a budget that lets more calls through than its rate and one burst.
+    #[test]
+    fn budget_bounds_every_window(
+        rate in 1_u32..200,
+        steps in prop::collection::vec((0_u64..400_000, any::<bool>()), 1..200),
+    ) {
+        let mut now = Time::ZERO;
+        let mut budget = Budget::new(rate, now);
+        let mut sent = Vec::new();
+        for (step, can_wait) in steps {
+            now = now.plus_micros(step);
+            let latest = if can_wait { now.plus_millis(500) } else { now };
+            sent.extend(budget.take(now, latest));
+        }
+
+        prop_assert!(sent.is_sorted());
+        for (first, from) in sent.iter().enumerate() {
+            let within = sent[first..].partition_point(|at| at.micros_since(*from) < 1_000_000);
+            prop_assert!(within <= 2 * rate as usize);
+        }
+    }
+
+    /// Guards against a drained bucket that still lets a burst through.
+    #[test]
+    fn drained_budget_spaces_calls(rate in 1_u32..200, quiet in 0_u64..10_000_000) {
+        let now = Time::from_micros(quiet);
+        let mut budget = Budget::new(rate, Time::ZERO);
+        budget.drain(now);
+
+        let first = budget.take(now, Time::NEVER).unwrap();
+        let second = budget.take(now, Time::NEVER).unwrap();
+
+        let interval = 1_000_000 / u64::from(rate);
+        prop_assert_eq!(first.micros_since(now), interval);
+        prop_assert_eq!(second.micros_since(first), interval);
+    }
+
+    /// Guards against waits that shrink, outgrow their limit or lose their jitter.
+    #[test]
+    fn backoff_stays_in_its_range(failures in 0_u32..100, random in 0.0_f64..1.0) {
+        let backoff = Backoff::new(20_000, 2_000_000);
+
+        let wait = backoff.wait_micros(failures, random);
+
+        let longest = backoff.wait_micros(failures, 1.0);
+        prop_assert!(wait <= longest && longest <= 2_000_000);
+        prop_assert!(wait >= longest / 2);
+        prop_assert!(longest <= backoff.wait_micros(failures + 1, 1.0));
+    }
+
+    /// Guards against a breaker that admits two calls between two outcomes while it isn't closed.
+    #[test]
+    fn breaker_admits_one_call_at_a_time_until_it_closes(
+        steps in prop::collection::vec((0_u64..3_000_000, any::<bool>(), 0.0_f64..1.0), 1..300),
+    ) {
+        let mut now = Time::ZERO;
+        let mut breaker = opened(now);
+        let mut last = None;
+        for (step, is_success, random) in steps {
+            now = now.plus_micros(step);
+            let Some(permit) = breaker.admit(now) else { continue };
+            if permit.is_probe {
+                let since = last.map_or(u64::MAX, |last| now.micros_since(last));
+                prop_assert!(since >= 250_000, "two probes within {since} us");
+                last = Some(now);
+            }
+            prop_assert!(!permit.is_probe || breaker.admit(now).is_none());
+            if is_success {
+                breaker.succeed(permit);
+                last = None;
+            } else {
+                breaker.fail(permit, now, random);
+            }
+        }
+    }
+
+    /// Guards against a value that changes on its way, or a foreign one that is taken as stamped.
+    #[test]
+    fn stamp_and_value_survive(
+        writer in "[!-~]{1,128}",
+        sequence in any::<u64>(),
+        value in any::<String>(),
+    ) {
+        let stamp = Stamp { writer, sequence };
+        let sealed = stamp.seal(&value);
+
+        prop_assert_eq!(Stamp::open(&sealed), (Some(stamp), value.as_str()));
+        prop_assert_eq!(Stamp::open(&value), (None, value.as_str()));
+    }
+}
