--- a/crates/control/src/cell/ending.rs
+++ b/crates/control/src/cell/ending.rs
@@ -195,7 +195,7 @@
         }
     }
 
-    /// Gives up the lease of an attempt and returns its task's key.
+    /// Gives up the lease of an attempt.
     pub(super) fn release(&mut self, key: RunKey) {
         let Some(run) = self.runs.remove(key) else {
             return;
--- a/crates/control/src/cell/receive.rs
+++ b/crates/control/src/cell/receive.rs
@@ -124,11 +124,35 @@
             self.update(run, report, line, now);
         } else if line.attempt > last && phase != Phase::Done && phase != Phase::Ending {
             self.adopt(key, worker, report, line, now);
+        } else if self.is_unrecorded_end(key, line) {
+            self.detach(key);
+            self.end(key, line.attempt, worker, &line.state, now);
         } else if phase != Phase::Ending || line.attempt != last {
             self.reject(worker, line);
         }
     }
 
+    /// Tells whether a line has the end of a task's newest attempt, whose lease bound has passed
+    /// and which no other attempt has replaced. Its result still counts.
+    fn is_unrecorded_end(&self, key: TaskKey, line: &TaskReport) -> bool {
+        let job = &self.jobs[key.job];
+        let task = &job.tasks[key.index as usize];
+        let is_waiting = matches!(task.phase, Phase::Waiting | Phase::Backoff(_));
+        let is_result = matches!(
+            line.state,
+            TaskState::Finished
+                | TaskState::Failed { .. }
+                | TaskState::Stopped {
+                    checkpoint: Some(_)
+                }
+        );
+        let recorded = job
+            .records
+            .get(&key.index)
+            .map(|(_, record)| record.attempt);
+        is_waiting && is_result && line.attempt == task.last && recorded != Some(line.attempt)
+    }
+
     fn task_key(&self, line: &TaskReport) -> Option<TaskKey> {
         let job = *self.job_ids.get(&line.task.job)?;
         let count = self.jobs.get(job)?.spec.tasks;
--- /dev/null
+++ b/crates/control/tests/runs.rs
@@ -0,0 +1,82 @@
+//! Randomised runs of owners, companions, runtimes and a store with all faults at once.
+//!
+//! `docs/testing.md` has the commands for longer runs and for the replay of a seed.
+
+mod sim;
+
+use std::{cell::RefCell, env};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use sim::{Counts, Plan, World};
+
+/// Runs of the short set.
+const CASES: u32 = 24;
+
+fn setting(name: &str) -> Option<u64> {
+    env::var(name).ok().and_then(|text| text.parse().ok())
+}
+
+fn run(plan: Plan) -> Counts {
+    eprintln!(
+        "run: TOUCANQUAY_SEED={} TOUCANQUAY_HOSTS={} TOUCANQUAY_SECONDS={}",
+        plan.seed, plan.hosts, plan.seconds
+    );
+    let mut world = World::new(plan);
+    world.run(plan);
+    let mut counts = world.counts.clone();
+    counts.0.insert("steps", world.steps);
+    counts
+}
+
+/// Guards against double execution, overcommitted workers, lost or repeated work and effects that
+/// are acknowledged and then lost, under all faults at once.
+#[test]
+fn invariants_hold_under_faults() {
+    if let Some(seed) = setting("TOUCANQUAY_SEED") {
+        let plan = Plan {
+            seed,
+            hosts: setting("TOUCANQUAY_HOSTS").unwrap_or(4) as usize,
+            seconds: setting("TOUCANQUAY_SECONDS").unwrap_or(120),
+        };
+        println!("{:#?}", run(plan).0);
+        return;
+    }
+    let cases = setting("TOUCANQUAY_CASES").map_or(CASES, |cases| cases as u32);
+    let seconds_max = setting("TOUCANQUAY_SECONDS").unwrap_or(300);
+    let base = setting("TOUCANQUAY_BASE").unwrap_or(0);
+    let mut bytes = [7; 32];
+    bytes[..8].copy_from_slice(&base.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 40,
+        ..Config::default()
+    };
+    let strategy = (any::<u64>(), 2..6_usize, 60..=seconds_max);
+    let total = RefCell::new(Counts::default());
+
+    let result = TestRunner::new_with_rng(config, rng).run(&strategy, |(seed, hosts, seconds)| {
+        let plan = Plan {
+            seed,
+            hosts,
+            seconds,
+        };
+        total.borrow_mut().merge(&run(plan));
+        Ok(())
+    });
+
+    if let Err(error) = result {
+        panic!("seed, hosts and seconds of the smallest failing run are below\n{error}");
+    }
+    let total = total.into_inner();
+    println!("{:#?}", total.0);
+    assert_eq!(
+        total.missing(),
+        Vec::<&str>::new(),
+        "faults never exercised"
+    );
+}
