--- /dev/null
+++ b/crates/policy/benches/requests/deployment.rs
@@ -0,0 +1,66 @@
+//! The two deployments at the sizes of today.
+
+use clap::ValueEnum;
+
+/// Zones, workers and the lookups of one deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Deployment {
+    /// Stile desk lookups: 1 ms to clients, 32 processors to a worker.
+    Dolmaru,
+    /// Part lookups: 3 ms to clients, 16 processors to a worker.
+    Cascade,
+}
+
+impl Deployment {
+    /// Zone of each worker.
+    pub const WORKERS: [usize; 11] = [0, 1, 2, 0, 1, 2, 0, 1, 2, 0, 1];
+    /// Zones; one entry runs in each.
+    pub const ZONES: [&str; 3] = ["a", "b", "c"];
+    /// Share of the clients that reach each entry.
+    pub const CLIENTS: [f64; 3] = [0.4, 0.3, 0.3];
+    /// Requests that a worker handles at once.
+    pub const SLOTS: u32 = 8;
+    /// Connections that a worker accepts.
+    pub const CONNECTIONS: usize = 64;
+
+    /// One way between client and entry, in microseconds.
+    pub const fn client_micros(self) -> u64 {
+        match self {
+            Self::Dolmaru => 1_000,
+            Self::Cascade => 3_000,
+        }
+    }
+
+    /// Median service time on an idle worker, in microseconds.
+    pub const fn service_micros(self) -> f64 {
+        match self {
+            Self::Dolmaru => 6_000.0,
+            Self::Cascade => 12_000.0,
+        }
+    }
+
+    /// Slow-down of a request when all slots of a worker are busy. Fewer processors share more.
+    pub const fn contention(self) -> f64 {
+        match self {
+            Self::Dolmaru => 0.15,
+            Self::Cascade => 0.3,
+        }
+    }
+
+    /// Deadline after arrival at the entry, in microseconds.
+    pub const fn deadline_micros(self) -> u64 {
+        match self {
+            Self::Dolmaru => 100_000,
+            Self::Cascade => 200_000,
+        }
+    }
+
+    /// One way between an entry and a worker, in microseconds.
+    pub const fn way_micros(entry: usize, worker: usize) -> u64 {
+        if Self::WORKERS[worker] == entry {
+            100
+        } else {
+            500
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/requests/scenario.rs
@@ -0,0 +1,77 @@
+//! Load, noise and faults over the time of one run.
+
+use clap::ValueEnum;
+
+/// One second in microseconds.
+pub const SECOND: u64 = 1_000_000;
+
+/// Length of a run.
+pub const END: u64 = 60 * SECOND;
+
+/// Part of a run in which the peak or the fault takes place.
+pub const WINDOW: std::ops::Range<u64> = 20 * SECOND..40 * SECOND;
+
+/// Time in which the demand rises to the peak.
+const RAMP: u64 = 2 * SECOND;
+
+/// What happens in a run. Demand is given as a share of the capacity with all slots busy and under
+/// usual noise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Scenario {
+    /// Demand 0.4.
+    Calm,
+    /// Demand 0.22, times four in the window.
+    Peak,
+    /// Demand 0.3, times four in the window: more than the capacity.
+    Flood,
+    /// Demand 0.22, times four in every other period of 3 s.
+    Swing,
+    /// Demand 0.5; four workers at a time are slowed down three times for 3 s.
+    Wave,
+    /// Demand 0.6; a host is dead in the window.
+    HostLoss,
+    /// Demand 0.5; a worker fails everything at once in the window.
+    BlackHole,
+    /// Peak and wave, reports lag by 1 s.
+    Lag1,
+    /// Peak and wave, reports lag by 10 s.
+    Lag10,
+}
+
+impl Scenario {
+    /// Demand at `now` as a share of the capacity.
+    pub fn demand(self, now: u64) -> f64 {
+        match self {
+            Self::Calm => 0.4,
+            Self::Peak => 0.22 * Self::peak(now),
+            Self::Lag1 | Self::Lag10 => 0.18 * Self::peak(now),
+            Self::Flood => 0.3 * Self::peak(now),
+            Self::Swing if (now / (3 * SECOND)) % 2 == 1 => 0.88,
+            Self::Swing => 0.22,
+            Self::Wave | Self::BlackHole => 0.5,
+            Self::HostLoss => 0.6,
+        }
+    }
+
+    /// Lag of the companions' reports, in microseconds.
+    pub const fn lag(self) -> u64 {
+        match self {
+            Self::Lag1 => SECOND,
+            Self::Lag10 => 10 * SECOND,
+            _ => 1_000,
+        }
+    }
+
+    /// Tells whether batch work slows down workers in waves.
+    pub const fn has_waves(self) -> bool {
+        matches!(self, Self::Wave | Self::Lag1 | Self::Lag10)
+    }
+
+    fn peak(now: u64) -> f64 {
+        if !WINDOW.contains(&now) {
+            return 1.0;
+        }
+        let risen = ((now - WINDOW.start) as f64 / RAMP as f64).min(1.0);
+        1.0 + 3.0 * risen
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/requests/table.rs
@@ -0,0 +1,98 @@
+//! Output as a table and as CSV.
+
+use std::io::{self, Write};
+
+use clap::ValueEnum;
+
+use crate::{
+    deployment::Deployment,
+    policy::Policy,
+    scenario::Scenario,
+    tally::{End, Tally},
+};
+
+/// Result of one run.
+#[derive(Debug)]
+pub struct Row {
+    pub deployment: Deployment,
+    pub scenario: Scenario,
+    pub policy: Policy,
+    pub seed: u64,
+    pub window: Tally,
+    pub whole: Tally,
+}
+
+/// Prints the figures of the window of each run.
+pub fn print(rows: &[Row]) {
+    println!(
+        "{:<8} {:<10} {:<15} {:>8} {:>9} {:>8} {:>9} {:>8} {:>8} {:>8} {:>8} {:>6}",
+        "where",
+        "scenario",
+        "policy",
+        "offered",
+        "in time %",
+        "late %",
+        "refused %",
+        "failed %",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "sends"
+    );
+    for row in rows {
+        let tally = &row.window;
+        println!(
+            "{:<8} {:<10} {:<15} {:>8} {:>9.3} {:>8.3} {:>9.3} {:>8.3} {:>8.2} {:>8.2} {:>8.2} {:>6.3}",
+            name(&row.deployment),
+            name(&row.scenario),
+            name(&row.policy),
+            tally.offered(),
+            tally.percent(End::InTime),
+            tally.percent(End::Late),
+            tally.percent(End::Refused),
+            tally.percent(End::Failed),
+            tally.millis(0.5),
+            tally.millis(0.99),
+            tally.millis(0.999),
+            tally.sends_per_request()
+        );
+    }
+}
+
+/// Writes the figures of the window and of the whole of each run.
+///
+/// # Errors
+///
+/// Any error of the writer.
+pub fn write_csv(rows: &[Row], mut to: impl Write) -> io::Result<()> {
+    writeln!(
+        to,
+        "deployment,scenario,policy,seed,part,in_time,late,refused,failed,sends,p50_us,p99_us,p999_us"
+    )?;
+    for row in rows {
+        for (part, tally) in [("window", &row.window), ("whole", &row.whole)] {
+            let [in_time, late, refused, failed] = tally.counts;
+            let at = |quantile| tally.latency_micros.value_at_quantile(quantile);
+            writeln!(
+                to,
+                "{},{},{},{},{part},{in_time},{late},{refused},{failed},{},{},{},{}",
+                name(&row.deployment),
+                name(&row.scenario),
+                name(&row.policy),
+                row.seed,
+                tally.sends,
+                at(0.5),
+                at(0.99),
+                at(0.999)
+            )?;
+        }
+    }
+    Ok(())
+}
+
+fn name(value: &impl ValueEnum) -> String {
+    value
+        .to_possible_value()
+        .map(|value| value.get_name().to_owned())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/policy/benches/requests/tally.rs
@@ -0,0 +1,67 @@
+//! Counts and latencies of one run.
+
+use hdrhistogram::Histogram;
+
+/// Longer latencies are counted as this one. It is the length of a run.
+const LATENCY_MICROS_MAX: u64 = 60_000_000;
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Answered within the deadline.
+    InTime,
+    /// Answered after the deadline.
+    Late,
+    /// Refused as not run.
+    Refused,
+    /// Answered with an error.
+    Failed,
+}
+
+/// Counts of requests by their end, and latencies of the answered ones.
+#[derive(Debug, Clone)]
+pub struct Tally {
+    pub counts: [u64; 4],
+    /// Sends to workers, refused and repeated ones included.
+    pub sends: u64,
+    pub latency_micros: Histogram<u64>,
+}
+
+impl Tally {
+    pub fn new() -> Self {
+        let latency_micros =
+            Histogram::new_with_max(LATENCY_MICROS_MAX, 3).expect("three digits are supported");
+        Self {
+            counts: [0; 4],
+            sends: 0,
+            latency_micros,
+        }
+    }
+
+    pub fn add(&mut self, end: End, micros: u64, sends: u32) {
+        self.sends += u64::from(sends);
+        self.counts[end as usize] += 1;
+        if matches!(end, End::InTime | End::Late) {
+            self.latency_micros.saturating_record(micros);
+        }
+    }
+
+    pub fn offered(&self) -> u64 {
+        self.counts.iter().sum()
+    }
+
+    /// Sends for each offered request.
+    pub fn sends_per_request(&self) -> f64 {
+        self.sends as f64 / self.offered().max(1) as f64
+    }
+
+    /// Share of the offered requests with this end, in percent.
+    pub fn percent(&self, end: End) -> f64 {
+        100.0 * self.counts[end as usize] as f64 / self.offered().max(1) as f64
+    }
+
+    /// Latency at a quantile, in milliseconds.
+    pub fn millis(&self, quantile: f64) -> f64 {
+        self.latency_micros.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
