--- a/crates/policy/benches/requests/main.rs
+++ b/crates/policy/benches/requests/main.rs
@@ -11,7 +11,16 @@
 mod tally;
 mod worker;
 
-use std::{fs::File, path::PathBuf, process::ExitCode};
+use std::{
+    fs::File,
+    path::PathBuf,
+    process::ExitCode,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+};
 
 use clap::{Parser, ValueEnum};
 
@@ -39,6 +48,9 @@
     /// File for the rows as CSV, of the window and of the whole run.
     #[arg(long)]
     csv: Option<PathBuf>,
+    /// Runs at a time. The figures do not depend on it.
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
     /// Passed by cargo; without effect.
     #[arg(long, hide = true)]
     bench: bool,
@@ -61,23 +73,41 @@
 }
 
 fn run(args: &Args) -> Vec<Row> {
-    let mut rows = Vec::new();
+    let mut runs = Vec::new();
     for deployment in chosen(&args.deployment) {
         for scenario in chosen(&args.scenario) {
             for policy in chosen(&args.policy) {
-                let (window, whole) = Model::new(deployment, scenario, policy, args.seed).run();
-                rows.push(Row {
-                    deployment,
-                    scenario,
-                    policy,
-                    seed: args.seed,
-                    window,
-                    whole,
-                });
+                runs.push((deployment, scenario, policy));
             }
         }
     }
-    rows
+    let next = AtomicUsize::new(0);
+    let rows = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..args.threads {
+            scope.spawn(|| {
+                while let Some(&run) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let row = row(run, args.seed);
+                    rows.lock().expect("no run panics").push((run, row));
+                }
+            });
+        }
+    });
+    let mut rows = rows.into_inner().expect("no run panics");
+    rows.sort_by_key(|&(run, _)| runs.iter().position(|&other| other == run));
+    rows.into_iter().map(|(_, row)| row).collect()
+}
+
+fn row((deployment, scenario, policy): (Deployment, Scenario, Policy), seed: u64) -> Row {
+    let (window, whole) = Model::new(deployment, scenario, policy, seed).run();
+    Row {
+        deployment,
+        scenario,
+        policy,
+        seed,
+        window,
+        whole,
+    }
 }
 
 fn chosen<T: ValueEnum>(values: &[T]) -> Vec<T> {
