policy: a refusal bounds a limit by what was accepted and is probed stepwise

Cause: each refusal raised the estimate of the load of others to all slots not in use by this entry, and it fell by one slot in as many answers as there are slots; a sample of the in-flight figure each second moved it by chance. Slots stood idle while requests waited.

Change: after a refusal an entry keeps as many in flight as were accepted, and tries one more after each pause. Reports only compare upstreams.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -21,13 +21,17 @@
 /// Weight of a new report in the average of the load that other entries cause.
 const REPORT_WEIGHT: f64 = 0.5;
 
-/// Shortest and longest pause after a refusal, in microseconds.
-const PAUSE_MICROS: std::ops::RangeInclusive<u64> = 1_000..=64_000;
+/// Longest pause before each step above the accepted requests, as a multiple of the latency.
+const PAUSE_LATENCIES_MAX: f64 = 2.0;
+
+/// Shortest pause, in microseconds: the way to a companion in another zone and back.
+const PAUSE_MICROS_MIN: u64 = 1_000;
 
 /// Limit on the requests in flight at one upstream, never above its slots.
 ///
-/// The limit counts the load of all entries. The load that others cause is learned from the
-/// figures that the companion reports, which lag, and from its refusals, which do not.
+/// Other entries send to the same upstream. Their load is learned from the companion's refusals,
+/// which are fresh and bound what this entry sends, and from the figures that the companion
+/// reports, which lag and serve only to compare upstreams.
 ///
 /// # Examples
 ///
@@ -48,8 +52,9 @@
     fast_micros: f64,
     slow_micros: f64,
     samples_since_change: u32,
+    accepted: u32,
+    refused_at: Time,
     pause_micros: u64,
-    paused_until: Time,
 }
 
 impl Limit {
@@ -63,8 +68,9 @@
             fast_micros: 0.0,
             slow_micros: 0.0,
             samples_since_change: 0,
-            pause_micros: *PAUSE_MICROS.start(),
-            paused_until: Time::ZERO,
+            accepted: slots,
+            refused_at: Time::ZERO,
+            pause_micros: PAUSE_MICROS_MIN,
         }
     }
 
@@ -86,25 +92,25 @@
         self.others
     }
 
-    /// Returns the time before which nothing is sent, after a refusal.
-    #[must_use]
-    pub const fn paused_until(&self) -> Time {
-        self.paused_until
-    }
-
     /// Returns how many more requests this entry may send while `own` of its requests are in
     /// flight.
     ///
-    /// One request is always allowed outside a pause, since an entry that sends nothing cannot
-    /// learn that its estimate of the load of others is too high.
+    /// After a refusal that is as many as the companion accepted, and one more after each pause.
     #[must_use]
     pub fn room(&self, own: u32, now: Time) -> u32 {
-        if now < self.paused_until {
-            return 0;
-        }
-        let current = self.current();
-        let others = (self.others.round() as u32).min(current.saturating_sub(1));
-        (current - others).saturating_sub(own)
+        let steps = now.micros_since(self.refused_at) / self.pause_micros;
+        let allowed = u64::from(self.accepted).saturating_add(steps);
+        allowed
+            .min(u64::from(self.current()))
+            .saturating_sub(u64::from(own)) as u32
+    }
+
+    /// Returns the next time after `now` at which the room grows, if a refusal still limits it.
+    #[must_use]
+    pub fn next_step(&self, now: Time) -> Option<Time> {
+        let steps = now.micros_since(self.refused_at) / self.pause_micros;
+        let is_limited = u64::from(self.accepted) + steps < u64::from(self.slots);
+        is_limited.then(|| self.refused_at.plus_micros((steps + 1) * self.pause_micros))
     }
 
     /// Changes the slots; the limit keeps its share of them.
@@ -129,25 +135,24 @@
 
     /// Takes in a refusal for lack of slots, while `own` other requests are in flight.
     ///
-    /// The slots that this entry does not use must be in use by others. Nothing is sent for a
-    /// pause that doubles with each refusal in a row.
+    /// The pause doubles when the refusal hits the first step after the last one.
     pub fn refused(&mut self, own: u32, now: Time) {
-        let others = f64::from(self.slots.saturating_sub(own));
-        self.others = self.others.max(others);
-        self.paused_until = self.paused_until.max(now.plus_micros(self.pause_micros));
-        self.pause_micros = (self.pause_micros * 2).min(*PAUSE_MICROS.end());
+        let steps = now.micros_since(self.refused_at) / self.pause_micros;
+        let longest = (self.fast_micros * PAUSE_LATENCIES_MAX) as u64;
+        match steps {
+            0 => {}
+            1 => self.pause_micros = (self.pause_micros * 2).min(longest),
+            _ => self.pause_micros = (self.fast_micros / f64::from(self.slots.max(1))) as u64,
+        }
+        self.pause_micros = self.pause_micros.max(PAUSE_MICROS_MIN);
+        self.accepted = own;
+        self.refused_at = now;
     }
 
-    /// Takes in a whole answer that took `latency_micros`, while `own` requests are in flight.
-    pub fn answered(&mut self, own: u32, latency_micros: f64) {
-        self.pause_micros = *PAUSE_MICROS.start();
+    /// Takes in a whole answer that took `latency_micros`.
+    pub fn answered(&mut self, latency_micros: f64) {
         self.learn_latency(latency_micros);
-        let current = f64::from(self.current().max(1));
-        if f64::from(own) + self.others + 1.0 >= current {
-            // Probes for slots that others have released since the last report or refusal.
-            self.others = (self.others - 1.0 / current).max(0.0);
-        }
-        self.adapt(current);
+        self.adapt(f64::from(self.current().max(1)));
     }
 
     fn learn_latency(&mut self, micros: f64) {
--- a/crates/policy/src/route/candidate.rs
+++ b/crates/policy/src/route/candidate.rs
@@ -129,16 +129,16 @@
 
     /// Returns the next time after `now` at which the room may grow without an event.
     pub(super) fn next_change(&self, now: Time) -> Option<Time> {
-        let pause = self.limit.paused_until();
-        if pause > now {
-            return Some(pause);
-        }
         let slots = u64::from(self.limit.slots());
         let share = u64::from(self.share(now));
-        (share < slots).then(|| {
+        let slow_start = (share < slots).then(|| {
             let step = (share + 1) * SLOW_START_MICROS / slots;
             self.since.plus_micros(step).max(now.plus_micros(1))
-        })
+        });
+        [slow_start, self.limit.next_step(now)]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns the slots that slow start opens: one at first, all after [`SLOW_START_MICROS`].
--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -188,7 +188,7 @@
                 Outcome::Answered => {
                     let micros = (latency_micros as f64 - way).max(1.0);
                     candidate.learn_latency(micros);
-                    candidate.limit.answered(candidate.in_flight, micros);
+                    candidate.limit.answered(micros);
                 }
                 Outcome::Refused => candidate.limit.refused(candidate.in_flight, now),
                 Outcome::Leaving => candidate.state = State::Draining,
