--- a/crates/policy/benches/requests/main.rs
+++ b/crates/policy/benches/requests/main.rs
@@ -29,13 +29,14 @@
 use policy::Policy;
 use scenario::Scenario;
 use table::Row;
+use tally::Tally;
 
 /// Runs each policy through each scenario and prints a table of the window of the peak or fault.
 #[derive(Debug, Parser)]
 struct Args {
-    /// Seed of all random figures.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    /// Seeds of all random figures; the runs of several are pooled.
+    #[arg(long, value_delimiter = ',', default_value = "1")]
+    seed: Vec<u64>,
     /// Deployments to run; all when none is given.
     #[arg(long, value_delimiter = ',')]
     deployment: Vec<Deployment>,
@@ -87,7 +88,7 @@
         for _ in 0..args.threads {
             scope.spawn(|| {
                 while let Some(&run) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let row = row(run, args.seed);
+                    let row = row(run, &args.seed);
                     rows.lock().expect("no run panics").push((run, row));
                 }
             });
@@ -98,13 +99,17 @@
     rows.into_iter().map(|(_, row)| row).collect()
 }
 
-fn row((deployment, scenario, policy): (Deployment, Scenario, Policy), seed: u64) -> Row {
-    let (window, whole) = Model::new(deployment, scenario, policy, seed).run();
+fn row((deployment, scenario, policy): (Deployment, Scenario, Policy), seeds: &[u64]) -> Row {
+    let (mut window, mut whole) = (Tally::new(), Tally::new());
+    for &seed in seeds {
+        let tallies = Model::new(deployment, scenario, policy, seed).run();
+        window.merge(&tallies.0);
+        whole.merge(&tallies.1);
+    }
     Row {
         deployment,
         scenario,
         policy,
-        seed,
         window,
         whole,
     }
--- a/crates/policy/benches/requests/table.rs
+++ b/crates/policy/benches/requests/table.rs
@@ -17,7 +17,6 @@
     pub deployment: Deployment,
     pub scenario: Scenario,
     pub policy: Policy,
-    pub seed: u64,
     pub window: Tally,
     pub whole: Tally,
 }
@@ -67,7 +66,7 @@
 pub fn write_csv(rows: &[Row], mut to: impl Write) -> io::Result<()> {
     writeln!(
         to,
-        "deployment,scenario,policy,seed,part,in_time,late,refused,failed,sends,p50_us,p99_us,p999_us"
+        "deployment,scenario,policy,part,in_time,late,refused,failed,sends,p50_us,p99_us,p999_us"
     )?;
     for row in rows {
         for (part, tally) in [("window", &row.window), ("whole", &row.whole)] {
@@ -75,11 +74,10 @@
             let at = |quantile| tally.latency_micros.value_at_quantile(quantile);
             writeln!(
                 to,
-                "{},{},{},{},{part},{in_time},{late},{refused},{failed},{},{},{},{}",
+                "{},{},{},{part},{in_time},{late},{refused},{failed},{},{},{},{}",
                 name(&row.deployment),
                 name(&row.scenario),
                 name(&row.policy),
-                row.seed,
                 tally.sends,
                 at(0.5),
                 at(0.99),
--- a/crates/policy/benches/requests/tally.rs
+++ b/crates/policy/benches/requests/tally.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    pub fn merge(&mut self, other: &Self) {
+        for (count, more) in self.counts.iter_mut().zip(other.counts) {
+            *count += more;
+        }
+        self.sends += other.sends;
+        self.latency_micros
+            .add(&other.latency_micros)
+            .expect("both hold the same range");
+    }
+
     pub fn offered(&self) -> u64 {
         self.counts.iter().sum()
     }
