policy: compare upstreams by load times latency

Change: the cost of a candidate is its load times its latency. A latency counts for less the older it is; otherwise an upstream that was slow once would not be tried again.

--- a/crates/policy/src/route/candidate.rs
+++ b/crates/policy/src/route/candidate.rs
@@ -12,6 +12,9 @@
 /// Weight of a new latency in the average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Age at which a latency counts for half, in microseconds.
+const LATENCY_AGE_MICROS: f64 = 1_000_000.0;
+
 /// One upstream, as the router sees it.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -21,6 +24,7 @@
     pub(super) limit: Limit,
     pub(super) in_flight: u32,
     pub(super) latency_micros: f64,
+    pub(super) answered_at: Time,
     pub(super) is_warm: bool,
     pub(super) since: Time,
     pub(super) ready_at: Option<usize>,
@@ -36,6 +40,7 @@
             limit: Limit::new(slots),
             in_flight: 0,
             latency_micros: 0.0,
+            answered_at: since,
             is_warm: false,
             since,
             ready_at: None,
@@ -102,6 +107,14 @@
         (f64::from(self.in_flight) + self.limit.others() + 1.0) / f64::from(share)
     }
 
+    /// Returns what one more request costs here: the load times the latency.
+    ///
+    /// A latency counts for less the older it is, so that a candidate that was slow is tried again.
+    pub(super) fn cost(&self, now: Time) -> f64 {
+        let age = now.micros_since(self.answered_at) as f64 / LATENCY_AGE_MICROS;
+        self.load(now) * self.latency_micros / (1.0 + age)
+    }
+
     /// Returns the expected wait behind other requests, in microseconds.
     ///
     /// The next of the slots in use is free after the latency over their number; the square of the
@@ -120,7 +133,8 @@
         self.since = now;
     }
 
-    pub(super) fn learn_latency(&mut self, micros: f64) {
+    pub(super) fn learn_latency(&mut self, micros: f64, now: Time) {
+        self.answered_at = now;
         if self.latency_micros == 0.0 {
             self.latency_micros = micros;
         }
--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -187,7 +187,7 @@
             match outcome {
                 Outcome::Answered => {
                     let micros = (latency_micros as f64 - way).max(1.0);
-                    candidate.learn_latency(micros);
+                    candidate.learn_latency(micros, now);
                     candidate.limit.answered(micros);
                 }
                 Outcome::Refused => candidate.limit.refused(candidate.in_flight, now),
@@ -274,10 +274,7 @@
             return first.or(second);
         };
         let (a, b) = (&self.candidates[one], &self.candidates[other]);
-        let order = a
-            .load(now)
-            .total_cmp(&b.load(now))
-            .then(a.latency_micros.total_cmp(&b.latency_micros));
+        let order = a.cost(now).total_cmp(&b.cost(now));
         Some(if order.is_le() { one } else { other })
     }
 
