policy: average the reported load over more heartbeats

Cause: one figure each second is a sample of a quantity that changes within a service time; with a weight of 0.5 it ranked upstreams by chance.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -18,8 +18,9 @@
 /// less work than this, so a lower limit would only shed.
 const FLOOR_SHARE: f64 = 0.5;
 
-/// Weight of a new report in the average of the load that other entries cause.
-const REPORT_WEIGHT: f64 = 0.5;
+/// Weight of a new report in the average of the load that other entries cause. One report is a
+/// sample of a figure that changes within a service time, so only the average of many says much.
+const REPORT_WEIGHT: f64 = 0.05;
 
 /// Longest pause before each step above the accepted requests, as a multiple of the latency.
 const PAUSE_LATENCIES_MAX: f64 = 2.0;
