policy: shorter pauses between steps above the accepted requests

Cause: with pauses of up to two latencies a slot that another entry frees stands idle while requests wait here.

Set to 0.5: half a refused send more for each request in the flood is cheap against idle slots.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -23,7 +23,7 @@
 const REPORT_WEIGHT: f64 = 0.05;
 
 /// Longest pause before each step above the accepted requests, as a multiple of the latency.
-const PAUSE_LATENCIES_MAX: f64 = 2.0;
+const PAUSE_LATENCIES_MAX: f64 = 0.5;
 
 /// Shortest pause, in microseconds: the way to a companion in another zone and back.
 const PAUSE_MICROS_MIN: u64 = 1_000;
