policy: shorter waits in a standing queue

Cause: under lasting overload every served request waits half its deadline, which serves no more of them.

Change: when the queue was not empty for 200 ms, requests may wait a fifth of their remaining time in place of half of it.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -23,9 +23,16 @@
 /// Width of a class of deadlines, in microseconds. The rank of a new request is counted by class.
 const CLASS_MICROS: u64 = 10_000;
 
-/// Share of its remaining time that a request may be expected to wait. The rest is left for the
-/// tail of the service time.
-const WAIT_SHARE: f64 = 0.5;
+/// Share of its remaining time that a request may be expected to wait in a burst. The rest is left
+/// for the tail of the service time.
+const BURST_WAIT_SHARE: f64 = 0.5;
+
+/// The same in a standing queue. Such a queue serves no more requests than a short one and only
+/// delays them all.
+const STANDING_WAIT_SHARE: f64 = 0.2;
+
+/// A queue that has not been empty for so long, in microseconds, is a standing one.
+const STANDING_MICROS: u64 = 200_000;
 
 /// Queue ordered by deadline that sheds early what cannot be served in time.
 ///
@@ -51,6 +58,7 @@
     classes: BTreeMap<u64, usize>,
     interval_micros: f64,
     service_micros: f64,
+    waiting_since: Time,
 }
 
 impl<K: Copy> Queue<K> {
@@ -64,6 +72,7 @@
             classes: BTreeMap::new(),
             interval_micros: 0.0,
             service_micros: 0.0,
+            waiting_since: Time::ZERO,
         }
     }
 
@@ -105,6 +114,9 @@
     /// after which a repeat would find room.
     pub fn push(&mut self, deadline: Time, excluded: &[K], now: Time) -> Result<Ticket, Shed> {
         let position = deadline.min(now.plus_micros(POSITION_MICROS_MAX));
+        if self.is_empty() {
+            self.waiting_since = now;
+        }
         self.check(deadline, position, now)?;
         let slack = deadline.micros_since(now) - self.service_micros as u64;
         let expires_at = now.plus_micros(slack);
@@ -157,7 +169,12 @@
         if slack <= 0.0 {
             return Err(Shed::new(Reason::Deadline, wait));
         }
-        if wait > slack * WAIT_SHARE || self.len() >= LENGTH_MAX {
+        let share = if now.micros_since(self.waiting_since) > STANDING_MICROS {
+            STANDING_WAIT_SHARE
+        } else {
+            BURST_WAIT_SHARE
+        };
+        if wait > slack * share || self.len() >= LENGTH_MAX {
             return Err(Shed::new(Reason::Overloaded, wait));
         }
         Ok(())
