--- /dev/null
+++ b/crates/policy/benches/batch/fifo.rs
@@ -0,0 +1,42 @@
+//! First-in-first-out baseline.
+
+use std::collections::VecDeque;
+
+use toucanquay_model::{Resources, job, task};
+use toucanquay_policy::batch::{Assignment, Job, Room};
+
+/// Queue of tasks in order of arrival. The head blocks the rest, as in a plain queue.
+#[derive(Debug, Default)]
+pub struct Fifo {
+    tasks: VecDeque<(task::Id, Resources)>,
+}
+
+impl Fifo {
+    pub fn push(&mut self, job: &Job, indexes: impl Iterator<Item = u32>) {
+        for index in indexes {
+            let task = task::Id::new(job.id.clone(), index);
+            self.tasks.push_back((task, job.demand));
+        }
+    }
+
+    pub fn remove_job(&mut self, job: &job::Id) {
+        self.tasks.retain(|(task, _)| task.job != *job);
+    }
+
+    pub fn assign(&mut self, rooms: &mut [Room]) -> Vec<Assignment> {
+        let mut assignments = Vec::new();
+        while let Some((task, demand)) = self.tasks.front() {
+            let Some(room) = rooms.iter().position(|room| demand.fits(&room.free)) else {
+                break;
+            };
+            rooms[room].free = rooms[room].free.saturating_sub(demand);
+            assignments.push(Assignment {
+                task: task.clone(),
+                room,
+                reservation: *demand,
+            });
+            self.tasks.pop_front();
+        }
+        assignments
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/batch/host.rs
@@ -0,0 +1,16 @@
+//! Workers.
+
+use toucanquay_model::worker;
+
+use crate::{lookups::Lookups, run::Run};
+
+/// A worker.
+#[derive(Debug)]
+pub struct Host {
+    pub id: worker::Id,
+    pub lookups: Lookups,
+    pub runs: Vec<Run>,
+    pub is_lost: bool,
+    /// Logarithm of the factor by which the tasks slow lookups down at medium load.
+    pub slowdown: f64,
+}
--- /dev/null
+++ b/crates/policy/benches/batch/main.rs
@@ -0,0 +1,125 @@
+//! Seeded benchmark of batch order, placement and the interference model.
+//!
+//! A minimal load model drives the pure decision code and named baselines. The load model, the
+//! rows and the results are described in `docs/batch.md` and `docs/interference.md`.
+
+mod deployment;
+mod fifo;
+mod host;
+mod kind;
+mod lookups;
+mod measure;
+mod policy;
+mod random;
+mod report;
+mod run;
+mod scenario;
+mod scheduler;
+mod table;
+mod task;
+mod world;
+
+use std::path::PathBuf;
+
+use clap::Parser;
+
+use deployment::Deployment;
+use measure::Measure;
+use policy::Policy;
+use scenario::Scenario;
+use world::World;
+
+/// Benchmark of batch order, placement and the interference model.
+#[derive(Debug, Parser)]
+struct Options {
+    /// Seed of the first run.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs with consecutive seeds that are merged into each row.
+    #[arg(long, default_value_t = 3)]
+    runs: u64,
+    /// Deployments to run; all without this option.
+    #[arg(long, value_enum)]
+    deployment: Vec<Deployment>,
+    /// Scenarios to run; all without this option.
+    #[arg(long, value_enum)]
+    scenario: Vec<Scenario>,
+    /// Policies to run; all without this option.
+    #[arg(long, value_enum)]
+    policy: Vec<Policy>,
+    /// Simulated seconds of each run, after a warm-up of 300 s.
+    #[arg(long, default_value_t = 1_800)]
+    seconds: u64,
+    /// File for the rows as CSV.
+    #[arg(long)]
+    csv: Option<PathBuf>,
+    /// Passed by `cargo bench`; has no effect.
+    #[arg(long, hide = true)]
+    bench: bool,
+}
+
+/// Row of the table before it is measured.
+type Case = (Deployment, Scenario, Policy);
+
+fn main() -> std::io::Result<()> {
+    let options = Options::parse();
+    let cases = cases(&options);
+    let measures = run(&cases, &options);
+    let rows: Vec<(Case, Measure)> = cases.into_iter().zip(measures).collect();
+    println!(
+        "seed {} runs {} seconds {}",
+        options.seed, options.runs, options.seconds
+    );
+    println!("{}", table::text(&rows));
+    if let Some(path) = options.csv {
+        std::fs::write(path, table::csv(&rows))?;
+    }
+    Ok(())
+}
+
+fn cases(options: &Options) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for deployment in chosen(&options.deployment) {
+        for scenario in chosen(&options.scenario) {
+            for policy in chosen(&options.policy) {
+                cases.push((deployment, scenario, policy));
+            }
+        }
+    }
+    cases
+}
+
+fn chosen<T: clap::ValueEnum + Copy>(given: &[T]) -> Vec<T> {
+    if given.is_empty() {
+        return T::value_variants().to_vec();
+    }
+    given.to_vec()
+}
+
+/// Measures all cases; each thread takes every n-th case.
+fn run(cases: &[Case], options: &Options) -> Vec<Measure> {
+    let threads = std::thread::available_parallelism().map_or(1, |count| count.get().min(6));
+    let mut measures: Vec<(usize, Measure)> = std::thread::scope(|scope| {
+        let work = |thread| {
+            let indexes = (thread..cases.len()).step_by(threads);
+            let measured = indexes.map(|index| (index, measure(cases[index], options)));
+            measured.collect::<Vec<_>>()
+        };
+        let handles: Vec<_> = (0..threads)
+            .map(|thread| scope.spawn(move || work(thread)))
+            .collect();
+        let join = |handle: std::thread::ScopedJoinHandle<'_, _>| handle.join().expect("no panic");
+        handles.into_iter().flat_map(join).collect()
+    });
+    measures.sort_by_key(|(index, _)| *index);
+    measures.into_iter().map(|(_, measure)| measure).collect()
+}
+
+fn measure((deployment, scenario, policy): Case, options: &Options) -> Measure {
+    let mut merged = Measure::new();
+    for seed in options.seed..options.seed + options.runs {
+        let world = World::new(deployment, scenario, policy, seed);
+        merged.merge(&world.run(options.seconds));
+    }
+    merged
+}
--- /dev/null
+++ b/crates/policy/benches/batch/measure.rs
@@ -0,0 +1,59 @@
+//! Measurements of a run.
+
+use hdrhistogram::Histogram;
+
+/// Histograms and counts of one or more runs.
+#[derive(Debug)]
+pub struct Measure {
+    /// Latency of lookups, in microseconds.
+    pub lookups: Histogram<u64>,
+    /// Latency of lookups that arrived at a peak of demand, in microseconds.
+    pub at_peak: Histogram<u64>,
+    /// Wait of short tasks for their first start, in milliseconds.
+    pub short_wait: Histogram<u64>,
+    /// Wait of all other tasks for their first start, in milliseconds.
+    pub other_wait: Histogram<u64>,
+    pub refused: u64,
+    pub finished: u64,
+    /// Progress of all tasks, in processor-seconds.
+    pub work: f64,
+    pub evictions: u64,
+    pub throttles: u64,
+    /// Attempts that failed, on a bad worker or for want of memory.
+    pub failures: u64,
+    pub seconds: u64,
+}
+
+impl Measure {
+    pub fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are supported");
+        Self {
+            lookups: histogram(),
+            at_peak: histogram(),
+            short_wait: histogram(),
+            other_wait: histogram(),
+            refused: 0,
+            finished: 0,
+            work: 0.0,
+            evictions: 0,
+            throttles: 0,
+            failures: 0,
+            seconds: 0,
+        }
+    }
+
+    pub fn merge(&mut self, other: &Self) {
+        let merge = |into: &mut Histogram<u64>, from| into.add(from).expect("histograms resize");
+        merge(&mut self.lookups, &other.lookups);
+        merge(&mut self.at_peak, &other.at_peak);
+        merge(&mut self.short_wait, &other.short_wait);
+        merge(&mut self.other_wait, &other.other_wait);
+        self.refused += other.refused;
+        self.finished += other.finished;
+        self.work += other.work;
+        self.evictions += other.evictions;
+        self.throttles += other.throttles;
+        self.failures += other.failures;
+        self.seconds += other.seconds;
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/batch/report.rs
@@ -0,0 +1,12 @@
+//! Usage reports.
+
+use toucanquay_model::exchange::{ServiceUsage, TaskUsage};
+
+/// Usage report on its way.
+#[derive(Debug)]
+pub struct Report {
+    pub due: u64,
+    pub host: usize,
+    pub tasks: Vec<TaskUsage>,
+    pub service: ServiceUsage,
+}
--- /dev/null
+++ b/crates/policy/benches/batch/run.rs
@@ -0,0 +1,12 @@
+//! Running tasks.
+
+use toucanquay_model::{Resources, task};
+
+/// A task that runs.
+#[derive(Debug)]
+pub struct Run {
+    pub id: task::Id,
+    pub reservation: Resources,
+    pub started: u64,
+    pub share_percent: u8,
+}
--- /dev/null
+++ b/crates/policy/benches/batch/table.rs
@@ -0,0 +1,86 @@
+//! Rows as text and as CSV.
+
+use std::fmt::Write;
+
+use clap::ValueEnum;
+
+use crate::{Case, measure::Measure};
+
+const HEADS: [&str; 16] = [
+    "deployment",
+    "scenario",
+    "policy",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "peak_p99_ms",
+    "refused",
+    "tasks_per_h",
+    "cores_used",
+    "evictions_per_h",
+    "throttles_per_min",
+    "short_wait_p50_s",
+    "short_wait_p99_s",
+    "other_wait_p99_s",
+    "failures_per_h",
+];
+
+/// Returns an aligned table.
+pub fn text(rows: &[(Case, Measure)]) -> String {
+    let mut text = String::new();
+    let mut line = |cells: &[String]| {
+        let mut line = String::new();
+        for (head, cell) in HEADS.iter().zip(cells) {
+            let width = head.len().max(9);
+            let _ = write!(line, "{cell:>width$} ");
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    };
+    line(&HEADS.map(str::to_owned));
+    for row in rows {
+        line(&cells(row));
+    }
+    text
+}
+
+/// Returns the rows as CSV with a head.
+pub fn csv(rows: &[(Case, Measure)]) -> String {
+    let mut text = HEADS.join(",");
+    for row in rows {
+        let _ = write!(text, "\n{}", cells(row).join(","));
+    }
+    text.push('\n');
+    text
+}
+
+fn cells(((deployment, scenario, policy), measure): &(Case, Measure)) -> Vec<String> {
+    let hours = measure.seconds as f64 / 3_600.0;
+    let lookup = |share| measure.lookups.value_at_quantile(share) as f64 / 1_000.0;
+    let at_peak = measure.at_peak.value_at_quantile(0.99) as f64 / 1_000.0;
+    let short = |share| measure.short_wait.value_at_quantile(share) as f64 / 1_000.0;
+    let other = measure.other_wait.value_at_quantile(0.99) as f64 / 1_000.0;
+    vec![
+        name(deployment),
+        name(scenario),
+        name(policy),
+        format!("{:.1}", lookup(0.5)),
+        format!("{:.1}", lookup(0.99)),
+        format!("{:.1}", lookup(0.999)),
+        format!("{at_peak:.1}"),
+        measure.refused.to_string(),
+        format!("{:.0}", measure.finished as f64 / hours),
+        format!("{:.1}", measure.work / measure.seconds as f64),
+        format!("{:.1}", measure.evictions as f64 / hours),
+        format!("{:.2}", measure.throttles as f64 / hours / 60.0),
+        format!("{:.2}", short(0.5)),
+        format!("{:.2}", short(0.99)),
+        format!("{other:.1}"),
+        format!("{:.1}", measure.failures as f64 / hours),
+    ]
+}
+
+fn name(value: &impl ValueEnum) -> String {
+    let value = value.to_possible_value();
+    value.map_or_else(String::new, |value| value.get_name().to_owned())
+}
--- /dev/null
+++ b/crates/policy/benches/batch/task.rs
@@ -0,0 +1,17 @@
+//! Submitted tasks.
+
+use toucanquay_policy::batch::Job;
+
+use crate::kind::Kind;
+
+/// A task that has been submitted and is not over.
+#[derive(Debug)]
+pub struct Task {
+    pub kind: &'static Kind,
+    pub job: Job,
+    /// Run time that is left at full speed, in seconds.
+    pub left: f64,
+    pub submitted: u64,
+    pub has_started: bool,
+    pub is_noisy: bool,
+}
--- /dev/null
+++ b/crates/policy/benches/batch/world.rs
@@ -0,0 +1,532 @@
+//! Workers, lookups and batch tasks in simulated time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use toucanquay_model::{Attempt, Resources, Time, exchange::TaskUsage, job, task, worker};
+use toucanquay_policy::{
+    batch::{Ending, Job, Room},
+    interfere::Advice,
+};
+
+use crate::{
+    deployment::Deployment,
+    host::Host,
+    kind::Kind,
+    lookups::Lookups,
+    measure::Measure,
+    policy::Policy,
+    random::{self, RUN_SIGMA},
+    report::Report,
+    run::Run,
+    scenario::Scenario,
+    scheduler::Scheduler,
+    task::Task,
+};
+
+/// Step of the batch side, in microseconds.
+const STEP_MICROS: u64 = 200_000;
+
+/// Window of the reports, in microseconds.
+const WINDOW_MICROS: u64 = 1_000_000;
+
+/// Time before measurements count, in seconds.
+const WARM_UP_SECONDS: u64 = 300;
+
+/// Offered batch work relative to what the processors hold, so that throughput is not bounded by
+/// arrivals.
+const OFFERED: f64 = 1.05;
+
+/// Longest wait of a lookup for a slot; a longer one is refused. In microseconds.
+const WAIT_MAX_MICROS: u64 = 2_000_000;
+
+/// Time until a task on a lost worker may start elsewhere: lease bound and margin.
+const LEASE_MICROS: u64 = 11_000_000;
+
+/// State of a run.
+#[derive(Debug)]
+pub struct World {
+    deployment: Deployment,
+    scenario: Scenario,
+    scheduler: Scheduler,
+    hosts: Vec<Host>,
+    rooms: Vec<Room>,
+    tasks: BTreeMap<task::Id, Task>,
+    reports: VecDeque<Report>,
+    /// Tasks that may be pushed again at a time.
+    returns: BTreeMap<(u64, task::Id), ()>,
+    /// Next arrival of a job of each kind, in microseconds.
+    arrivals: Vec<u64>,
+    next_lookup: u64,
+    jobs: u64,
+    now: u64,
+    lookup_rng: StdRng,
+    batch_rng: StdRng,
+    measure: Measure,
+}
+
+impl World {
+    pub fn new(deployment: Deployment, scenario: Scenario, policy: Policy, seed: u64) -> Self {
+        let capacity = deployment.capacity();
+        let ids = (0..Deployment::WORKERS).map(|index| worker::Id(format!("w{index}")));
+        let rooms: Vec<Room> = ids.map(|id| Room::new(id, capacity)).collect();
+        let mut scheduler = Scheduler::new(policy);
+        for room in &rooms {
+            scheduler.join(&room.worker, capacity, Time::ZERO);
+        }
+        let host = |room: &Room| Host {
+            id: room.worker.clone(),
+            lookups: Lookups::new(),
+            runs: Vec::new(),
+            is_lost: false,
+            slowdown: 0.0,
+        };
+        Self {
+            deployment,
+            scenario,
+            scheduler,
+            hosts: rooms.iter().map(host).collect(),
+            rooms,
+            tasks: BTreeMap::new(),
+            reports: VecDeque::new(),
+            returns: BTreeMap::new(),
+            arrivals: vec![0; deployment.kinds().len()],
+            next_lookup: 0,
+            jobs: 0,
+            now: 0,
+            lookup_rng: StdRng::seed_from_u64(seed),
+            batch_rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            measure: Measure::new(),
+        }
+    }
+
+    /// Runs for the warm-up and `seconds` more, and returns the measurements.
+    pub fn run(mut self, seconds: u64) -> Measure {
+        let end = (WARM_UP_SECONDS + seconds) * 1_000_000;
+        while self.now < end {
+            self.step();
+            if self.now == WARM_UP_SECONDS * 1_000_000 {
+                self.measure = Measure::new();
+            }
+        }
+        self.measure.seconds = seconds;
+        self.count_waiting();
+        self.measure
+    }
+
+    fn step(&mut self) {
+        self.lose_hosts();
+        self.arrive();
+        self.serve_lookups();
+        self.now += STEP_MICROS;
+        self.advance_tasks();
+        if self.now.is_multiple_of(WINDOW_MICROS) {
+            self.send_reports();
+        }
+        self.deliver_reports();
+        self.advise();
+        self.push_returns();
+        self.assign();
+        self.update_slowdowns();
+    }
+
+    const fn time(&self) -> Time {
+        Time::from_micros(self.now)
+    }
+
+    fn seconds(&self) -> f64 {
+        self.now as f64 / 1e6
+    }
+
+    fn lose_hosts(&mut self) {
+        for index in 0..self.hosts.len() {
+            let is_lost = self.scenario.is_lost(index, self.seconds());
+            if is_lost == self.hosts[index].is_lost {
+                continue;
+            }
+            self.hosts[index].is_lost = is_lost;
+            if is_lost {
+                for run in std::mem::take(&mut self.hosts[index].runs) {
+                    self.end_run(index, &run, Ending::Stopped);
+                    let due = self.now + LEASE_MICROS;
+                    self.returns.insert((due, run.id), ());
+                }
+                self.rooms[index].free = Resources::ZERO;
+                self.scheduler.leave(&self.hosts[index].id);
+            } else {
+                let capacity = self.deployment.capacity();
+                self.rooms[index].free = capacity;
+                let now = self.time();
+                self.scheduler.join(&self.hosts[index].id, capacity, now);
+            }
+        }
+    }
+
+    /// Submits the jobs that arrive in this step.
+    fn arrive(&mut self) {
+        let kinds = self.deployment.kinds();
+        let capacity = f64::from(self.deployment.capacity().processors_milli) / 1_000.0;
+        let capacity = capacity * Deployment::WORKERS as f64;
+        for (index, kind) in kinds.iter().enumerate() {
+            let job_work = kind.work_mean() * f64::from(kind.tasks_per_job);
+            let per_second = OFFERED * capacity * kind.work_share / job_work;
+            while self.arrivals[index] <= self.now {
+                self.submit(kind, kind.tasks_per_job);
+                let interval = random::interval(&mut self.batch_rng, per_second);
+                self.arrivals[index] += (interval * 1e6) as u64;
+            }
+        }
+        if self.scenario == Scenario::Cancellation {
+            self.cancel_wave(&kinds[1]);
+        }
+    }
+
+    fn cancel_wave(&mut self, kind: &'static Kind) {
+        let period = 300_000_000;
+        if self.now % period == 100_000_000 {
+            for _ in 0..2 {
+                self.submit(kind, 10_000);
+            }
+        }
+        if self.now % period == 160_000_000 {
+            let mut wave: Vec<_> = self.tasks.values().map(|task| &task.job.id).collect();
+            wave.dedup();
+            let of_wave = |id: &&_| {
+                let last = task::Id::new(Clone::clone(*id), 9_999);
+                self.tasks.contains_key(&last)
+            };
+            let wave: Vec<_> = wave.into_iter().filter(of_wave).cloned().collect();
+            for id in wave {
+                self.scheduler.remove_job(&id, self.time());
+                self.stop_job(&id);
+            }
+        }
+    }
+
+    fn stop_job(&mut self, job: &job::Id) {
+        for index in 0..self.hosts.len() {
+            let runs = std::mem::take(&mut self.hosts[index].runs);
+            let (stopped, kept) = runs.into_iter().partition(|run| run.id.job == *job);
+            self.hosts[index].runs = kept;
+            let stopped: Vec<Run> = stopped;
+            for run in stopped {
+                self.end_run(index, &run, Ending::Stopped);
+            }
+        }
+        self.tasks.retain(|id, _| id.job != *job);
+        self.returns.retain(|(_, id), ()| id.job != *job);
+    }
+
+    fn submit(&mut self, kind: &'static Kind, tasks: u32) {
+        self.jobs += 1;
+        let job = Job {
+            id: format!("{}-{}", kind.name, self.jobs).as_str().into(),
+            team: "team".to_owned(),
+            kind: kind.name.to_owned(),
+            demand: kind.declared,
+            urgency: job::Urgency::Normal,
+            finish_by: None,
+        };
+        for index in 0..tasks {
+            let rng = &mut self.batch_rng;
+            let mut left = random::log_normal(rng, kind.run_median_seconds, RUN_SIGMA);
+            if rng.random::<f64>() < kind.long_share {
+                left *= kind.long_factor;
+            }
+            let task = Task {
+                kind,
+                job: job.clone(),
+                left,
+                submitted: self.now,
+                has_started: false,
+                is_noisy: rng.random::<bool>(),
+            };
+            self.tasks
+                .insert(task::Id::new(job.id.clone(), index), task);
+        }
+        let now = self.time();
+        self.scheduler.push(&job, 0..tasks, now);
+    }
+
+    /// Handles the lookups that arrive in this step, each on the better of two random workers.
+    fn serve_lookups(&mut self) {
+        let end = self.now + STEP_MICROS;
+        while self.next_lookup < end {
+            let now = self.next_lookup.max(self.now);
+            let seconds = now as f64 / 1e6;
+            self.serve(now, self.scenario.is_peak(seconds));
+            let rate = self.deployment.lookups_per_second() * self.scenario.demand(seconds);
+            let interval = random::interval(&mut self.lookup_rng, rate);
+            self.next_lookup = now + (interval * 1e6) as u64;
+        }
+    }
+
+    fn serve(&mut self, now: u64, is_peak: bool) {
+        let first = self.random_host();
+        let second = self.random_host();
+        let load = |index: usize| {
+            let lookups = &self.hosts[index].lookups;
+            (lookups.wait(now), lookups.busy(now))
+        };
+        let index = if load(first) <= load(second) {
+            first
+        } else {
+            second
+        };
+        let host = &mut self.hosts[index];
+        if host.lookups.wait(now) > WAIT_MAX_MICROS {
+            self.measure.refused += 1;
+            return;
+        }
+        let micros = host
+            .lookups
+            .handle(now, host.slowdown, &mut self.lookup_rng);
+        let micros = micros + self.deployment.round_trip_micros();
+        let record = |histogram: &mut hdrhistogram::Histogram<u64>| {
+            histogram.record(micros).expect("histograms resize");
+        };
+        record(&mut self.measure.lookups);
+        if is_peak {
+            record(&mut self.measure.at_peak);
+        }
+    }
+
+    fn random_host(&mut self) -> usize {
+        loop {
+            let index = self.lookup_rng.random_range(0..self.hosts.len());
+            if !self.hosts[index].is_lost {
+                return index;
+            }
+        }
+    }
+
+    /// Lets all tasks run for one step and ends those that finish or fail.
+    fn advance_tasks(&mut self) {
+        for index in 0..self.hosts.len() {
+            let speed = self.speed(index);
+            let is_bad = self.scenario.is_bad(index);
+            let mut ended = Vec::new();
+            for (position, run) in self.hosts[index].runs.iter().enumerate() {
+                let task = self.tasks.get_mut(&run.id).expect("a run has a task");
+                let share = f64::from(run.share_percent) / 100.0;
+                let progress = STEP_MICROS as f64 / 1e6 * share * speed;
+                task.left -= progress;
+                self.measure.work += progress * f64::from(task.kind.processors_milli) / 1e3;
+                if is_bad && self.now - run.started >= 1_000_000 {
+                    ended.push((position, Ending::Failed));
+                } else if task.left <= 0.0 {
+                    ended.push((position, Ending::Finished));
+                }
+            }
+            for (position, ending) in ended.into_iter().rev() {
+                let run = self.hosts[index].runs.swap_remove(position);
+                self.finish_run(index, &run, ending);
+            }
+            self.kill_for_memory(index);
+        }
+    }
+
+    /// Ends the newest task while the tasks use more memory than the worker has.
+    fn kill_for_memory(&mut self, index: usize) {
+        let memory = u64::from(self.deployment.capacity().memory_mb);
+        loop {
+            let runs = &self.hosts[index].runs;
+            let used = |run: &Run| u64::from(self.tasks[&run.id].kind.memory_mb);
+            if runs.iter().map(used).sum::<u64>() <= memory {
+                return;
+            }
+            let newest = (0..runs.len()).max_by_key(|run| runs[*run].started);
+            let run = self.hosts[index].runs.swap_remove(newest.unwrap_or(0));
+            self.finish_run(index, &run, Ending::Failed);
+        }
+    }
+
+    /// Returns the speed of tasks on a worker: less than one if they want more processors than
+    /// there are.
+    fn speed(&self, index: usize) -> f64 {
+        let wanted: f64 = self.hosts[index]
+            .runs
+            .iter()
+            .map(|run| self.used_milli(run))
+            .sum();
+        let capacity = f64::from(self.deployment.capacity().processors_milli);
+        (capacity / wanted.max(1.0)).min(1.0)
+    }
+
+    fn used_milli(&self, run: &Run) -> f64 {
+        let kind = self.tasks[&run.id].kind;
+        f64::from(kind.processors_milli) * f64::from(run.share_percent) / 100.0
+    }
+
+    fn finish_run(&mut self, index: usize, run: &Run, ending: Ending) {
+        self.end_run(index, run, ending);
+        if ending == Ending::Finished {
+            self.tasks.remove(&run.id);
+            self.measure.finished += 1;
+            return;
+        }
+        if ending == Ending::Failed {
+            self.measure.failures += 1;
+        }
+        self.returns.insert((self.now, run.id.clone()), ());
+    }
+
+    fn end_run(&mut self, index: usize, run: &Run, ending: Ending) {
+        let free = &mut self.rooms[index].free;
+        *free = free.plus(&run.reservation);
+        let now = self.time();
+        let worker = &self.hosts[index].id;
+        self.scheduler.end(worker, &run.id, ending, now);
+    }
+
+    fn send_reports(&mut self) {
+        let lag = self.scenario.lag_seconds() * 1_000_000;
+        for index in 0..self.hosts.len() {
+            let service = self.hosts[index].lookups.report(WINDOW_MICROS, lag);
+            let speed = self.speed(index);
+            let runs = self.hosts[index].runs.len();
+            let ripples: Vec<f64> = (0..runs)
+                .map(|_| self.batch_rng.random_range(0.9..1.1))
+                .collect();
+            let usage = |run: &Run, ripple: f64| TaskUsage {
+                task: run.id.clone(),
+                attempt: Attempt::default(),
+                age_micros: lag,
+                window_micros: WINDOW_MICROS,
+                processors_milli: (self.used_milli(run) * speed * ripple) as u32,
+                memory_mb: self.tasks[&run.id].kind.memory_mb,
+            };
+            let whole = |run: &&Run| self.now - run.started >= WINDOW_MICROS;
+            let runs = self.hosts[index].runs.iter().filter(whole);
+            let tasks = runs.zip(&ripples).map(|(run, ripple)| usage(run, *ripple));
+            let tasks = tasks.collect();
+            self.reports.push_back(Report {
+                due: self.now + lag,
+                host: index,
+                tasks,
+                service,
+            });
+        }
+    }
+
+    fn deliver_reports(&mut self) {
+        while self
+            .reports
+            .front()
+            .is_some_and(|report| report.due <= self.now)
+        {
+            let Some(report) = self.reports.pop_front() else {
+                return;
+            };
+            if self.hosts[report.host].is_lost {
+                continue;
+            }
+            let now = self.time();
+            let worker = &self.hosts[report.host].id;
+            self.scheduler
+                .observe(worker, &report.tasks, &report.service, now);
+        }
+    }
+
+    fn advise(&mut self) {
+        for index in 0..self.hosts.len() {
+            let now = self.time();
+            for advice in self.scheduler.advise(&self.hosts[index].id, now) {
+                self.carry_out(index, advice);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, advice: Advice) {
+        let runs = &mut self.hosts[index].runs;
+        match advice {
+            Advice::Throttle {
+                task,
+                share_percent,
+            } => {
+                if let Some(run) = runs.iter_mut().find(|run| run.id == task) {
+                    run.share_percent = share_percent;
+                    self.measure.throttles += 1;
+                }
+            }
+            Advice::Evict { task } => {
+                if let Some(position) = runs.iter().position(|run| run.id == task) {
+                    let run = runs.swap_remove(position);
+                    self.measure.evictions += 1;
+                    self.finish_run(index, &run, Ending::Stopped);
+                }
+            }
+        }
+    }
+
+    fn push_returns(&mut self) {
+        while let Some(entry) = self.returns.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let ((_, id), ()) = entry.remove_entry();
+            if let Some(task) = self.tasks.get(&id) {
+                let now = Time::from_micros(self.now);
+                self.scheduler
+                    .push(&task.job, std::iter::once(id.index), now);
+            }
+        }
+    }
+
+    fn assign(&mut self) {
+        let now = self.time();
+        for assignment in self.scheduler.assign(&mut self.rooms, now) {
+            let host = &mut self.hosts[assignment.room];
+            let task = self
+                .tasks
+                .get_mut(&assignment.task)
+                .expect("the task waits");
+            if !std::mem::replace(&mut task.has_started, true) {
+                record_wait(&mut self.measure, task, self.now);
+            }
+            self.scheduler
+                .start(&host.id, &assignment.task, task.kind.name, now);
+            host.runs.push(Run {
+                id: assignment.task,
+                reservation: assignment.reservation,
+                started: self.now,
+                share_percent: 100,
+            });
+        }
+    }
+
+    fn update_slowdowns(&mut self) {
+        let seconds = self.seconds();
+        let capacity = f64::from(self.deployment.capacity().processors_milli);
+        for index in 0..self.hosts.len() {
+            let runs = &self.hosts[index].runs;
+            let effect = |run: &Run| {
+                let task = &self.tasks[&run.id];
+                let noise = self.scenario.noise(seconds, task.is_noisy);
+                task.kind.slowdown * noise * f64::from(run.share_percent) / 100.0
+            };
+            let wanted: f64 = runs.iter().map(|run| self.used_milli(run)).sum();
+            // Tasks that want more processors than there are take time from the lookups as well.
+            let excess = (wanted / capacity - 1.0).max(0.0);
+            let slowdown = runs.iter().map(effect).sum::<f64>() + excess;
+            self.hosts[index].slowdown = slowdown;
+        }
+    }
+
+    /// Counts the wait of tasks that have not started at the end, which would otherwise be left
+    /// out.
+    fn count_waiting(&mut self) {
+        for task in self.tasks.values().filter(|task| !task.has_started) {
+            record_wait(&mut self.measure, task, self.now);
+        }
+    }
+}
+
+fn record_wait(measure: &mut Measure, task: &Task, now: u64) {
+    let millis = (now - task.submitted) / 1_000;
+    let histogram = match task.kind.is_short {
+        true => &mut measure.short_wait,
+        false => &mut measure.other_wait,
+    };
+    histogram.record(millis).expect("histograms resize");
+}
