interfere: refuse placements that would have to be throttled

Cause: in calm, tasks were placed where the prediction with them was above the throttling threshold and were throttled at once; a throttled task holds room that another kind could use. Ruled out: wrong estimates; the learned slow-downs were within a third of the true ones. Change: Matrix::price returns None above the threshold.

--- a/crates/policy/benches/batch/scheduler.rs
+++ b/crates/policy/benches/batch/scheduler.rs
@@ -70,10 +70,10 @@
             {
                 return None;
             }
-            Some(match policy.has_interference() {
-                true => matrix.penalty(&room.worker, kind),
-                false => 0.0,
-            })
+            match policy.has_interference() {
+                true => matrix.price(&room.worker, kind, now),
+                false => Some(0.0),
+            }
         };
         let mut assignments = self.backlog.assign(rooms, now, usize::MAX, price);
         if policy.has_quarantine() {
--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -170,6 +170,29 @@
         host.services.iter().map(increase).sum()
     }
 
+    /// Returns the price of starting a task of a kind on a worker, or `None` when that would slow a
+    /// service down so much that tasks would have to be throttled.
+    ///
+    /// Other kinds can use the room, whereas a task that starts and is throttled holds it.
+    #[must_use]
+    pub fn price(&self, worker: &worker::Id, kind: &str, now: Time) -> Option<f64> {
+        let Some(host) = self.hosts.get(worker) else {
+            return Some(0.0);
+        };
+        let kind_index = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
+        let is_over = |(service, peak): &(usize, Time)| {
+            let profile = &self.services[*service];
+            let class = load_class(*peak, &self.settings, now);
+            let added = profile.pair(kind_index, class).cautious();
+            let present = predicted(profile, host, class);
+            added > 0.0 && present + added > self.settings.throttle_above
+        };
+        if host.services.iter().any(is_over) {
+            return None;
+        }
+        Some(self.penalty(worker, kind))
+    }
+
     /// Returns the share of a running task in percent.
     #[must_use]
     pub fn share(&self, worker: &worker::Id, task: &task::Id) -> Option<u8> {
@@ -316,21 +339,23 @@
         .sum()
 }
 
+/// Returns the load class for which decisions are made. A high load is assumed to come back within
+/// the time for which peaks are remembered.
+fn load_class(peak: Time, settings: &Settings, now: Time) -> usize {
+    let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
+    usize::from(is_high)
+}
+
 /// Returns the service on a worker that is predicted to be slowed down most, with its load class.
-/// A high load is assumed to come back within the time for which peaks are remembered.
 fn worst_service(
     services: &[Profile],
     host: &Host,
     settings: &Settings,
     now: Time,
 ) -> Option<(usize, usize)> {
-    let class = |peak: Time| {
-        let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
-        usize::from(is_high)
-    };
     host.services
         .iter()
-        .map(|(service, peak)| (*service, class(*peak)))
+        .map(|(service, peak)| (*service, load_class(*peak, settings, now)))
         .max_by(|a, b| {
             let slowdown =
                 |(service, class): &(usize, usize)| predicted(&services[*service], host, *class);
