interfere: keep a gap between the limits for placement and for throttling

Cause: placement filled each worker up to the throttling threshold, so small changes of the estimates crossed it; one step down was followed by a release in three steps. Change: place_below 0.4, throttle_above 0.6 (was 0.4), release_below 0.3 (0.2), evict_above 0.9 (0.7).

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -185,7 +185,7 @@
             let class = load_class(*peak, &self.settings, now);
             let added = profile.pair(kind_index, class).cautious();
             let present = predicted(profile, host, class);
-            added > 0.0 && present + added > self.settings.throttle_above
+            added > 0.0 && present + added > self.settings.place_below
         };
         if host.services.iter().any(is_over) {
             return None;
--- a/crates/policy/src/interfere/settings.rs
+++ b/crates/policy/src/interfere/settings.rs
@@ -5,6 +5,9 @@
 /// Slow-downs are natural logarithms of the factor on latency, so they add up over tasks.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Settings {
+    /// Predicted slow-down of a service above which no task is placed beside it. It is below
+    /// `throttle_above`, so that small changes of the estimates do not throttle placed tasks.
+    pub place_below: f64,
     /// Predicted slow-down of a service above which tasks beside it are throttled.
     pub throttle_above: f64,
     /// Predicted slow-down below which a throttled task gets more of its share back.
@@ -35,9 +38,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            throttle_above: 0.4,
-            release_below: 0.2,
-            evict_above: 0.7,
+            place_below: 0.4,
+            throttle_above: 0.6,
+            release_below: 0.3,
+            evict_above: 0.9,
             share_min_percent: 25,
             share_step_percent: 25,
             hold_micros: 30_000_000,
