interfere: measure load against slots and tighten the limits at high load

Cause: the load class compared a window with the highest load ever seen, so calm windows counted as high; and the same slow-down that is harmless in calm saturates the slots at a peak. Change: a window is high when three quarters of the slots are in use; the limits are scaled by 0.7 while the load is high or was so within five minutes.

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Sets the requests that a service's upstreams handle at once.
+    pub fn set_slots(&mut self, service: &str, slots: u32) {
+        let service = self.service(service);
+        self.services[service].set_slots(slots);
+    }
+
     /// Records that a task runs on a worker.
     pub fn start(&mut self, worker: &worker::Id, task: &task::Id, kind: &str, now: Time) {
         let kind = self.kind(kind);
@@ -185,7 +191,7 @@
             let class = load_class(*peak, &self.settings, now);
             let added = profile.pair(kind_index, class).cautious();
             let present = predicted(profile, host, class);
-            added > 0.0 && present + added > self.settings.place_below
+            added > 0.0 && present + added > self.settings.scaled(class).place_below
         };
         if host.services.iter().any(is_over) {
             return None;
@@ -215,6 +221,7 @@
             return advice;
         };
         let profile = &self.services[service];
+        let settings = settings.scaled(class);
         let slowdown = predicted(profile, host, class);
         if slowdown > settings.throttle_above {
             advice.extend(throttle(
@@ -242,7 +249,7 @@
         if let Some(index) = self.service_index.get(name) {
             return *index;
         }
-        self.services.push(Profile::new());
+        self.services.push(Profile::new(self.settings.slots));
         self.service_index
             .insert(name.to_owned(), self.services.len() - 1);
         self.services.len() - 1
--- a/crates/policy/src/interfere/profile.rs
+++ b/crates/policy/src/interfere/profile.rs
@@ -23,25 +23,26 @@
     base: [Weight; LOADS],
     /// By kind, then by load class.
     pairs: Vec<[Weight; CLASSES]>,
-    in_flight_peak: f64,
+    slots: u32,
 }
 
 impl Profile {
-    pub const fn new() -> Self {
+    pub const fn new(slots: u32) -> Self {
         Self {
             base: [BASE_PRIOR; LOADS],
             pairs: Vec::new(),
-            in_flight_peak: 0.0,
+            slots,
         }
     }
 
-    /// Returns the load class of a window and remembers the highest load.
-    pub fn class(&mut self, usage: &ServiceUsage) -> usize {
-        /// Share of the highest load that remains after each window.
-        const PEAK_DECAY: f64 = 0.9999;
-        let in_flight = f64::from(usage.in_flight_max);
-        self.in_flight_peak = (self.in_flight_peak * PEAK_DECAY).max(in_flight);
-        usize::from(in_flight > self.in_flight_peak / 2.0)
+    pub const fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Returns the load class of a window: high when three quarters of the slots were in use.
+    pub const fn class(&self, usage: &ServiceUsage) -> usize {
+        let is_high = usage.in_flight_max.saturating_mul(4) >= self.slots.saturating_mul(3);
+        is_high as usize
     }
 
     pub fn base(&mut self, usage: &ServiceUsage) -> &mut Weight {
--- a/crates/policy/src/interfere/settings.rs
+++ b/crates/policy/src/interfere/settings.rs
@@ -14,6 +14,11 @@
     pub release_below: f64,
     /// Predicted slow-down above which a task at the lowest share is evicted.
     pub evict_above: f64,
+    /// Factor on these limits while the service's load is high or was so recently. Little slow-down
+    /// is enough to saturate slots that are nearly all in use.
+    pub high_load_factor: f64,
+    /// Requests that an upstream handles at once, where the caller has not said otherwise.
+    pub slots: u32,
     /// Lowest share that a task is throttled to, in percent.
     pub share_min_percent: u8,
     /// Step between two shares, in percent.
@@ -42,6 +47,8 @@
             throttle_above: 0.6,
             release_below: 0.3,
             evict_above: 0.9,
+            high_load_factor: 0.7,
+            slots: 8,
             share_min_percent: 25,
             share_step_percent: 25,
             hold_micros: 30_000_000,
@@ -54,3 +61,16 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns the settings with the limits for a load class.
+    pub(super) const fn scaled(mut self, class: usize) -> Self {
+        if class > 0 {
+            self.place_below *= self.high_load_factor;
+            self.throttle_above *= self.high_load_factor;
+            self.release_below *= self.high_load_factor;
+            self.evict_above *= self.high_load_factor;
+        }
+        self
+    }
+}
