interfere: place work that hardly interferes even where the limit is exceeded

Cause: in a noisy wave every worker was over the limit, and price refused all kinds, also those with a slow-down near zero. Change: a kind whose effect is at most a tenth of the limit is never refused.

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -27,6 +27,10 @@
 /// Variance that each window adds to a coefficient, so that it can follow a change.
 const DRIFT: f64 = 1e-5;
 
+/// Share of the placement limit up to which a task is placed although the limit is exceeded. Work
+/// that hardly interferes must not wait for tasks that do.
+const NEGLIGIBLE_SHARE: f64 = 0.1;
+
 /// Slow-down of each service by each kind of batch work, with the tasks of each worker.
 ///
 /// The caller reports the start and the end of every attempt and passes on usage reports. Advice
@@ -191,7 +195,8 @@
             let class = load_class(*peak, &self.settings, now);
             let added = profile.pair(kind_index, class).cautious();
             let present = predicted(profile, host, class);
-            added > 0.0 && present + added > self.settings.scaled(class).place_below
+            let limit = self.settings.scaled(class).place_below;
+            added > NEGLIGIBLE_SHARE * limit && present + added > limit
         };
         if host.services.iter().any(is_over) {
             return None;
