batch: reserve processors without a margin on top of the learned quantile

Change: the margin applies to memory only, which cannot be shared in time. The benchmark gets a row for cuts of a share that had been raised.

--- a/crates/policy/benches/batch/measure.rs
+++ b/crates/policy/benches/batch/measure.rs
@@ -19,6 +19,8 @@
     pub work: f64,
     pub evictions: u64,
     pub throttles: u64,
+    /// Cuts of a share that had been raised, which is what oscillation consists of.
+    pub reversals: u64,
     /// Attempts that failed, on a bad worker or for want of memory.
     pub failures: u64,
     pub seconds: u64,
@@ -37,6 +39,7 @@
             work: 0.0,
             evictions: 0,
             throttles: 0,
+            reversals: 0,
             failures: 0,
             seconds: 0,
         }
@@ -53,6 +56,7 @@
         self.work += other.work;
         self.evictions += other.evictions;
         self.throttles += other.throttles;
+        self.reversals += other.reversals;
         self.failures += other.failures;
         self.seconds += other.seconds;
     }
--- a/crates/policy/benches/batch/run.rs
+++ b/crates/policy/benches/batch/run.rs
@@ -9,4 +9,6 @@
     pub reservation: Resources,
     pub started: u64,
     pub share_percent: u8,
+    /// Whether the share has been raised after a cut.
+    pub was_released: bool,
 }
--- a/crates/policy/benches/batch/table.rs
+++ b/crates/policy/benches/batch/table.rs
@@ -6,7 +6,7 @@
 
 use crate::{Case, measure::Measure};
 
-const HEADS: [&str; 16] = [
+const HEADS: [&str; 17] = [
     "deployment",
     "scenario",
     "policy",
@@ -19,6 +19,7 @@
     "cores_used",
     "evictions_per_h",
     "throttles_per_min",
+    "reversals_per_min",
     "short_wait_p50_s",
     "short_wait_p99_s",
     "other_wait_p99_s",
@@ -73,6 +74,7 @@
         format!("{:.1}", measure.work / measure.seconds as f64),
         format!("{:.1}", measure.evictions as f64 / hours),
         format!("{:.2}", measure.throttles as f64 / hours / 60.0),
+        format!("{:.2}", measure.reversals as f64 / hours / 60.0),
         format!("{:.2}", short(0.5)),
         format!("{:.2}", short(0.99)),
         format!("{other:.1}"),
--- a/crates/policy/benches/batch/world.rs
+++ b/crates/policy/benches/batch/world.rs
@@ -445,8 +445,11 @@
                 share_percent,
             } => {
                 if let Some(run) = runs.iter_mut().find(|run| run.id == task) {
-                    run.share_percent = share_percent;
+                    let is_raised = share_percent > run.share_percent;
                     self.measure.throttles += 1;
+                    self.measure.reversals += u64::from(run.was_released && !is_raised);
+                    run.was_released = is_raised;
+                    run.share_percent = share_percent;
                 }
             }
             Advice::Evict { task } => {
@@ -491,6 +494,7 @@
                 reservation: assignment.reservation,
                 started: self.now,
                 share_percent: 100,
+                was_released: false,
             });
         }
     }
--- a/crates/policy/src/batch/kind.rs
+++ b/crates/policy/src/batch/kind.rs
@@ -76,9 +76,9 @@
 
     /// Returns what a task that declares `declared` should hold.
     pub fn reservation(&self, declared: &Resources, settings: &Settings) -> Resources {
-        let with_margin = |amount: u32| (f64::from(amount) * settings.margin).ceil() as u32;
+        let with_margin = |amount: u32| (f64::from(amount) * settings.memory_margin).ceil() as u32;
         let learned = Resources {
-            processors_milli: with_margin(self.learned.processors_milli).max(PROCESSORS_MILLI_MIN),
+            processors_milli: self.learned.processors_milli.max(PROCESSORS_MILLI_MIN),
             memory_mb: with_margin(self.learned.memory_mb).max(MEMORY_MB_MIN),
             accelerators: declared.accelerators,
         };
--- a/crates/policy/src/batch/settings.rs
+++ b/crates/policy/src/batch/settings.rs
@@ -28,8 +28,9 @@
     pub slack_micros: u64,
     /// Samples of usage before a kind's reservation may go below the declared demand.
     pub samples_min: u32,
-    /// Factor on learned usage that gives the reservation.
-    pub margin: f64,
+    /// Factor on the highest learned use of memory that gives the reservation. Processors are
+    /// shared in time, so the quantile that is learned of them is margin enough.
+    pub memory_margin: f64,
     /// Fitting rooms that are compared for each start.
     pub candidates: usize,
 }
@@ -45,7 +46,7 @@
             level_factor: 8,
             slack_micros: 600_000_000,
             samples_min: 20,
-            margin: 1.15,
+            memory_margin: 1.15,
             candidates: 64,
         }
     }
