interfere: raise a share only while the prediction stays below the placement limit

Cause: a share was raised when the prediction stayed below the throttling limit, so a small change of an estimate took the raise back. Change: the raise must keep the gap that a placement keeps.

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -442,7 +442,8 @@
         })?;
     let share = (track.share_percent() + settings.share_step_percent).min(100);
     let raise = f64::from(share - track.share_percent()) / 100.0;
-    if slowdown + effect(profile, track, class) * raise > settings.throttle_above {
+    // The gap to the throttling limit is that of a placement, so that a raise is not taken back.
+    if slowdown + effect(profile, track, class) * raise > settings.place_below {
         return None;
     }
     track.hold_until = now.plus_micros(settings.hold_micros);
