--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -27,6 +27,10 @@
 /// Variance that each window adds to a coefficient, so that it can follow a change.
 const DRIFT: f64 = 1e-5;
 
+/// Share of the placement limit up to which a task is placed although the limit is exceeded. Work
+/// that hardly interferes must not wait for tasks that do.
+const NEGLIGIBLE_SHARE: f64 = 0.1;
+
 /// Slow-down of each service by each kind of batch work, with the tasks of each worker.
 ///
 /// The caller reports the start and the end of every attempt and passes on usage reports. Advice
@@ -72,6 +76,12 @@
         }
     }
 
+    /// Sets the requests that a service's upstreams handle at once.
+    pub fn set_slots(&mut self, service: &str, slots: u32) {
+        let service = self.service(service);
+        self.services[service].set_slots(slots);
+    }
+
     /// Records that a task runs on a worker.
     pub fn start(&mut self, worker: &worker::Id, task: &task::Id, kind: &str, now: Time) {
         let kind = self.kind(kind);
@@ -170,6 +180,30 @@
         host.services.iter().map(increase).sum()
     }
 
+    /// Returns the price of starting a task of a kind on a worker, or `None` when that would slow a
+    /// service down so much that tasks would have to be throttled.
+    ///
+    /// Other kinds can use the room, whereas a task that starts and is throttled holds it.
+    #[must_use]
+    pub fn price(&self, worker: &worker::Id, kind: &str, now: Time) -> Option<f64> {
+        let Some(host) = self.hosts.get(worker) else {
+            return Some(0.0);
+        };
+        let kind_index = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
+        let is_over = |(service, peak): &(usize, Time)| {
+            let profile = &self.services[*service];
+            let class = load_class(*peak, &self.settings, now);
+            let added = profile.pair(kind_index, class).cautious();
+            let present = predicted(profile, host, class);
+            let limit = self.settings.scaled(class).place_below;
+            added > NEGLIGIBLE_SHARE * limit && present + added > limit
+        };
+        if host.services.iter().any(is_over) {
+            return None;
+        }
+        Some(self.penalty(worker, kind))
+    }
+
     /// Returns the share of a running task in percent.
     #[must_use]
     pub fn share(&self, worker: &worker::Id, task: &task::Id) -> Option<u8> {
@@ -192,6 +226,7 @@
             return advice;
         };
         let profile = &self.services[service];
+        let settings = settings.scaled(class);
         let slowdown = predicted(profile, host, class);
         if slowdown > settings.throttle_above {
             advice.extend(throttle(
@@ -219,7 +254,7 @@
         if let Some(index) = self.service_index.get(name) {
             return *index;
         }
-        self.services.push(Profile::new());
+        self.services.push(Profile::new(self.settings.slots));
         self.service_index
             .insert(name.to_owned(), self.services.len() - 1);
         self.services.len() - 1
@@ -316,21 +351,23 @@
         .sum()
 }
 
+/// Returns the load class for which decisions are made. A high load is assumed to come back within
+/// the time for which peaks are remembered.
+fn load_class(peak: Time, settings: &Settings, now: Time) -> usize {
+    let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
+    usize::from(is_high)
+}
+
 /// Returns the service on a worker that is predicted to be slowed down most, with its load class.
-/// A high load is assumed to come back within the time for which peaks are remembered.
 fn worst_service(
     services: &[Profile],
     host: &Host,
     settings: &Settings,
     now: Time,
 ) -> Option<(usize, usize)> {
-    let class = |peak: Time| {
-        let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
-        usize::from(is_high)
-    };
     host.services
         .iter()
-        .map(|(service, peak)| (*service, class(*peak)))
+        .map(|(service, peak)| (*service, load_class(*peak, settings, now)))
         .max_by(|a, b| {
             let slowdown =
                 |(service, class): &(usize, usize)| predicted(&services[*service], host, *class);
@@ -405,7 +442,8 @@
         })?;
     let share = (track.share_percent() + settings.share_step_percent).min(100);
     let raise = f64::from(share - track.share_percent()) / 100.0;
-    if slowdown + effect(profile, track, class) * raise > settings.throttle_above {
+    // The gap to the throttling limit is that of a placement, so that a raise is not taken back.
+    if slowdown + effect(profile, track, class) * raise > settings.place_below {
         return None;
     }
     track.hold_until = now.plus_micros(settings.hold_micros);
