entry: a refusal with an idempotency key takes earlier requests into account

Cause: faults.rs, killed_companion: the repeat of a request whose companion was killed got "no_upstream, not run" while no upstream was known, although the first request had run. The refusal came before the claim was looked at. Ruled out: the ledger and the tombstone, which were never asked. Change: before a keyed request is refused as not run, the claim is read and the first request's outcome learned; if the store can't be read, the new kind key_unverified says that the outcome of earlier requests is unknown.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -102,6 +102,10 @@
         self.is_waiting = false;
         self.epoch = command.epoch;
         self.revision_known = self.revision_known.max(command.revision);
+        if command.is_quiet && self.settle_at > now {
+            self.settle_at = now;
+            self.list_at = now;
+        }
         let lease_micros = command.lease_micros.min(self.settings.lease_micros_max);
         let deadline = sent_at.plus_micros(lease_micros);
         let mut actions = Vec::new();
--- a/crates/control/src/cell/member.rs
+++ b/crates/control/src/cell/member.rs
@@ -21,6 +21,10 @@
     pub(super) unanswered: Option<Unanswered>,
     /// Whether its answer leaves at once.
     pub(super) is_urgent: bool,
+    /// Latest time at which a start that was granted to this incarnation can take effect.
+    pub(super) start_until: Time,
+    /// Latest time at which a start that was granted to a former incarnation can take effect.
+    pub(super) quiet_at: Time,
     /// It gets no grant before this time.
     pub(super) grant_at: Time,
     /// Attempts that may hold its resources.
@@ -41,7 +45,12 @@
 }
 
 impl Member {
-    pub(super) const fn new(id: worker::Id, incarnation: Incarnation, now: Time) -> Self {
+    pub(super) const fn new(
+        id: worker::Id,
+        incarnation: Incarnation,
+        quiet_at: Time,
+        now: Time,
+    ) -> Self {
         Self {
             id,
             incarnation,
@@ -53,6 +62,8 @@
             heard_at: now,
             unanswered: None,
             is_urgent: false,
+            start_until: Time::ZERO,
+            quiet_at,
             grant_at: Time::ZERO,
             runs: Vec::new(),
             foreign: Resources::ZERO,
--- a/crates/control/src/cell/receive.rs
+++ b/crates/control/src/cell/receive.rs
@@ -46,6 +46,10 @@
         {
             return None;
         }
+        if !is_same {
+            member.quiet_at = member.quiet_at.max(member.start_until);
+            member.start_until = Time::ZERO;
+        }
         member.incarnation = report.incarnation;
         member.sequence = report.sequence;
         member.revision = report.revision;
@@ -72,7 +76,9 @@
         if let Some(key) = self.worker_ids.get(&report.worker) {
             return *key;
         }
-        let member = Member::new(report.worker.clone(), report.incarnation, now);
+        // A former owner may have granted starts to a former companion of this worker.
+        let quiet_at = self.wait_until;
+        let member = Member::new(report.worker.clone(), report.incarnation, quiet_at, now);
         let key = self.workers.insert(member);
         self.worker_ids.insert(report.worker.clone(), key);
         key
--- a/crates/control/src/cell/reply.rs
+++ b/crates/control/src/cell/reply.rs
@@ -52,6 +52,7 @@
             sequence: unanswered.sequence,
             lease_micros: self.settings.lease_micros,
             revision: self.revision_known,
+            is_quiet: now >= member.quiet_at,
             stops: member.foreign_stops.clone(),
             acknowledged: std::mem::take(&mut member.acknowledged),
             ..Command::default()
@@ -59,6 +60,11 @@
         for key in self.runs_of(worker) {
             self.order(key, unanswered, &mut command);
         }
+        if !command.grants.is_empty()
+            && let Some(member) = self.workers.get_mut(worker)
+        {
+            member.start_until = self.settings.bound(unanswered.received_at);
+        }
         Some(command)
     }
 
--- a/crates/control/src/cell/takeover.rs
+++ b/crates/control/src/cell/takeover.rs
@@ -15,6 +15,9 @@
     value::{TaskLine, Value},
 };
 
+/// Epoch of the first owner of a cell.
+const FIRST_EPOCH: Epoch = 1;
+
 impl Cell {
     /// Takes over a cell whose segments were all stamped with `epoch`; see [`super::stamp`].
     ///
@@ -32,7 +35,12 @@
         segments: &[(u32, String)],
         now: Time,
     ) -> Result<Self, Error> {
-        let mut cell = Self::empty(settings, epoch, settings.bound(now));
+        // Epochs never repeat, so nothing was granted before the first one.
+        let wait_until = match epoch {
+            FIRST_EPOCH => now,
+            _ => settings.bound(now),
+        };
+        let mut cell = Self::empty(settings, epoch, wait_until);
         let mut records = BTreeMap::new();
         for (place, (number, text)) in segments.iter().enumerate() {
             let value = Value::parse(text)?;
--- a/crates/entry/src/claim/claims.rs
+++ b/crates/entry/src/claim/claims.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use slog::{info, warn};
-use toucanquay_model::{Error, ErrorKind, Revision, error::Run, request::Verdict};
+use toucanquay_model::{Error, ErrorKind, Revision, request::Verdict};
 use toucanquay_policy::route::{self, Request};
 use toucanquay_store::{Expected, Item, Put};
 
@@ -33,6 +33,8 @@
 enum Standing {
     /// The claim is this request's, at this revision.
     Held(Revision),
+    /// The claim is this request's, but may name another target.
+    Outdated(Revision),
     /// Another request has the claim; its record and revision.
     Foreign(Record, Revision),
 }
@@ -62,7 +64,7 @@
         for _ in 0..ATTEMPTS_MAX {
             let permit = match self.acquire(turn).await {
                 Ok(permit) => permit,
-                Err(refused) => return Err(refused),
+                Err(refused) => return self.verify(refused).await,
             };
             match self.claim(&permit, expected).await? {
                 Standing::Held(revision) => {
@@ -73,6 +75,10 @@
                         Err((refused, None)) => return Err(refused),
                     }
                 }
+                Standing::Outdated(revision) => {
+                    expected = Expected::Revision(revision);
+                    turn = Turn::Again;
+                }
                 Standing::Foreign(record, revision) => {
                     drop(permit);
                     if let Some(answer) = self.learn(&record).await? {
@@ -94,20 +100,41 @@
         lane.acquire(&self.request, turn).await
     }
 
+    /// Passes on a refusal as not run only when no earlier request with the key can have run.
+    async fn verify(&self, refused: Refused) -> Result<Answered, Refused> {
+        let item = self
+            .context
+            .store
+            .get(&self.key)
+            .await
+            .map_err(unverified)?;
+        let Some(item) = item else {
+            return Err(refused);
+        };
+        let Standing::Foreign(record, _) = self.foreign(&item)? else {
+            return Err(refused);
+        };
+        match self.learn(&record).await? {
+            Some(answer) => Ok((answer, None)),
+            None => Err(refused),
+        }
+    }
+
     /// Writes the claim, or finds the one that is there.
     async fn claim(&self, permit: &Permit, expected: Expected) -> Result<Standing, Error> {
         let record = Record::new(self.call, permit.target().clone());
         let value = serde_json::to_string(&record).expect("a claim is plain data");
         let store = &self.context.store;
-        let lease = self.context.claim_leases.current(store).await?;
+        let lease = self.context.claim_leases.current(store).await;
+        let lease = lease.map_err(unverified)?;
         let put = store.put(&self.key, &value, expected, Some(lease)).await;
-        match put.map_err(not_sent)? {
+        match put.map_err(unverified)? {
             Put::Stored(revision) => Ok(Standing::Held(revision)),
             Put::Conflict(Some(item)) => self.foreign(&item),
-            Put::Conflict(None) => Err(unavailable("the claim ended meanwhile")),
+            Put::Conflict(None) => Err(unverified("the claim ended meanwhile")),
             Put::LeaseEnded => {
                 self.context.claim_leases.forget().await;
-                Err(unavailable("the lease of the claim ended"))
+                Err(unverified("the lease of the claim ended"))
             }
         }
     }
@@ -124,6 +151,9 @@
                 .value(self.call.key.as_deref().unwrap_or_default())
                 .expected("a key that was not used with another request"));
         }
+        if record.request == self.call.id.to_string() {
+            return Ok(Standing::Outdated(item.revision));
+        }
         Ok(Standing::Foreign(record, item.revision))
     }
 
@@ -194,14 +224,8 @@
     }
 }
 
-/// Turns the error of a claim's write into that of the request, which was not sent.
-fn not_sent(error: Error) -> Error {
-    if error.kind().answer().run == Run::NotRun {
-        return error;
-    }
-    unavailable(&error.to_string())
-}
-
-fn unavailable(cause: &str) -> Error {
-    Error::new(ErrorKind::StoreUnavailable).context(cause)
+/// Returns the error of a request whose claim could not be written or read. It was not sent, but an
+/// earlier one with the same key may have run.
+fn unverified(cause: impl std::fmt::Display) -> Error {
+    Error::new(ErrorKind::KeyUnverified).context(cause)
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -40,7 +40,8 @@
     pub stop: CancellationToken,
     /// Requests in progress.
     pub requests: TaskTracker,
-    is_ready: AtomicBool,
+    is_configured: AtomicBool,
+    is_stopping: AtomicBool,
     last_request: AtomicU64,
     register: Mutex<Register>,
     roster: Mutex<Roster>,
@@ -70,7 +71,8 @@
             claim_leases: Leases::default(),
             stop: CancellationToken::new(),
             requests: TaskTracker::new(),
-            is_ready: AtomicBool::new(false),
+            is_configured: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
             register: Mutex::new(Register::new()),
             roster: Mutex::new(Roster::new(toucanquay_control::roster::Settings::default())),
@@ -88,12 +90,17 @@
 
     /// Tells whether this entry takes requests.
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        self.is_configured.load(Ordering::Relaxed) && !self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Says whether this entry takes requests.
-    pub fn set_ready(&self, is_ready: bool) {
-        self.is_ready.store(is_ready, Ordering::Relaxed);
+    /// Says that this entry has its configuration, and so takes requests unless it is stopping.
+    pub fn get_ready(&self) {
+        self.is_configured.store(true, Ordering::Relaxed);
+    }
+
+    /// Says that this entry takes no more requests from the balancer.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
     }
 
     /// Returns the configuration, locked.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -123,7 +123,7 @@
         let settings = &self.context.settings;
         let deadline = Instant::now() + Duration::from_millis(settings.stop_deadline_ms);
         info!(self.context.log, "stop_started");
-        self.context.set_ready(false);
+        self.context.begin_stop();
         tokio::time::sleep(Duration::from_millis(settings.balancer_wait_ms)).await;
         self.context.requests.close();
         let drained = async {
--- a/crates/entry/src/member/meet.rs
+++ b/crates/entry/src/member/meet.rs
@@ -101,6 +101,7 @@
     };
     let mut register = context.register();
     register.merge(snapshot);
+    context.get_ready();
     info!(context.log, "sections_taken_over"; "from" => %address,
         "revision" => register.revision());
     Ok(())
--- a/crates/entry/src/registry/configuration.rs
+++ b/crates/entry/src/registry/configuration.rs
@@ -57,7 +57,7 @@
         newest = newest.max(item.revision);
     }
     advance(context, newest);
-    context.set_ready(true);
+    context.get_ready();
     Some(range.revision)
 }
 
--- a/crates/model/src/exchange/command.rs
+++ b/crates/model/src/exchange/command.rs
@@ -17,6 +17,8 @@
     pub lease_micros: u64,
     /// Highest configuration revision that the owner knows of.
     pub revision: Revision,
+    /// Whether no start that a former run of the companion sent can take effect any more.
+    pub is_quiet: bool,
     /// Attempts to start.
     pub grants: Vec<Grant>,
     /// Attempts to stop.
--- a/crates/toucanquay/src/demo/tally.rs
+++ b/crates/toucanquay/src/demo/tally.rs
@@ -34,7 +34,9 @@
     /// Counts an answer.
     pub fn answer(&self, took: Duration) {
         let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        self.lock().saturating_record(micros);
+        self.lock()
+            .record(micros)
+            .expect("the histogram grows with its values");
     }
 
     /// Counts a refusal as not run.
