store: tests for each fault of the store, and for the return after an outage

Cause: none of the client's mechanisms had been seen at work against a fault.

Change: 24 tests over loopback bring about outage, slowness, lost answers, late writes, broken watches, compacted history, ended leases and stale reads. One test returns the store to 40 clients under constant demand, one presses a single client. The stand-in lets a delayed write take effect although its caller has gone away, as a store does.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -6,6 +6,7 @@
 mod gate;
 mod item;
 mod lease;
+mod refusal;
 mod shared;
 mod state;
 
@@ -22,6 +23,7 @@
 use change::Change;
 pub use item::Item;
 use lease::Lease;
+use refusal::Refusal;
 use shared::Shared;
 use state::{State, begins_with};
 
@@ -122,7 +124,8 @@
         self.shared.change(|state| state.set_down(is_down));
     }
 
-    /// Delays every call by `delay` before it takes effect.
+    /// Delays every call by `delay` before it takes effect. A delayed call takes effect also when
+    /// its caller has gone away.
     pub fn set_delay(&self, delay: Duration) {
         self.shared.change(|state| state.faults.delay = delay);
     }
--- a/crates/standin/src/store/api.rs
+++ b/crates/standin/src/store/api.rs
@@ -7,13 +7,13 @@
 
 use salvo::prelude::*;
 use serde::de::DeserializeOwned;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use grant::Grant;
 use put::Put;
 
-use super::{Call, Shared, VALUE_BYTES_MAX, begins_with, gate::Gate};
+use super::{Call, Refusal, Shared, VALUE_BYTES_MAX, begins_with, gate::Gate};
 
 /// Largest body of a write: a value whose every byte is escaped in JSON, and its fields.
 const BODY_BYTES_MAX: usize = 6 * VALUE_BYTES_MAX + 1_000;
@@ -107,54 +107,22 @@
         return;
     }
     let key = key(request);
-    let (revision, outcome) = shared(depot).change(|state| {
-        if !state.is_expected(&key, put.expected) {
-            return (state.revision(), Err(Some(state.get(&key).cloned())));
-        }
-        if put.lease.is_some_and(|lease| !state.has_lease(lease)) {
-            return (state.revision(), Err(None));
-        }
-        let revision = state.write(&key, &put.value, put.lease);
-        (revision, Ok(revision))
+    let change = shared(depot).change_late(move |state| {
+        let outcome = state.put(&key, &put.value, put.expected, put.lease);
+        (state.revision(), outcome)
     });
-    mark(response, revision);
-    match outcome {
-        Ok(revision) => response.render(Json(json!({ "revision": revision }))),
-        Err(Some(current)) => {
-            response.status_code(StatusCode::CONFLICT);
-            response.render(Json(json!({ "current": current })));
-        }
-        Err(None) => {
-            response.status_code(StatusCode::PRECONDITION_FAILED);
-        }
-    }
+    answer(response, change.await);
 }
 
 #[handler]
 async fn delete(request: &mut Request, depot: &mut Depot, response: &mut Response) {
     let key = key(request);
     let expected: Option<u64> = request.query("expected");
-    let (revision, outcome) = shared(depot).change(|state| {
-        if state.get(&key).is_none() {
-            return (state.revision(), Ok(false));
-        }
-        if !state.is_expected(&key, expected) {
-            return (state.revision(), Err(state.get(&key).cloned()));
-        }
-        state.remove(&key);
-        (state.revision(), Ok(true))
+    let change = shared(depot).change_late(move |state| {
+        let outcome = state.delete(&key, expected);
+        (state.revision(), outcome)
     });
-    mark(response, revision);
-    match outcome {
-        Ok(true) => response.render(Json(json!({ "revision": revision }))),
-        Ok(false) => {
-            response.status_code(StatusCode::NOT_FOUND);
-        }
-        Err(current) => {
-            response.status_code(StatusCode::CONFLICT);
-            response.render(Json(json!({ "current": current })));
-        }
-    }
+    answer(response, change.await);
 }
 
 #[handler]
@@ -163,28 +131,56 @@
         return;
     };
     let ttl = Duration::from_millis(grant.ttl_ms);
-    let lease = shared(depot).change(|state| state.grant(ttl, Instant::now()));
-    response.render(Json(json!({ "lease": lease })));
+    let change = shared(depot).change_late(move |state| {
+        let lease = state.grant(ttl, Instant::now());
+        (state.revision(), Ok(json!({ "lease": lease })))
+    });
+    answer(response, change.await);
 }
 
 #[handler]
 async fn keep_alive(request: &mut Request, depot: &mut Depot, response: &mut Response) {
     let lease: u64 = request.param("id").unwrap_or(0);
-    match shared(depot).change(|state| state.keep_alive(lease, Instant::now())) {
-        Some(ttl) => response.render(Json(json!({ "ttl_ms": ttl.as_millis() }))),
-        None => {
-            response.status_code(StatusCode::NOT_FOUND);
-        }
-    }
+    let change = shared(depot).change_late(move |state| {
+        let ttl = state.keep_alive(lease, Instant::now());
+        let body = ttl.map(|ttl| json!({ "ttl_ms": ttl.as_millis() }));
+        (state.revision(), body.ok_or(Refusal::Absent))
+    });
+    answer(response, change.await);
 }
 
 #[handler]
 async fn revoke(request: &mut Request, depot: &mut Depot, response: &mut Response) {
     let lease: u64 = request.param("id").unwrap_or(0);
-    if shared(depot).change(|state| state.end_lease(lease)) {
-        response.render(Json(json!({})));
-    } else {
-        response.status_code(StatusCode::NOT_FOUND);
+    let change = shared(depot).change_late(move |state| {
+        let outcome = match state.end_lease(lease) {
+            true => Ok(json!({})),
+            false => Err(Refusal::Absent),
+        };
+        (state.revision(), outcome)
+    });
+    answer(response, change.await);
+}
+
+/// Writes the answer to a call with an effect; `None` stands for a store that is down.
+fn answer(response: &mut Response, outcome: Option<(u64, Result<Value, Refusal>)>) {
+    let Some((revision, outcome)) = outcome else {
+        response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        return;
+    };
+    mark(response, revision);
+    match outcome {
+        Ok(body) => response.render(Json(body)),
+        Err(Refusal::Absent) => {
+            response.status_code(StatusCode::NOT_FOUND);
+        }
+        Err(Refusal::LeaseEnded) => {
+            response.status_code(StatusCode::PRECONDITION_FAILED);
+        }
+        Err(Refusal::Conflict(current)) => {
+            response.status_code(StatusCode::CONFLICT);
+            response.render(Json(json!({ "current": current })));
+        }
     }
 }
 
--- a/crates/standin/src/store/call.rs
+++ b/crates/standin/src/store/call.rs
@@ -20,3 +20,10 @@
     /// Wait for changes.
     Watch,
 }
+
+impl Call {
+    /// Tells whether the call changes nothing.
+    pub(super) const fn is_read(self) -> bool {
+        matches!(self, Self::Get | Self::Range | Self::Watch)
+    }
+}
--- a/crates/standin/src/store/gate.rs
+++ b/crates/standin/src/store/gate.rs
@@ -1,6 +1,6 @@
 //! Counts calls and applies faults before and after each of them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use salvo::prelude::*;
 
@@ -36,7 +36,11 @@
             state
                 .arrivals
                 .record(self.call, tokio::time::Instant::now());
-            state.faults.delay
+            // Calls with an effect are delayed where they take it.
+            match self.call.is_read() {
+                true => state.faults.delay,
+                false => Duration::ZERO,
+            }
         });
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
--- /dev/null
+++ b/crates/standin/src/store/refusal.rs
@@ -0,0 +1,14 @@
+//! Refusals of calls with an effect.
+
+use super::Item;
+
+/// Why a call had no effect.
+#[derive(Debug)]
+pub(super) enum Refusal {
+    /// The key or the lease does not exist.
+    Absent,
+    /// The key is not as expected.
+    Conflict(Option<Item>),
+    /// The lease of the write has ended.
+    LeaseEnded,
+}
--- a/crates/standin/src/store/shared.rs
+++ b/crates/standin/src/store/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the server and the handle.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::{sync::watch, time::Instant};
 
@@ -33,6 +33,22 @@
         outcome
     }
 
+    /// Runs `act` after the delay of a slow store, even when the caller goes away meanwhile, as a
+    /// store does with a write that it has received. Returns `None` when the store is down.
+    pub(super) async fn change_late<T: Send + 'static>(
+        self: Arc<Self>,
+        act: impl FnOnce(&mut State) -> T + Send + 'static,
+    ) -> Option<T> {
+        let delay = self.change(|state| state.faults.delay);
+        let late = tokio::spawn(async move {
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            self.change(|state| (!state.is_down()).then(|| act(state)))
+        });
+        late.await.expect("the change does not panic")
+    }
+
     /// Returns a receiver that wakes at each signal.
     pub(super) fn changes(&self) -> watch::Receiver<(u64, bool, u64)> {
         self.changed.subscribe()
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -8,12 +8,13 @@
     time::Duration,
 };
 
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use arrivals::Arrivals;
 use faults::Faults;
 
-use super::{Change, Item, Lease};
+use super::{Change, Item, Lease, Refusal};
 
 /// Changes kept for watches that resume. A watch that is further behind is refused.
 const CHANGES_MAX: usize = 100_000;
@@ -61,10 +62,40 @@
         }
     }
 
-    /// Tells whether the revision of `key`, with 0 for an absent one, is the expected one.
-    pub(super) fn is_expected(&self, key: &str, expected: Option<u64>) -> bool {
-        let revision = self.items.get(key).map_or(0, |item| item.revision);
-        expected.is_none_or(|expected| expected == revision)
+    /// Writes a key when it is as expected, and returns the answer's body.
+    pub(super) fn put(
+        &mut self,
+        key: &str,
+        value: &str,
+        expected: Option<u64>,
+        lease: Option<u64>,
+    ) -> Result<Value, Refusal> {
+        self.compare(key, expected)?;
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Refusal::LeaseEnded);
+        }
+        let revision = self.write(key, value, lease);
+        Ok(json!({ "revision": revision }))
+    }
+
+    /// Deletes a key when it is as expected, and returns the answer's body.
+    pub(super) fn delete(&mut self, key: &str, expected: Option<u64>) -> Result<Value, Refusal> {
+        if !self.items.contains_key(key) {
+            return Err(Refusal::Absent);
+        }
+        self.compare(key, expected)?;
+        self.remove(key);
+        Ok(json!({ "revision": self.revision }))
+    }
+
+    /// Compares the revision of `key`, 0 for an absent one, with the expected one.
+    fn compare(&self, key: &str, expected: Option<u64>) -> Result<(), Refusal> {
+        let current = self.items.get(key);
+        let revision = current.map_or(0, |item| item.revision);
+        if expected.is_none_or(|expected| expected == revision) {
+            return Ok(());
+        }
+        Err(Refusal::Conflict(current.cloned()))
     }
 
     pub(super) fn write(&mut self, key: &str, value: &str, lease: Option<u64>) -> u64 {
@@ -135,10 +166,6 @@
         self.last_lease
     }
 
-    pub(super) fn has_lease(&self, lease: u64) -> bool {
-        self.leases.contains_key(&lease)
-    }
-
     /// Returns the lease's time to live, or `None` when it has ended.
     pub(super) fn keep_alive(&mut self, lease: u64, now: Instant) -> Option<Duration> {
         let lease = self.leases.get_mut(&lease)?;
--- /dev/null
+++ b/crates/store/tests/faults.rs
@@ -0,0 +1,442 @@
+//! Calls against a store with faults.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+use toucanquay_model::ErrorKind;
+use toucanquay_standin::{Store, store::Call};
+use toucanquay_store::{Client, Delete, Event, Expected, Put};
+
+fn client(store: &Store) -> Client {
+    Client::builder(store.address(), "entry-1")
+        .calls_per_second(500)
+        .call_deadline(Duration::from_millis(900))
+        .build()
+        .unwrap()
+}
+
+async fn start() -> (Store, Client) {
+    let store = Store::start().await.unwrap();
+    let client = client(&store);
+    (store, client)
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Waits until the store has a revision beyond `revision`.
+async fn written(store: &Store, revision: u64) {
+    while store.revision() <= revision {
+        sleep(ms(1)).await;
+    }
+}
+
+/// Reads until the breaker refuses to send.
+async fn fail_until_refused(client: &Client) {
+    while client.is_available() {
+        let _ = client.get("a").await;
+    }
+}
+
+/// Guards against clients that keep calling a store that is down, and against errors of another kind.
+#[tokio::test]
+async fn outage_is_noticed_and_spares_the_store() {
+    let (store, client) = start().await;
+    store.set_down(true);
+    fail_until_refused(&client).await;
+    let before = store.calls_total();
+
+    for _ in 0..200 {
+        let error = client.get("a").await.unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::StoreUnavailable);
+    }
+
+    // A probe may pass when the machine is slow.
+    assert!(store.calls_total() - before <= 1);
+}
+
+/// Guards against a client that doesn't come back after an outage.
+#[tokio::test]
+async fn calls_succeed_again_after_an_outage() {
+    let (store, client) = start().await;
+    store.set_down(true);
+    fail_until_refused(&client).await;
+
+    store.set_down(false);
+    let back = timeout(ms(3_000), async {
+        while client.get("a").await.is_err() {
+            sleep(ms(5)).await;
+        }
+    });
+
+    back.await.unwrap();
+}
+
+/// Guards against "may have run" said of a write that the store has refused, and the reverse.
+#[tokio::test]
+async fn write_during_an_outage_had_no_effect() {
+    let (store, client) = start().await;
+    store.set_down(true);
+
+    let refused = client.put("a", "1", Expected::Absent, None).await;
+    store.set_down(false);
+
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::StoreUnavailable);
+    assert_eq!(store.get("a"), None);
+}
+
+/// Guards against a write that took effect and is reported as one without effect.
+#[tokio::test]
+async fn outage_after_a_lost_answer_leaves_the_outcome_unknown() {
+    let (store, client) = start().await;
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put("a", "1", Expected::Absent, None);
+    let outage = async {
+        written(&store, 0).await;
+        store.set_down(true);
+    };
+    let (put, ()) = tokio::join!(put, outage);
+
+    assert_eq!(put.unwrap_err().kind(), ErrorKind::OutcomeUnknown);
+    assert!(store.get("a").is_some());
+}
+
+/// Guards against a lost answer that is reported as a conflict with oneself, or a second write.
+#[rstest]
+#[case(Expected::Absent, 2)]
+#[case(Expected::Revision(1), 2)]
+#[case(Expected::Any, 2)]
+#[tokio::test]
+async fn lost_answer_to_a_write_is_resolved(#[case] expected: Expected, #[case] revision: u64) {
+    let (store, client) = start().await;
+    store.write("a", "0");
+    let key = if expected == Expected::Absent {
+        "b"
+    } else {
+        "a"
+    };
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put(key, "1", expected, None).await.unwrap();
+
+    assert_eq!(put, Put::Stored(revision));
+    assert_eq!(store.revision(), revision);
+}
+
+/// Guards against a write that is denied or repeated because another process has overwritten it.
+#[tokio::test]
+async fn lost_answer_is_resolved_after_another_write() {
+    let (store, client) = start().await;
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put("a", "1", Expected::Absent, None);
+    let other = async {
+        written(&store, 0).await;
+        store.write("a", "2");
+    };
+    let (put, ()) = tokio::join!(put, other);
+
+    assert_eq!(put.unwrap(), Put::Stored(1));
+    assert_eq!(store.get("a").unwrap().value, "2");
+}
+
+/// Guards against a deleted key, such as a claim, that a repeated write brings back.
+#[rstest]
+#[case(Expected::Absent)]
+#[case(Expected::Any)]
+#[tokio::test]
+async fn lost_answer_is_resolved_after_a_deletion(#[case] expected: Expected) {
+    let (store, client) = start().await;
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put("claim/1", "1", expected, None);
+    let other = async {
+        written(&store, 0).await;
+        store.remove("claim/1");
+    };
+    let (put, ()) = tokio::join!(put, other);
+
+    assert_eq!(put.unwrap(), Put::Stored(1));
+    assert_eq!(store.get("claim/1"), None);
+}
+
+/// Guards against a conflict that is taken for a success because its answer was lost.
+#[tokio::test]
+async fn lost_conflict_is_a_conflict() {
+    let (store, client) = start().await;
+    store.write("a", "other");
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put("a", "1", Expected::Absent, None).await.unwrap();
+
+    assert!(matches!(put, Put::Conflict(Some(item)) if item.value == "other"));
+    assert_eq!(store.revision(), 1);
+}
+
+/// Guards against certainty about a write when the store has forgotten what happened to its key.
+#[tokio::test]
+async fn lost_answer_with_forgotten_history_is_unknown() {
+    let (store, client) = start().await;
+    store.lose_answers(Call::Put, 1);
+
+    let put = client.put("a", "1", Expected::Absent, None);
+    let other = async {
+        written(&store, 0).await;
+        store.write("a", "2");
+        store.compact();
+    };
+    let (put, ()) = tokio::join!(put, other);
+
+    assert_eq!(put.unwrap_err().kind(), ErrorKind::OutcomeUnknown);
+}
+
+/// Guards against a write that takes effect twice because its first attempt arrived late.
+#[tokio::test]
+async fn late_first_attempt_does_not_write_twice() {
+    let (store, client) = start().await;
+    store.set_delay(ms(400));
+
+    let put = client.put("a", "1", Expected::Absent, None);
+    let recovery = async {
+        sleep(ms(100)).await;
+        store.set_delay(Duration::ZERO);
+    };
+    let (put, ()) = tokio::join!(put, recovery);
+    sleep(ms(400)).await;
+
+    assert_eq!(put.unwrap(), Put::Stored(1));
+    assert_eq!(store.calls(Call::Put), 2);
+    assert_eq!(store.revision(), 1);
+}
+
+/// Guards against a deletion that is reported as that of an absent key.
+#[tokio::test]
+async fn lost_answer_to_a_deletion_is_resolved() {
+    let (store, client) = start().await;
+    let revision = store.write("a", "1");
+    store.lose_answers(Call::Delete, 1);
+
+    let gone = client.delete("a", Expected::Revision(revision)).await;
+
+    assert_eq!(gone.unwrap(), Delete::Deleted);
+    assert_eq!(store.revision(), 2);
+}
+
+/// Guards against a holder that loses its lease over one lost answer, and against a lease that is
+/// counted from the arrival of the answer.
+#[tokio::test]
+async fn lease_survives_lost_and_late_answers() {
+    let (store, client) = start().await;
+    store.lose_answers(Call::Grant, 1);
+    store.lose_answers(Call::KeepAlive, 1);
+    let lease = client.grant(ms(5_000)).await.unwrap();
+    store.set_answer_delay(ms(200));
+
+    let before = Instant::now();
+    let kept = client.keep_alive(lease.id).await;
+
+    let kept = kept.unwrap().unwrap();
+    assert!(kept.deadline >= before + ms(5_000));
+    assert!(kept.deadline < Instant::now() + ms(4_900));
+}
+
+/// Guards against a lease that ends while other calls use up the budget.
+#[tokio::test]
+async fn keep_alive_passes_a_used_up_budget() {
+    let store = Store::start().await.unwrap();
+    let client = Client::builder(store.address(), "entry-1")
+        .calls_per_second(5)
+        .call_deadline(ms(300))
+        .build()
+        .unwrap();
+    let lease = client.grant(ms(5_000)).await.unwrap();
+    let mut callers = JoinSet::new();
+    for _ in 0..10 {
+        let client = client.clone();
+        callers.spawn(async move {
+            loop {
+                let _ = client.get("a").await;
+                sleep(ms(1)).await;
+            }
+        });
+    }
+    sleep(ms(100)).await;
+
+    let kept = timeout(ms(100), client.keep_alive(lease.id)).await;
+    let read = client.get("a").await;
+
+    assert!(read.is_err(), "the budget was not used up");
+    assert!(kept.unwrap().unwrap().is_some());
+}
+
+/// Guards against a slow store that holds its callers beyond their deadline.
+#[tokio::test]
+async fn slow_store_holds_no_caller_beyond_the_deadline() {
+    let (store, client) = start().await;
+    store.set_delay(ms(10_000));
+
+    let before = Instant::now();
+    let read = client.get("a").await;
+    let elapsed = before.elapsed();
+    let write = client.put("a", "1", Expected::Absent, None).await;
+
+    assert_eq!(read.unwrap_err().kind(), ErrorKind::StoreUnavailable);
+    assert_eq!(write.unwrap_err().kind(), ErrorKind::OutcomeUnknown);
+    assert!(elapsed < ms(1_000), "{elapsed:?}");
+}
+
+/// Guards against reads that go back behind what the caller has seen.
+#[tokio::test]
+async fn stale_read_is_repeated_until_it_is_fresh() {
+    let (store, client) = start().await;
+    store.write("a", "old");
+    store.set_stale(true);
+    let put = client.put("a", "new", Expected::Revision(1), None).await;
+    assert_eq!(put.unwrap(), Put::Stored(2));
+
+    let recovery = async {
+        sleep(ms(100)).await;
+        store.set_stale(false);
+    };
+    let (read, ()) = tokio::join!(client.get("a"), recovery);
+
+    assert_eq!(read.unwrap().unwrap().value, "new");
+}
+
+/// Guards against stale reads that are returned when no fresh one can be had.
+#[tokio::test]
+async fn stale_read_is_reported_when_it_lasts() {
+    let (store, client) = start().await;
+    store.write("a", "old");
+    store.set_stale(true);
+    client
+        .put("b", "new", Expected::Absent, None)
+        .await
+        .unwrap();
+
+    let absent = client.get("b").await.unwrap_err();
+    let range = client.range("a").await.unwrap_err();
+
+    assert_eq!(absent.kind(), ErrorKind::StoreUnavailable);
+    assert!(absent.to_string().contains("older than"), "{absent}");
+    assert_eq!(range.kind(), ErrorKind::StoreUnavailable);
+    assert!(client.is_available(), "stale reads are no outage");
+}
+
+/// Guards against changes that are lost or repeated when polls break before or after their answer.
+#[tokio::test]
+async fn watch_survives_broken_polls() {
+    const CHANGES: u64 = 200;
+    let (store, client) = start().await;
+    let mut watch = client.watch("config/", 0);
+
+    let writes = async {
+        for number in 0..CHANGES {
+            store.write(&format!("config/{}", number % 7), &number.to_string());
+            store.write("other", "x");
+            match number % 20 {
+                5 => store.drop_watches(),
+                10 => store.lose_answers(Call::Watch, 1),
+                _ => {}
+            }
+            sleep(ms(2)).await;
+        }
+    };
+    let reads = async {
+        let mut values = Vec::new();
+        while values.len() < CHANGES as usize {
+            let Event::Change(change) = watch.next().await else {
+                panic!()
+            };
+            values.push(change.value.unwrap());
+        }
+        values
+    };
+    let ((), values) = timeout(ms(20_000), async { tokio::join!(writes, reads) })
+        .await
+        .unwrap();
+
+    let expected: Vec<String> = (0..CHANGES).map(|number| number.to_string()).collect();
+    assert_eq!(values, expected);
+    assert!(store.calls(Call::Watch) > 10);
+}
+
+/// Guards against broken polls that are taken for an outage and stop other calls.
+#[tokio::test]
+async fn broken_polls_do_not_open_the_breaker() {
+    let (store, client) = start().await;
+    let mut watch = client.watch("config/", 0);
+
+    for _ in 0..10 {
+        let polls = store.calls(Call::Watch);
+        while store.calls(Call::Watch) == polls {
+            let _ = timeout(ms(20), watch.next()).await;
+        }
+        let drop_it = async {
+            sleep(ms(5)).await;
+            store.drop_watches();
+        };
+        let _ = tokio::join!(timeout(ms(20), watch.next()), drop_it);
+    }
+
+    assert!(client.is_available());
+}
+
+/// Guards against changes of an outage that a watch misses, and a watch that doesn't come back.
+#[tokio::test]
+async fn watch_survives_an_outage() {
+    let (store, client) = start().await;
+    let mut watch = client.watch("config/", 0);
+    store.write("config/a", "1");
+    assert!(matches!(watch.next().await, Event::Change(change) if change.revision == 1));
+
+    store.set_down(true);
+    let during = timeout(ms(700), watch.next()).await;
+    store.write("config/a", "2");
+    store.set_down(false);
+    let after = timeout(ms(5_000), watch.next()).await.unwrap();
+
+    assert!(during.is_err());
+    assert!(matches!(after, Event::Change(change) if change.value.as_deref() == Some("2")));
+}
+
+/// Guards against a watch that goes on silently after changes that it can no longer get.
+#[tokio::test]
+async fn watch_tells_of_a_gap() {
+    let (store, client) = start().await;
+    store.write("config/a", "1");
+    store.compact();
+
+    let event = client.watch("config/", 0).next().await;
+
+    assert_eq!(event, Event::Gap { after: 0 });
+}
+
+/// Guards against a watch whose caller, by giving up one wait, loses the changes of that wait.
+#[tokio::test]
+async fn abandoned_wait_loses_no_change() {
+    let (store, client) = start().await;
+    let mut watch = client.watch("config/", 0);
+    let mut seen = Vec::new();
+
+    for number in 1..=50 {
+        store.write("config/a", &number.to_string());
+        if let Ok(Event::Change(change)) = timeout(Duration::from_micros(700), watch.next()).await {
+            seen.push(change.revision);
+        }
+    }
+    while seen.len() < 50 {
+        let Event::Change(change) = watch.next().await else {
+            panic!()
+        };
+        seen.push(change.revision);
+    }
+
+    assert_eq!(seen, (1..=50).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/store/tests/stampede.rs
@@ -0,0 +1,90 @@
+//! The load on the store from many clients.
+
+use std::time::Duration;
+
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+use toucanquay_standin::Store;
+use toucanquay_store::Client;
+
+const CLIENTS: usize = 40;
+const CALLS_PER_SECOND: u32 = 10;
+
+fn clients(store: &Store) -> Vec<Client> {
+    (0..CLIENTS)
+        .map(|number| {
+            Client::builder(store.address(), format!("entry-{number}"))
+                .calls_per_second(CALLS_PER_SECOND)
+                .call_deadline(Duration::from_millis(900))
+                .build()
+                .unwrap()
+        })
+        .collect()
+}
+
+/// Makes each client call without a pause, from four tasks.
+fn press(clients: &[Client]) -> JoinSet<()> {
+    let mut callers = JoinSet::new();
+    for client in clients.iter().cycle().take(4 * clients.len()) {
+        let client = client.clone();
+        callers.spawn(async move {
+            loop {
+                let _ = client.get("a").await;
+                sleep(Duration::from_millis(1)).await;
+            }
+        });
+    }
+    callers
+}
+
+/// Guards against a store that is overrun by its clients when it returns from an outage.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn return_after_an_outage_stays_within_the_budget() {
+    let store = Store::start().await.unwrap();
+    let clients = clients(&store);
+    store.set_down(true);
+    let _callers = press(&clients);
+    sleep(Duration::from_millis(1_500)).await;
+
+    let before = store.calls_total();
+    let outage = Instant::now();
+    sleep(Duration::from_secs(4)).await;
+    let during = store.calls_total() - before;
+    let outage_peak = store.busiest(outage, Duration::from_millis(100));
+    let back = Instant::now();
+    store.set_down(false);
+    sleep(Duration::from_secs(6)).await;
+
+    let peak = store.busiest(back, Duration::from_millis(100));
+    let second = store.busiest(back, Duration::from_secs(1));
+    let available = clients
+        .iter()
+        .filter(|client| client.is_available())
+        .count();
+    println!("calls in 4 s of outage: {during}, most in 100 ms: {outage_peak}");
+    println!("after the return, most in 100 ms: {peak}, in 1 s: {second}, available: {available}");
+    let rate = CLIENTS * CALLS_PER_SECOND as usize;
+    assert_eq!(available, CLIENTS);
+    assert!(during <= 8 * CLIENTS as u64, "probes: {during}");
+    assert!(second <= rate + CLIENTS, "in 1 s: {second}");
+    assert!(peak <= rate / 10 + CLIENTS, "in 100 ms: {peak}");
+}
+
+/// Guards against a client that exceeds its budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_client_keeps_its_budget() {
+    let store = Store::start().await.unwrap();
+    let clients = &clients(&store)[..1];
+    let begin = Instant::now();
+    let _callers = press(clients);
+
+    sleep(Duration::from_secs(3)).await;
+
+    let calls = store.calls_total();
+    let seconds = begin.elapsed().as_secs_f64();
+    let most = f64::from(CALLS_PER_SECOND) * (seconds + 1.0);
+    assert!(calls as f64 <= most + 1.0, "{calls} calls in {seconds} s");
+    assert!(calls >= 30, "{calls} calls in {seconds} s");
+}
