--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -24,7 +24,7 @@
 use toucanquay_model::{Error, ErrorKind, Revision};
 
 pub(crate) use answer::Answer;
-pub(crate) use body::WireWatch;
+pub(crate) use body::{WireChange, WireWatch};
 use body::{WireConflict, WireItem, WireLease, WireRange, WireTtl};
 pub(crate) use call::Call;
 pub(crate) use failure::Failure;
--- a/crates/store/src/client/body.rs
+++ b/crates/store/src/client/body.rs
@@ -9,7 +9,7 @@
 mod ttl;
 mod watch;
 
-pub(super) use change::WireChange;
+pub(crate) use change::WireChange;
 pub(super) use conflict::WireConflict;
 pub(super) use item::WireItem;
 pub(super) use lease::WireLease;
--- a/crates/store/src/client/body/change.rs
+++ b/crates/store/src/client/body/change.rs
@@ -7,9 +7,9 @@
 /// A change as the store sends it.
 #[derive(Debug, Deserialize)]
 pub(crate) struct WireChange {
-    pub(crate) key: String,
+    key: String,
     value: Option<String>,
-    pub(crate) revision: u64,
+    revision: u64,
 }
 
 impl WireChange {
--- a/crates/store/src/client/write.rs
+++ b/crates/store/src/client/write.rs
@@ -7,8 +7,7 @@
 use toucanquay_model::{Error, ErrorKind, Revision};
 
 use super::{
-    Answer, Call, Client, Retry, WireConflict, WireItem, WireWatch,
-    body::{WireChange, WireRevision},
+    Answer, Call, Client, Retry, WireChange, WireConflict, WireItem, WireWatch, body::WireRevision,
 };
 use crate::{Expected, Item, Put, Stamp};
 
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Change, Client, Event,
-    client::{Call, WireWatch},
+    client::{Call, WireChange, WireWatch},
 };
 
 /// How long the store holds a poll when nothing changes. Each poll is a call of the budget.
@@ -106,12 +106,8 @@
             return Ok(());
         }
         let watch: WireWatch = answer.parse()?;
-        for change in watch.events {
-            if change.revision > self.after {
-                self.after = change.revision;
-                self.received.push_back(change.open());
-            }
-        }
+        let changes = watch.events.into_iter().map(WireChange::open);
+        self.received.extend(changes);
         self.after = self.after.max(watch.revision);
         self.client.transport().see(self.after);
         Ok(())
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -179,6 +179,22 @@
     assert_eq!(store.revision(), 1);
 }
 
+/// Guards against a restarted process that takes the value of its predecessor for its own.
+#[tokio::test]
+async fn value_of_a_predecessor_is_a_conflict() {
+    let (store, predecessor) = start().await;
+    let successor = self::client(&store);
+    predecessor
+        .put("a", "1", Expected::Absent, None)
+        .await
+        .unwrap();
+    store.lose_answers(Call::Put, 1);
+
+    let put = successor.put("a", "2", Expected::Absent, None).await;
+
+    assert!(matches!(put.unwrap(), Put::Conflict(Some(item)) if item.value == "1"));
+}
+
 /// Guards against certainty about a write when the store has forgotten what happened to its key.
 #[tokio::test]
 async fn lost_answer_with_forgotten_history_is_unknown() {
@@ -406,6 +422,25 @@
     assert!(matches!(after, Event::Change(change) if change.value.as_deref() == Some("2")));
 }
 
+/// Guards against a watch that, as the only caller after an outage, keeps the breaker open because
+/// its probes wait for changes that don't come.
+#[tokio::test]
+async fn quiet_watch_ends_the_outage_for_others() {
+    let (store, client) = start().await;
+    let mut watch = client.watch("config/", 0);
+    store.set_down(true);
+    fail_until_refused(&client).await;
+    store.set_down(false);
+    let polls = store.calls(Call::Watch);
+
+    let quiet = timeout(ms(4_000), watch.next()).await;
+    let read = client.get("a").await;
+
+    assert!(quiet.is_err());
+    assert!(read.is_ok(), "{read:?}");
+    assert!(store.calls(Call::Watch) - polls <= 2);
+}
+
 /// Guards against a watch that goes on silently after changes that it can no longer get.
 #[tokio::test]
 async fn watch_tells_of_a_gap() {
@@ -413,7 +448,8 @@
     store.write("config/a", "1");
     store.compact();
 
-    let event = client.watch("config/", 0).next().await;
+    let mut watch = client.watch("config/", 0);
+    let event = timeout(ms(2_000), watch.next()).await.unwrap();
 
     assert_eq!(event, Event::Gap { after: 0 });
 }
--- a/crates/store/tests/limits.rs
+++ b/crates/store/tests/limits.rs
@@ -154,6 +154,7 @@
         let longest = backoff.wait_micros(failures, 1.0);
         prop_assert!(wait <= longest && longest <= 2_000_000);
         prop_assert!(wait >= longest / 2);
+        prop_assert!(backoff.wait_micros(failures, 0.0) <= longest / 2);
         prop_assert!(longest <= backoff.wait_micros(failures + 1, 1.0));
     }
 
