control: keep a result that arrives while an older end is being written

After a takeover the end of an older attempt can be under way to the store when the newer attempt reports its result; the owner acknowledged that result without recording it, and the task would have run again. It now leaves the newer attempt alone until the write is done. A stop under way no longer makes the owner answer at once.

--- a/crates/control/src/cell/receive.rs
+++ b/crates/control/src/cell/receive.rs
@@ -127,11 +127,23 @@
         } else if self.is_unrecorded_end(key, line) {
             self.detach(key);
             self.end(key, line.attempt, worker, &line.state, now);
-        } else if phase != Phase::Ending || line.attempt != last {
+        } else if phase == Phase::Ending && line.attempt >= last {
+            // The end of this attempt, or of an older one that came first after a takeover, is
+            // being written. The companion reports the attempt again afterwards.
+            self.count_foreign(worker, line);
+        } else {
             self.reject(worker, line);
         }
     }
 
+    fn count_foreign(&mut self, worker: WorkerKey, line: &TaskReport) {
+        if let Some(member) = self.workers.get_mut(worker)
+            && line.state.holds_resources()
+        {
+            member.foreign = member.foreign.plus(&line.demand);
+        }
+    }
+
     /// Tells whether a line has the end of a task's newest attempt, whose lease bound has passed
     /// and which no other attempt has replaced. Its result still counts.
     fn is_unrecorded_end(&self, key: TaskKey, line: &TaskReport) -> bool {
@@ -167,17 +179,18 @@
         let Some(member) = self.workers.get_mut(worker) else {
             return;
         };
-        member.is_urgent = true;
+        // A stop under way needs no answer at once, or both sides would exchange without pause.
+        member.is_urgent |= line.state != TaskState::Stopping;
         if !line.state.holds_resources() {
             member.acknowledged.push((line.task.clone(), line.attempt));
             return;
         }
-        member.foreign = member.foreign.plus(&line.demand);
         member.foreign_stops.push(Stop {
             task: line.task.clone(),
             attempt: line.attempt,
             with_checkpoint: false,
         });
+        self.count_foreign(worker, line);
     }
 
     /// Takes in the state of a current attempt.
--- /dev/null
+++ b/crates/control/tests/roster.rs
@@ -0,0 +1,88 @@
+//! Membership of upstreams at an entry.
+
+use rstest::{fixture, rstest};
+use toucanquay_control::roster::{Heard, Load, Roster, Settings};
+use toucanquay_model::{Resources, Time, upstream::Announcement, worker};
+
+fn announcement(incarnation: u64) -> Announcement {
+    Announcement {
+        worker: worker::Id::from("w"),
+        incarnation,
+        service: "lookup".to_owned(),
+        team: "desk".to_owned(),
+        zone: "a".to_owned(),
+        rack: "r1".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        slots: 8,
+        connections: 64,
+        capacity: Resources::ZERO,
+        cell: 0,
+    }
+}
+
+fn healthy() -> Load {
+    Load {
+        is_healthy: true,
+        ..Load::default()
+    }
+}
+
+/// Returns a roster with incarnation 2 of one upstream.
+#[fixture]
+fn roster() -> Roster {
+    let mut roster = Roster::new(Settings::default());
+    roster.announce(announcement(2), Time::ZERO);
+    roster
+}
+
+/// Guards against requests to an upstream of which no heartbeat says that it is healthy.
+#[rstest]
+fn upstream_is_available_after_its_first_heartbeat(mut roster: Roster) {
+    let before = roster.available("lookup").count();
+
+    roster.heartbeat(&worker::Id::from("w"), 2, 1, healthy(), Time::ZERO);
+
+    assert_eq!((before, roster.available("lookup").count()), (0, 1));
+}
+
+/// Guards against a late heartbeat that brings back the state of a former companion.
+#[rstest]
+fn late_heartbeats_are_ignored(mut roster: Roster) {
+    let worker = worker::Id::from("w");
+    roster.announce(announcement(3), Time::ZERO);
+    roster.heartbeat(&worker, 3, 5, healthy(), Time::ZERO);
+
+    let older = roster.heartbeat(&worker, 2, 9, Load::default(), Time::ZERO);
+    let reordered = roster.heartbeat(&worker, 3, 4, Load::default(), Time::ZERO);
+    let announced = roster.announce(announcement(2), Time::ZERO);
+
+    assert_eq!([older, reordered, announced], [Heard::Stale; 3]);
+    assert_eq!(roster.available("lookup").count(), 1);
+}
+
+/// Guards against routing to a worker that is gone, and against a member that stays away after
+/// its connection is back.
+#[rstest]
+fn silent_upstream_expires_and_may_return(mut roster: Roster) {
+    let worker = worker::Id::from("w");
+
+    let expired = roster.expire(Time::from_millis(3_000));
+    let unknown = roster.heartbeat(&worker, 2, 1, healthy(), Time::from_millis(3_001));
+    let joined = roster.announce(announcement(2), Time::from_millis(3_002));
+
+    assert_eq!(expired.len(), 1);
+    assert_eq!([unknown, joined], [Heard::Unknown, Heard::Joined]);
+}
+
+/// Guards against a heartbeat under way that brings back an upstream that has left.
+#[rstest]
+fn upstream_that_left_stays_away(mut roster: Roster) {
+    let worker = worker::Id::from("w");
+
+    let left = roster.leave(&worker, 2, Time::ZERO);
+    let late = roster.announce(announcement(2), Time::from_millis(1));
+    let restarted = roster.announce(announcement(3), Time::from_millis(2));
+
+    assert!(left);
+    assert_eq!([late, restarted], [Heard::Stale, Heard::Joined]);
+}
