--- /dev/null
+++ b/crates/control/tests/cell.rs
@@ -0,0 +1,298 @@
+//! A cell owner on its own: limits, refusals, retries and the size of its records.
+
+use std::collections::BTreeMap;
+
+use rstest::{fixture, rstest};
+use toucanquay_control::cell::{Cell, Settings, stamp};
+use toucanquay_model::{
+    ErrorKind, Resources, Section, Time,
+    exchange::{Command, Report, TaskReport, TaskState},
+    job::{Reply, Spec, Urgency},
+    section, worker,
+};
+
+const CAPACITY: Resources = Resources {
+    processors_milli: 10_000,
+    memory_mb: 10_000,
+    accelerators: 0,
+};
+
+/// A cell whose store confirms every write at once.
+struct Stand {
+    cell: Cell,
+    now: Time,
+    sequence: u64,
+    largest: usize,
+}
+
+impl Stand {
+    fn submit(&mut self, id: &str, team: &str, tasks: u32, processors_milli: u32) -> Reply {
+        let spec = Spec {
+            id: id.into(),
+            team: team.to_owned(),
+            kind: "plan".to_owned(),
+            tasks,
+            demand: Resources {
+                processors_milli,
+                ..Resources::ZERO
+            },
+            urgency: Urgency::Normal,
+            finish_by_unix_ms: None,
+            payload: String::new(),
+        };
+        self.cell.submit(spec, 1, self.now);
+        self.commit();
+        self.cell.drain_answers(self.now).pop().expect("answer").1
+    }
+
+    fn commit(&mut self) {
+        self.now = self.now.plus_millis(200);
+        for write in self.cell.drain_writes(self.now) {
+            self.largest = self.largest.max(write.value.len());
+            self.cell.durable(write.segment, write.version, self.now);
+        }
+    }
+
+    fn exchange(&mut self, worker: &str, is_leaving: bool, tasks: &[TaskReport]) -> Command {
+        self.sequence += 1;
+        let report = Report {
+            worker: worker::Id::from(worker),
+            incarnation: 1,
+            sequence: self.sequence,
+            epoch: 1,
+            revision: 1,
+            is_leaving,
+            is_settling: false,
+            capacity: CAPACITY,
+            tasks: tasks.to_vec(),
+            task_usage: Vec::new(),
+            service_usage: Vec::new(),
+        };
+        self.cell.exchange(&report, self.now).expect("an answer")
+    }
+}
+
+fn lines(command: &Command, state: &TaskState) -> Vec<TaskReport> {
+    let grants = command.grants.iter().map(|grant| TaskReport {
+        task: grant.task.clone(),
+        attempt: grant.attempt,
+        demand: grant.demand,
+        state: state.clone(),
+    });
+    grants.collect()
+}
+
+fn sections() -> BTreeMap<String, Section> {
+    let quota = Section {
+        quota: Some(Resources {
+            processors_milli: 2_000,
+            ..CAPACITY
+        }),
+        ..Section::default()
+    };
+    let leaving = Section {
+        state: section::State::Leaving,
+        ..Section::default()
+    };
+    let kind = Section {
+        batch: BTreeMap::from([(
+            "plan".to_owned(),
+            section::Batch {
+                running_max: Some(3),
+            },
+        )]),
+        ..Section::default()
+    };
+    let named = [
+        ("desk", Section::default()),
+        ("small", quota),
+        ("gone", leaving),
+        ("kind", kind),
+    ];
+    named
+        .map(|(name, section)| (name.to_owned(), section))
+        .into()
+}
+
+#[fixture]
+fn stand() -> Stand {
+    let segments = [(0, stamp(None, 1).expect("stamp"))];
+    let mut cell = Cell::takeover(Settings::default(), 1, &segments, Time::ZERO).expect("valid");
+    cell.hold(Time::NEVER);
+    cell.configure(sections(), 1, 1);
+    Stand {
+        cell,
+        now: Time::from_millis(1_000),
+        sequence: 0,
+        largest: 0,
+    }
+}
+
+/// Guards against a team that takes the resources of the others.
+#[rstest]
+#[case("small", 2)]
+#[case("kind", 3)]
+#[case("desk", 10)]
+fn limits_of_a_team_bound_its_grants(
+    mut stand: Stand,
+    #[case] team: &str,
+    #[case] expected: usize,
+) {
+    stand.submit("a", team, 20, 1_000);
+
+    let command = stand.exchange("w", false, &[]);
+
+    assert_eq!(command.grants.len(), expected);
+}
+
+/// Guards against a job that can never run and holds up the others, or fails without a reason.
+#[rstest]
+fn job_that_never_fits_is_named_and_blocks_nobody(mut stand: Stand) {
+    stand.submit("huge", "desk", 1, 11_000);
+    stand.submit("usual", "desk", 1, 1_000);
+
+    let command = stand.exchange("w", false, &[]);
+
+    let unfit = stand.cell.show(&"huge".into()).expect("known").unfit;
+    assert_eq!(command.grants[0].task.job, "usual".into());
+    assert!(unfit.expect("a reason").contains("11000m processors"));
+    assert_eq!(stand.cell.show(&"usual".into()).expect("known").unfit, None);
+}
+
+/// Guards against a worker that is drained and gets new work, or keeps its tasks.
+#[rstest]
+fn leaving_worker_gets_nothing_and_is_evicted(mut stand: Stand) {
+    stand.submit("a", "desk", 2, 6_000);
+    let command = stand.exchange("w", false, &[]);
+
+    let running = lines(&command, &TaskState::Running);
+    let command = stand.exchange("w", true, &running);
+
+    assert!(command.grants.is_empty());
+    assert!(command.stops[0].with_checkpoint);
+}
+
+/// Guards against endless retries, and against retries on the worker that failed.
+#[rstest]
+fn failed_task_moves_and_is_retried_a_limited_number_of_times(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 1_000);
+    let failed = TaskState::Failed {
+        reason: "exit code 1".to_owned(),
+    };
+    let mut workers = Vec::new();
+
+    for _ in 0..20 {
+        // Longer than each backoff, shorter than the time after which a silent worker is forgotten.
+        stand.now = stand.now.plus_millis(10_000);
+        stand.cell.tick(stand.now);
+        for worker in ["a", "b"] {
+            // Both reports wait before the first answer leaves, so the owner has the choice.
+            stand.sequence += 1;
+            let report = Report {
+                worker: worker::Id::from(worker),
+                incarnation: 1,
+                sequence: stand.sequence,
+                epoch: 1,
+                revision: 1,
+                is_leaving: false,
+                is_settling: false,
+                capacity: CAPACITY,
+                tasks: Vec::new(),
+                task_usage: Vec::new(),
+                service_usage: Vec::new(),
+            };
+            stand.cell.receive(&report, stand.now);
+        }
+        stand.cell.tick(stand.now);
+        for (worker, command) in stand.cell.drain_replies(stand.now) {
+            if !command.grants.is_empty() {
+                stand.exchange(&worker.0, false, &lines(&command, &failed));
+                stand.commit();
+                workers.push(worker.0);
+            }
+        }
+    }
+
+    assert_eq!(workers, ["a", "b", "a", "b"]);
+    assert_eq!(stand.cell.show(&"a".into()).expect("known").failed, 1);
+}
+
+/// Guards against work for a team that is unknown or leaving, and against a job id with two
+/// meanings.
+#[rstest]
+#[case("b", "nobody", 1, Some(ErrorKind::UnknownTeam))]
+#[case("b", "gone", 1, Some(ErrorKind::Leaving))]
+#[case("a", "desk", 2, Some(ErrorKind::JobConflict))]
+#[case("a", "desk", 1, None)]
+fn submissions_are_checked(
+    mut stand: Stand,
+    #[case] id: &str,
+    #[case] team: &str,
+    #[case] tasks: u32,
+    #[case] expected: Option<ErrorKind>,
+) {
+    stand.submit("a", "desk", 1, 1_000);
+
+    let reply = stand.submit(id, team, tasks, 1_000);
+
+    let kind = match reply {
+        Reply::Refused(error) => Some(error.kind()),
+        _ => None,
+    };
+    assert_eq!(kind, expected);
+}
+
+/// Guards against a refusal that says "not run" of a job that is in the store, and the reverse.
+#[rstest]
+#[case(true, true)]
+#[case(false, false)]
+fn failed_write_refuses_only_what_was_surely_not_written(
+    mut stand: Stand,
+    #[case] is_certain: bool,
+    #[case] is_refused: bool,
+) {
+    let spec = Spec {
+        id: "a".into(),
+        team: "desk".to_owned(),
+        kind: "plan".to_owned(),
+        tasks: 1,
+        demand: CAPACITY,
+        urgency: Urgency::Normal,
+        finish_by_unix_ms: None,
+        payload: String::new(),
+    };
+    stand.cell.submit(spec, 7, stand.now);
+    let write = stand.cell.drain_writes(stand.now).pop().expect("a write");
+
+    stand
+        .cell
+        .failed(write.segment, write.version, is_certain, stand.now);
+
+    let answers = stand.cell.drain_answers(stand.now);
+    let is_refused_now = matches!(&answers[..], [(7, Reply::Refused(error))] if error.kind() == ErrorKind::StoreUnavailable);
+    assert_eq!(is_refused_now, is_refused);
+}
+
+/// Guards against records that outgrow the store's limit of 1 MB for a value.
+#[rstest]
+fn segments_stay_far_below_the_limit(mut stand: Stand) {
+    let stopped = TaskState::Stopped {
+        checkpoint: Some("c".repeat(500)),
+    };
+    for job in 0..20 {
+        stand.submit(&format!("job{job}"), "desk", 10_000, 10);
+    }
+
+    for _ in 0..6 {
+        let command = stand.exchange("w", false, &[]);
+        let ended = lines(&command, &stopped);
+        stand.exchange("w", false, &ended);
+        for _ in 0..4 {
+            stand.commit();
+        }
+    }
+
+    let evictions: u32 = stand.cell.list().iter().map(|job| job.evictions).sum();
+    assert!(evictions >= 2_000, "{evictions} evictions");
+    assert!(stand.largest <= 262_144, "{} bytes", stand.largest);
+}
--- a/crates/control/tests/sim/world.rs
+++ b/crates/control/tests/sim/world.rs
@@ -992,7 +992,7 @@
                 let other = places.insert(&key.0, name);
                 assert!(
                     other.is_none(),
-                    "task-in-two-places: {} on w{name} and w{other:?}",
+                    "task-in-two-places: {} on worker {name} and worker {other:?}",
                     key.0
                 );
             }
