--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -16,7 +16,7 @@
 
 /// Lowest limit as a share of the slots. A slowed-down upstream frees no more slots when it gets
 /// less work than this, so a lower limit would only shed.
-const FLOOR_SHARE: f64 = 0.25;
+const FLOOR_SHARE: f64 = 0.5;
 
 /// Weight of a new report in the average of the load that other entries cause. One report is a
 /// sample of a figure that changes within a service time, so only the average of many says much.
