--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -153,14 +153,19 @@
     /// the expected queueing is shorter there by more than the way there and back.
     #[must_use]
     pub fn pick(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<Key> {
-        let near = self.pick_near(home, excluded, now, random);
-        let far = self.pick_far(home, excluded, now, random::next(random));
-        let (Some(near), Some(far)) = (near, far) else {
-            return near.or(far);
+        let far = || self.pick_far(home, excluded, now, random::next(random));
+        let Some(near) = self.pick_near(home, excluded, now, random) else {
+            return far();
         };
-        let gain =
-            self.candidates[near].queueing_micros(now) - self.candidates[far].queueing_micros(now);
-        Some(if gain > 2.0 * ZONE_MICROS { far } else { near })
+        let gain_max = self.candidates[near].queueing_micros(now);
+        if gain_max <= 2.0 * ZONE_MICROS {
+            return Some(near);
+        }
+        let is_better = |far: &Key| {
+            let gain = gain_max - self.candidates[*far].queueing_micros(now);
+            gain > 2.0 * ZONE_MICROS
+        };
+        Some(far().filter(is_better).unwrap_or(near))
     }
 
     /// Counts a request as in flight.
