interfere: learn one slow-down per pair and one factor for high load

Cause: pairs were learned apart for low and high load. Change: one coefficient per pair and one factor per service for high load.

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -14,7 +14,7 @@
     Advice, Settings,
     budget::Budget,
     host::Host,
-    profile::{CLASSES, Profile},
+    profile::{HIGH, Profile},
     track::Track,
 };
 
@@ -144,7 +144,7 @@
         let profile = &mut self.services[service];
         let class = profile.class(usage);
         let host = host(&mut self.hosts, worker);
-        host.notice(service, class == CLASSES - 1, to);
+        host.notice(service, class == HIGH, to);
         host.learned = host.learned.max(from);
         learn(profile, host, &self.typical_milli, usage, class, (from, to));
     }
@@ -156,7 +156,9 @@
         let service = self.service_index.get(service);
         let profile = service.map(|service| &self.services[*service]);
         let kind = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
-        profile.map_or(0.0, |profile| profile.pair(kind, CLASSES - 1).mean.max(0.0))
+        profile.map_or(0.0, |profile| {
+            profile.pair(kind).mean.max(0.0) * profile.factor(HIGH)
+        })
     }
 
     /// Returns how much one more task of a kind would slow down the services on a worker, given
@@ -169,11 +171,12 @@
         let kind = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
         let increase = |(service, _): &(usize, Time)| {
             let profile = &self.services[*service];
-            let added = profile.pair(kind, CLASSES - 1).mean.max(0.0);
+            let factor = profile.factor(HIGH);
+            let added = profile.pair(kind).mean.max(0.0) * factor;
             let present: f64 = host
                 .tracks
                 .values()
-                .map(|track| profile.pair(track.kind, CLASSES - 1).mean.max(0.0))
+                .map(|track| profile.pair(track.kind).mean.max(0.0) * factor)
                 .sum();
             (present + added).exp() - present.exp()
         };
@@ -193,7 +196,7 @@
         let is_over = |(service, peak): &(usize, Time)| {
             let profile = &self.services[*service];
             let class = load_class(*peak, &self.settings, now);
-            let added = profile.pair(kind_index, class).cautious();
+            let added = profile.pair(kind_index).cautious() * profile.factor(class);
             let present = predicted(profile, host, class);
             let limit = self.settings.scaled(class).place_below;
             added > NEGLIGIBLE_SHARE * limit && present + added > limit
@@ -302,15 +305,16 @@
         f64::from(usage.p99_micros.max(1)).ln(),
     );
     let noise = NOISE + NOISE_ONE_REQUEST / f64::from(usage.requests);
+    let factor = profile.factor(class);
     let base = *profile.base(usage);
-    let mut predicted = base.mean;
     let mut total = noise + base.spread(1.0);
+    let mut slowdown = 0.0;
     let mut kinds: SmallVec<[(usize, f64); 16]> = SmallVec::new();
     for track in host.tracks() {
         let input = track.input(from, to, typical_milli[track.kind]);
         if input > 0.0 {
-            predicted += track.own.mean * input;
-            total += track.own.spread(input);
+            slowdown += track.own.mean * input;
+            total += track.own.spread(factor * input);
             match kinds.iter_mut().find(|(kind, _)| *kind == track.kind) {
                 Some((_, sum)) => *sum += input,
                 None => kinds.push((track.kind, input)),
@@ -318,29 +322,31 @@
         }
     }
     for (kind, input) in &kinds {
-        let pair = profile.pair(*kind, class);
-        predicted += pair.mean * input;
-        total += pair.spread(*input);
+        let pair = profile.pair(*kind);
+        slowdown += pair.mean * input;
+        total += pair.spread(factor * input);
     }
-    let error = measured - predicted;
+    let error = measured - base.mean - factor * slowdown;
     profile.base(usage).update(1.0, error, total, DRIFT);
     for (kind, input) in &kinds {
-        profile
-            .pair_mut(*kind, class)
-            .update(*input, error, total, DRIFT);
+        let pair = profile.pair_mut(*kind);
+        pair.update(factor * input, error, total, DRIFT);
     }
     for track in host.tracks_mut() {
         let input = track.input(from, to, typical_milli[track.kind]);
         if input > 0.0 {
-            track.own.update(input, error, total, DRIFT);
+            track.own.update(factor * input, error, total, DRIFT);
         }
     }
+    if class == HIGH {
+        profile.high_mut().update(slowdown, error, total, DRIFT);
+    }
 }
 
 /// Returns the slow-down by one task at its full share that is probably exceeded.
 fn effect(profile: &Profile, track: &Track, class: usize) -> f64 {
-    let pair = profile.pair(track.kind, class);
-    (pair.cautious() + track.own.mean).max(0.0)
+    let pair = profile.pair(track.kind);
+    (pair.cautious() + track.own.mean).max(0.0) * profile.factor(class)
 }
 
 fn predicted(profile: &Profile, host: &Host, class: usize) -> f64 {
--- a/crates/policy/src/interfere/profile.rs
+++ b/crates/policy/src/interfere/profile.rs
@@ -7,8 +7,11 @@
 /// Load buckets: powers of two of the requests in flight.
 const LOADS: usize = 8;
 
-/// Load classes for which the slow-down by a kind is learned apart.
-pub(super) const CLASSES: usize = 2;
+/// Load class of a window in which the slots are nearly all in use.
+pub(super) const HIGH: usize = 1;
+
+/// Factor on the slow-down by all kinds at high load, before anything is known of it.
+const HIGH_PRIOR: Weight = Weight::new(1.3, 0.1);
 
 /// Slow-down that is assumed of a pair that has not been seen, so that known harmless pairs are
 /// preferred.
@@ -21,8 +24,11 @@
 #[derive(Debug)]
 pub(super) struct Profile {
     base: [Weight; LOADS],
-    /// By kind, then by load class.
-    pairs: Vec<[Weight; CLASSES]>,
+    /// By kind, for low load.
+    pairs: Vec<Weight>,
+    /// Factor on them at high load. It is one for all kinds, because windows of high load are too
+    /// few to learn each pair apart.
+    high: Weight,
     slots: u32,
 }
 
@@ -31,6 +37,7 @@
         Self {
             base: [BASE_PRIOR; LOADS],
             pairs: Vec::new(),
+            high: HIGH_PRIOR,
             slots,
         }
     }
@@ -50,14 +57,27 @@
         &mut self.base[load.min(LOADS - 1)]
     }
 
-    pub fn pair_mut(&mut self, kind: usize, class: usize) -> &mut Weight {
+    pub fn pair_mut(&mut self, kind: usize) -> &mut Weight {
         if self.pairs.len() <= kind {
-            self.pairs.resize(kind + 1, [PAIR_PRIOR; CLASSES]);
+            self.pairs.resize(kind + 1, PAIR_PRIOR);
         }
-        &mut self.pairs[kind][class]
+        &mut self.pairs[kind]
+    }
+
+    pub fn pair(&self, kind: usize) -> Weight {
+        self.pairs.get(kind).copied().unwrap_or(PAIR_PRIOR)
     }
 
-    pub fn pair(&self, kind: usize, class: usize) -> Weight {
-        self.pairs.get(kind).map_or(PAIR_PRIOR, |pair| pair[class])
+    pub const fn high_mut(&mut self) -> &mut Weight {
+        &mut self.high
+    }
+
+    /// Returns the factor on the slow-down by all tasks in a load class.
+    pub const fn factor(&self, class: usize) -> f64 {
+        if class == HIGH {
+            self.high.mean.clamp(1.0, 3.0)
+        } else {
+            1.0
+        }
     }
 }
