interfere: take two windows in a row as lasting high load

Cause: one window with most slots in use, which happens by chance in calm, switched a worker to the tighter limits for five minutes. Change: two such windows must follow each other.

--- a/crates/policy/src/interfere.rs
+++ b/crates/policy/src/interfere.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod budget;
+mod demand;
 mod host;
 mod matrix;
 mod profile;
--- a/crates/policy/src/interfere/host.rs
+++ b/crates/policy/src/interfere/host.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use toucanquay_model::{Time, task};
 
-use super::track::Track;
+use super::{demand::Demand, track::Track};
 
 /// Tasks and services of one worker.
 #[derive(Debug, Default)]
@@ -14,8 +14,8 @@
     pub tracks: HashMap<task::Id, Track, RandomState>,
     /// Tasks that ended recently; late reports may describe the time in which they ran.
     pub past: Vec<Track>,
-    /// Services that run here, each with the end of its last window of high load.
-    pub services: SmallVec<[(usize, Time); 2]>,
+    /// Services that run here.
+    pub services: SmallVec<[Demand; 2]>,
     /// When a share last changed.
     pub changed: Time,
     /// End of the last window that was learned from.
@@ -32,19 +32,17 @@
         self.tracks.values().chain(self.past.iter())
     }
 
-    /// Remembers that a service runs here and, if its load is high, when.
+    /// Remembers that a service runs here and, if its load is high in two windows that follow each
+    /// other, when. A single high window is chance in calm.
     pub fn notice(&mut self, service: usize, is_high: bool, at: Time) {
         let known = self
             .services
             .iter()
-            .position(|(known, _)| *known == service);
+            .position(|known| known.service == service);
         let index = known.unwrap_or_else(|| {
-            self.services.push((service, Time::ZERO));
+            self.services.push(Demand::new(service));
             self.services.len() - 1
         });
-        if is_high {
-            let peak = &mut self.services[index].1;
-            *peak = at.max(*peak);
-        }
+        self.services[index].notice(is_high, at);
     }
 }
--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -13,6 +13,7 @@
 use super::{
     Advice, Settings,
     budget::Budget,
+    demand::Demand,
     host::Host,
     profile::{HIGH, Profile},
     track::Track,
@@ -169,8 +170,8 @@
             return 0.0;
         };
         let kind = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
-        let increase = |(service, _): &(usize, Time)| {
-            let profile = &self.services[*service];
+        let increase = |demand: &Demand| {
+            let profile = &self.services[demand.service];
             let factor = profile.factor(HIGH);
             let added = profile.pair(kind).mean.max(0.0) * factor;
             let present: f64 = host
@@ -193,9 +194,9 @@
             return Some(0.0);
         };
         let kind_index = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
-        let is_over = |(service, peak): &(usize, Time)| {
-            let profile = &self.services[*service];
-            let class = load_class(*peak, &self.settings, now);
+        let is_over = |demand: &Demand| {
+            let profile = &self.services[demand.service];
+            let class = demand.class(&self.settings, now);
             let added = profile.pair(kind_index).cautious() * profile.factor(class);
             let present = predicted(profile, host, class);
             let limit = self.settings.scaled(class).place_below;
@@ -357,13 +358,6 @@
         .sum()
 }
 
-/// Returns the load class for which decisions are made. A high load is assumed to come back within
-/// the time for which peaks are remembered.
-fn load_class(peak: Time, settings: &Settings, now: Time) -> usize {
-    let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
-    usize::from(is_high)
-}
-
 /// Returns the service on a worker that is predicted to be slowed down most, with its load class.
 fn worst_service(
     services: &[Profile],
@@ -373,7 +367,7 @@
 ) -> Option<(usize, usize)> {
     host.services
         .iter()
-        .map(|(service, peak)| (*service, load_class(*peak, settings, now)))
+        .map(|demand| (demand.service, demand.class(settings, now)))
         .max_by(|a, b| {
             let slowdown =
                 |(service, class): &(usize, usize)| predicted(&services[*service], host, *class);
