batch: do not take jobs as starved during the first minutes of the clock

The limit for starvation saturated at the clock's zero, so every job that was pushed at zero counted as starved and could claim a worker. The test of jobs that yield showed it.

--- a/crates/policy/src/batch/backlog.rs
+++ b/crates/policy/src/batch/backlog.rs
@@ -380,7 +380,7 @@
 
     /// Moves a task from waiting to running.
     fn begin(&mut self, key: Key, index: u32, earlier: u64, reservation: Resources, now: Time) {
-        let is_starved = self.jobs[key].since <= self.starved_limit(now);
+        let is_starved = self.is_starved(self.jobs[key].since, now);
         self.starts_in_order = if is_starved {
             0
         } else {
@@ -525,7 +525,7 @@
         let entry = &self.jobs[key];
         let claims_max = (self.fleet.len() / WORKERS_PER_CLAIM).max(1);
         let has_claim = self.claims.iter().any(|(owner, _)| *owner == key);
-        let is_starved = entry.since <= self.starved_limit(now);
+        let is_starved = self.is_starved(entry.since, now);
         if !is_starved || has_claim || self.claims.len() >= claims_max {
             return;
         }
@@ -539,7 +539,8 @@
         if self.starts_in_order < self.settings.starts_between_starved {
             return None;
         }
-        self.order.next_starved(cursor, self.starved_limit(now))
+        self.order
+            .next_starved(cursor, |since| self.is_starved(since, now))
     }
 
     fn starts_before_starved(&self) -> usize {
@@ -547,9 +548,9 @@
         starts.saturating_sub(self.starts_in_order).max(1) as usize
     }
 
-    /// Returns the time since which a job must have waited to be starved.
-    fn starved_limit(&self, now: Time) -> Time {
-        Time::from_micros(now.micros_since(Time::from_micros(self.settings.starved_micros)))
+    /// Tells whether a job that has waited without a start since `since` is starved.
+    fn is_starved(&self, since: Time, now: Time) -> bool {
+        since.plus_micros(self.settings.starved_micros) <= now
     }
 
     /// Puts a job where it belongs in the order.
--- a/crates/policy/src/batch/order.rs
+++ b/crates/policy/src/batch/order.rs
@@ -94,10 +94,14 @@
         None
     }
 
-    /// Returns the next job that has waited without a start since `limit` or longer.
-    pub fn next_starved(&self, cursor: &mut Cursor, limit: Time) -> Option<Key> {
+    /// Returns the next job for whose wait since a point in time `is_starved` holds.
+    pub fn next_starved(
+        &self,
+        cursor: &mut Cursor,
+        is_starved: impl Fn(Time) -> bool,
+    ) -> Option<Key> {
         let entry = after(&self.since, cursor.starved)?;
-        if entry.0 > limit {
+        if !is_starved(entry.0) {
             return None;
         }
         cursor.starved = Some(entry);
