quarantine: let only probes change a quarantine

Tasks from before the quarantine that failed later doubled the time to the first probe each; a test of probes showed it. Adds tests of the quarantine and of the interference model.

--- a/crates/policy/src/quarantine/ward.rs
+++ b/crates/policy/src/quarantine/ward.rs
@@ -109,6 +109,7 @@
     pub fn probe(&mut self, worker: &worker::Id, now: Time) {
         if let Some(stay) = self.stays.get_mut(worker) {
             stay.probe_at = now.plus_micros(stay.interval_micros);
+            stay.is_probing = true;
         }
     }
 
@@ -186,15 +187,18 @@
         let stay = Stay {
             probe_at: now.plus_micros(self.settings.probe_micros),
             interval_micros: self.settings.probe_micros,
+            is_probing: false,
             successes: 0,
         };
         self.stays.insert(worker.clone(), stay);
     }
 
     fn record_probe(&mut self, worker: &worker::Id, is_success: bool, now: Time) {
-        let Some(stay) = self.stays.get_mut(worker) else {
+        // Tasks that were started before the quarantine began say nothing about a recovery.
+        let Some(stay) = self.stays.get_mut(worker).filter(|stay| stay.is_probing) else {
             return;
         };
+        stay.is_probing = false;
         if is_success {
             stay.successes += 1;
             stay.probe_at = now;
--- /dev/null
+++ b/crates/policy/tests/interfere.rs
@@ -0,0 +1,304 @@
+//! Learned slow-down and advice.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use toucanquay_model::{Time, exchange::ServiceUsage, task, worker};
+use toucanquay_policy::interfere::{Advice, Matrix, Settings};
+
+const SECOND: u64 = 1_000_000;
+
+/// A few workers whose only truth is a latency that depends on the tasks and their shares.
+struct Cell {
+    matrix: Matrix,
+    rng: StdRng,
+    /// Kind and share by worker and task.
+    runs: Vec<BTreeMap<task::Id, (&'static str, u8)>>,
+    reports: VecDeque<(u64, usize, ServiceUsage)>,
+    lag_seconds: u64,
+    now: u64,
+    tasks: u32,
+    /// Advice that lowered a share, raised one, and evicted.
+    lowered: u32,
+    raised: u32,
+    evicted: u32,
+}
+
+impl Cell {
+    fn new(workers: usize, lag_seconds: u64, settings: Settings) -> Self {
+        Self {
+            matrix: Matrix::new(settings),
+            rng: StdRng::seed_from_u64(7),
+            runs: vec![BTreeMap::new(); workers],
+            reports: VecDeque::new(),
+            lag_seconds,
+            now: 0,
+            tasks: 0,
+            lowered: 0,
+            raised: 0,
+            evicted: 0,
+        }
+    }
+
+    fn worker(index: usize) -> worker::Id {
+        worker::Id(format!("w{index}"))
+    }
+
+    const fn time(&self) -> Time {
+        Time::from_micros(self.now * SECOND)
+    }
+
+    fn start(&mut self, index: usize, kind: &'static str) {
+        self.tasks += 1;
+        let task = task::Id::new(kind.into(), self.tasks);
+        self.matrix
+            .start(&Self::worker(index), &task, kind, self.time());
+        self.runs[index].insert(task, (kind, 100));
+    }
+
+    fn stop(&mut self, index: usize, task: &task::Id) {
+        self.matrix.stop(&Self::worker(index), task, self.time());
+        self.runs[index].remove(task);
+    }
+
+    /// Runs for one second. `slowdown` is the logarithm of the factor by kind.
+    fn step(&mut self, in_flight_max: u32, slowdown: impl Fn(&str) -> f64) {
+        self.now += 1;
+        for index in 0..self.runs.len() {
+            let runs = self.runs[index].values();
+            let sum: f64 = runs
+                .map(|(kind, share)| slowdown(kind) * f64::from(*share) / 100.0)
+                .sum();
+            let noise = self.rng.random_range(-0.1..0.1);
+            let micros = (10_000.0 * (sum + noise).exp()) as u32;
+            let usage = ServiceUsage {
+                service: "lookup".to_owned(),
+                age_micros: self.lag_seconds * SECOND,
+                window_micros: SECOND,
+                requests: 100,
+                p50_micros: micros,
+                p99_micros: micros * 3,
+                in_flight_max,
+            };
+            self.reports
+                .push_back((self.now + self.lag_seconds, index, usage));
+        }
+        while self
+            .reports
+            .front()
+            .is_some_and(|report| report.0 <= self.now)
+        {
+            let (_, index, usage) = self.reports.pop_front().expect("there is a report");
+            self.matrix
+                .observe(&Self::worker(index), &usage, self.time());
+        }
+    }
+
+    /// Carries out the advice for all workers.
+    fn obey(&mut self) {
+        for index in 0..self.runs.len() {
+            for advice in self.matrix.advise(&Self::worker(index), self.time()) {
+                match advice {
+                    Advice::Throttle {
+                        task,
+                        share_percent,
+                    } => {
+                        let run = self.runs[index].get_mut(&task).expect("the task runs");
+                        self.lowered += u32::from(share_percent < run.1);
+                        self.raised += u32::from(share_percent > run.1);
+                        run.1 = share_percent;
+                    }
+                    Advice::Evict { task } => {
+                        self.evicted += 1;
+                        self.stop(index, &task);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets loud and quiet tasks come and go, without advice, so that they can be told apart.
+    fn learn(&mut self) {
+        for second in 0..600u64 {
+            for index in 0..self.runs.len() {
+                let phase = second + index as u64 * 13;
+                if phase.is_multiple_of(40) {
+                    self.runs[index]
+                        .keys()
+                        .cloned()
+                        .collect::<Vec<_>>()
+                        .iter()
+                        .for_each(|task| {
+                            self.stop(index, task);
+                        });
+                    // Each kind also runs without the other, so that the two can be told apart
+                    // from each other and from the service's own latency.
+                    if !(phase / 40).is_multiple_of(3) {
+                        self.start(index, "quiet");
+                    }
+                    if (phase / 40).is_multiple_of(2) {
+                        self.start(index, "loud");
+                    }
+                }
+            }
+            self.step(3, truth);
+        }
+        for index in 0..self.runs.len() {
+            for task in self.runs[index].keys().cloned().collect::<Vec<_>>() {
+                self.stop(index, &task);
+            }
+        }
+    }
+}
+
+fn truth(kind: &str) -> f64 {
+    if kind == "loud" { 0.8 } else { 0.0 }
+}
+
+/// Guards against blaming the tasks that run when a report arrives instead of those that ran in
+/// the window that it describes. With a lag of 30 s and tasks that change every 40 s, the two
+/// differ most of the time.
+#[rstest]
+#[case(1)]
+#[case(30)]
+fn slowdown_is_learned_despite_the_lag(#[case] lag_seconds: u64) {
+    let mut cell = Cell::new(4, lag_seconds, Settings::default());
+
+    cell.learn();
+
+    let loud = cell.matrix.slowdown("lookup", "loud");
+    let quiet = cell.matrix.slowdown("lookup", "quiet");
+    assert!(loud > 0.5, "{loud}");
+    assert!(quiet < 0.2, "{quiet}");
+}
+
+/// Guards against placement that ignores what was learned.
+#[test]
+fn price_prefers_the_worker_without_loud_work() {
+    let mut cell = Cell::new(2, 1, Settings::default());
+    cell.learn();
+    cell.start(0, "loud");
+
+    let (busy, free) = (Cell::worker(0), Cell::worker(1));
+    assert!(cell.matrix.penalty(&busy, "loud") > cell.matrix.penalty(&free, "loud"));
+    assert_eq!(cell.matrix.price(&busy, "loud", cell.time()), None);
+    assert!(cell.matrix.price(&busy, "quiet", cell.time()).is_some());
+}
+
+/// Guards against eviction where a throttle would do, and against throttling the wrong task.
+#[test]
+fn loud_task_is_throttled_and_not_evicted() {
+    let mut cell = Cell::new(2, 1, Settings::default());
+    cell.learn();
+    cell.start(0, "quiet");
+    cell.start(0, "loud");
+
+    for _ in 0..60 {
+        cell.step(3, truth);
+        cell.obey();
+    }
+
+    let shares: BTreeMap<&str, u8> = cell.runs[0].values().copied().collect();
+    assert_eq!(shares["quiet"], 100);
+    assert!(shares["loud"] < 100, "{shares:?}");
+    assert_eq!(cell.evicted, 0);
+}
+
+/// Guards against throttling and releasing in step with a demand swing that the reports follow
+/// only after it has passed.
+#[rstest]
+#[case::lag_shorter(1)]
+#[case::lag_longer(10)]
+fn shares_do_not_oscillate(#[case] lag_seconds: u64) {
+    let mut cell = Cell::new(4, lag_seconds, Settings::default());
+    cell.learn();
+    for index in 0..4 {
+        cell.start(index, "quiet");
+        cell.start(index, "loud");
+    }
+
+    // Demand swings every 6 s, and the slow-down with it.
+    for second in 0..1_200 {
+        let is_peak = second % 6 < 3;
+        let factor = if is_peak { 1.3 } else { 0.7 };
+        cell.step(if is_peak { 8 } else { 2 }, |kind| factor * truth(kind));
+        cell.obey();
+    }
+
+    // One cut for each worker, and two raises and cuts in 20 minutes as the estimates settle.
+    assert!(cell.lowered >= 4, "{}", cell.lowered);
+    assert!(
+        cell.lowered + cell.raised <= 20,
+        "{} {}",
+        cell.lowered,
+        cell.raised
+    );
+}
+
+/// Guards against a wave of evictions: many tasks that stay loud at the lowest share.
+#[test]
+fn evictions_keep_to_the_budget() {
+    let settings = Settings {
+        evictions_burst: 2,
+        eviction_micros: 60 * SECOND,
+        ..Settings::default()
+    };
+    let mut cell = Cell::new(8, 1, settings);
+    cell.learn();
+    for index in 0..8 {
+        for _ in 0..8 {
+            cell.start(index, "loud");
+        }
+    }
+
+    for _ in 0..120 {
+        cell.step(3, truth);
+        cell.obey();
+    }
+
+    assert!(cell.lowered > 0);
+    assert!((1..=4).contains(&cell.evicted), "{}", cell.evicted);
+}
+
+/// Guards against an eviction before the effect of the throttling was measured.
+#[test]
+fn no_eviction_before_the_throttled_time_is_reported() {
+    let mut cell = Cell::new(2, 20, Settings::default());
+    cell.learn();
+    for _ in 0..8 {
+        cell.start(0, "loud");
+    }
+
+    for _ in 0..20 {
+        cell.step(3, truth);
+        cell.obey();
+    }
+
+    assert!(cell.lowered > 0);
+    assert_eq!(cell.evicted, 0);
+}
+
+/// Guards against a task that stays throttled after the service beside it has lost its load.
+#[test]
+fn share_is_given_back() {
+    let mut cell = Cell::new(2, 1, Settings::default());
+    cell.learn();
+    cell.start(0, "loud");
+    for _ in 0..10 {
+        cell.step(3, truth);
+        cell.obey();
+    }
+    assert!(cell.lowered > 0);
+
+    for _ in 0..900 {
+        cell.step(3, |_| 0.0);
+        cell.obey();
+    }
+
+    assert!(
+        cell.runs[0].values().all(|(_, share)| *share == 100),
+        "{:?}",
+        cell.runs[0]
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,161 @@
+//! Workers that fail everything and jobs that fail everywhere.
+
+use rstest::rstest;
+use toucanquay_model::{Time, job, worker};
+use toucanquay_policy::quarantine::{Admission, Quarantine, Settings};
+
+fn worker(index: usize) -> worker::Id {
+    worker::Id(format!("w{index}"))
+}
+
+fn job(name: &str) -> job::Id {
+    job::Id::from(name)
+}
+
+fn quarantine(workers: usize) -> Quarantine {
+    let mut quarantine = Quarantine::new(Settings::default());
+    for index in 0..workers {
+        quarantine.join(&worker(index));
+    }
+    quarantine
+}
+
+/// Records outcomes of the jobs `a`, `b` and `c` on all workers; `fails` tells which failed.
+fn record(quarantine: &mut Quarantine, workers: usize, fails: impl Fn(usize, &str) -> bool) {
+    for name in ["a", "b", "c"] {
+        for index in 0..workers {
+            for _ in 0..2 {
+                let is_success = !fails(index, name);
+                quarantine.record(&worker(index), &job(name), is_success, Time::ZERO);
+            }
+        }
+    }
+}
+
+/// Guards against jobs that are blamed for a worker that fails everything.
+#[test]
+fn bad_worker_is_closed_and_no_job_blamed() {
+    let mut quarantine = quarantine(8);
+
+    record(&mut quarantine, 8, |index, _| index == 3);
+
+    assert_eq!(
+        quarantine.admission(&worker(3), Time::ZERO),
+        Admission::Closed
+    );
+    assert_eq!(quarantine.closed().count(), 1);
+    for name in ["a", "b", "c"] {
+        assert!(!quarantine.is_blamed(&job(name), Time::ZERO), "{name}");
+    }
+}
+
+/// Guards against workers that are blamed for a job that fails everywhere.
+#[test]
+fn bad_job_is_blamed_and_no_worker_closed() {
+    let mut quarantine = quarantine(8);
+
+    record(&mut quarantine, 8, |_, name| name == "b");
+
+    assert!(quarantine.is_blamed(&job("b"), Time::ZERO));
+    assert!(!quarantine.is_blamed(&job("a"), Time::ZERO));
+    assert_eq!(quarantine.closed().count(), 0);
+}
+
+/// Guards against a quarantine that closes the cell when everything fails, for instance because a
+/// dependency of all tasks is down.
+#[rstest]
+#[case(1, 0)]
+#[case(4, 1)]
+#[case(11, 2)]
+fn floor_keeps_workers_open(#[case] workers: usize, #[case] closed_max: usize) {
+    let mut quarantine = quarantine(workers);
+
+    for _ in 0..20 {
+        record(&mut quarantine, workers, |_, _| true);
+    }
+
+    assert!(quarantine.closed().count() <= closed_max);
+}
+
+/// Guards against a job that is blamed while no worker succeeds with anything.
+#[test]
+fn no_job_is_blamed_when_everything_fails() {
+    let mut quarantine = quarantine(8);
+
+    record(&mut quarantine, 8, |_, _| true);
+
+    for name in ["a", "b", "c"] {
+        assert!(!quarantine.is_blamed(&job(name), Time::ZERO), "{name}");
+    }
+}
+
+/// Guards against a recovered worker that stays closed, and against more than one probe at a time.
+#[test]
+fn probes_open_a_recovered_worker() {
+    let mut quarantine = quarantine(8);
+    record(&mut quarantine, 8, |index, _| index == 3);
+    let bad = worker(3);
+    let first = Time::from_millis(30_000);
+    assert_eq!(
+        quarantine.admission(&bad, Time::from_millis(29_999)),
+        Admission::Closed
+    );
+    assert_eq!(quarantine.admission(&bad, first), Admission::Probe);
+
+    quarantine.probe(&bad, first);
+    assert_eq!(quarantine.admission(&bad, first), Admission::Closed);
+    quarantine.record(&bad, &job("a"), true, Time::from_millis(31_000));
+    let second = Time::from_millis(31_000);
+    assert_eq!(quarantine.admission(&bad, second), Admission::Probe);
+    quarantine.probe(&bad, second);
+    quarantine.record(&bad, &job("a"), true, Time::from_millis(32_000));
+
+    assert_eq!(
+        quarantine.admission(&bad, Time::from_millis(32_000)),
+        Admission::Open
+    );
+}
+
+/// Guards against tasks from before the quarantine that prolong it when they fail or end it when
+/// they succeed.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn only_probes_change_a_quarantine(#[case] is_success: bool) {
+    let mut quarantine = quarantine(8);
+    record(&mut quarantine, 8, |index, _| index == 3);
+    let bad = worker(3);
+
+    for _ in 0..9 {
+        quarantine.record(&bad, &job("a"), is_success, Time::from_millis(1_000));
+    }
+
+    assert_eq!(
+        quarantine.admission(&bad, Time::from_millis(29_999)),
+        Admission::Closed
+    );
+    assert_eq!(
+        quarantine.admission(&bad, Time::from_millis(30_000)),
+        Admission::Probe
+    );
+}
+
+/// Guards against probes that burden a worker which does not recover.
+#[test]
+fn failed_probes_become_rarer() {
+    let mut quarantine = quarantine(8);
+    record(&mut quarantine, 8, |index, _| index == 3);
+    let bad = worker(3);
+    let mut probes = 0;
+
+    for second in 0..3_600 {
+        let now = Time::from_millis(second * 1_000);
+        if quarantine.admission(&bad, now) == Admission::Probe {
+            quarantine.probe(&bad, now);
+            quarantine.record(&bad, &job("a"), false, now);
+            probes += 1;
+        }
+    }
+
+    assert!((3..=10).contains(&probes), "{probes}");
+}
