--- a/crates/control/src/cell/receive.rs
+++ b/crates/control/src/cell/receive.rs
@@ -46,6 +46,10 @@
         {
             return None;
         }
+        if !is_same {
+            member.quiet_at = member.quiet_at.max(member.start_until);
+            member.start_until = Time::ZERO;
+        }
         member.incarnation = report.incarnation;
         member.sequence = report.sequence;
         member.revision = report.revision;
@@ -72,7 +76,9 @@
         if let Some(key) = self.worker_ids.get(&report.worker) {
             return *key;
         }
-        let member = Member::new(report.worker.clone(), report.incarnation, now);
+        // A former owner may have granted starts to a former companion of this worker.
+        let quiet_at = self.wait_until;
+        let member = Member::new(report.worker.clone(), report.incarnation, quiet_at, now);
         let key = self.workers.insert(member);
         self.worker_ids.insert(report.worker.clone(), key);
         key
@@ -124,11 +130,47 @@
             self.update(run, report, line, now);
         } else if line.attempt > last && phase != Phase::Done && phase != Phase::Ending {
             self.adopt(key, worker, report, line, now);
-        } else if phase != Phase::Ending || line.attempt != last {
+        } else if self.is_unrecorded_end(key, line) {
+            self.detach(key);
+            self.end(key, line.attempt, worker, &line.state, now);
+        } else if phase == Phase::Ending && line.attempt >= last {
+            // The end of this attempt, or of an older one that came first after a takeover, is
+            // being written. The companion reports the attempt again afterwards.
+            self.count_foreign(worker, line);
+        } else {
             self.reject(worker, line);
         }
     }
 
+    fn count_foreign(&mut self, worker: WorkerKey, line: &TaskReport) {
+        if let Some(member) = self.workers.get_mut(worker)
+            && line.state.holds_resources()
+        {
+            member.foreign = member.foreign.plus(&line.demand);
+        }
+    }
+
+    /// Tells whether a line has the end of a task's newest attempt, whose lease bound has passed
+    /// and which no other attempt has replaced. Its result still counts.
+    fn is_unrecorded_end(&self, key: TaskKey, line: &TaskReport) -> bool {
+        let job = &self.jobs[key.job];
+        let task = &job.tasks[key.index as usize];
+        let is_waiting = matches!(task.phase, Phase::Waiting | Phase::Backoff(_));
+        let is_result = matches!(
+            line.state,
+            TaskState::Finished
+                | TaskState::Failed { .. }
+                | TaskState::Stopped {
+                    checkpoint: Some(_)
+                }
+        );
+        let recorded = job
+            .records
+            .get(&key.index)
+            .map(|(_, record)| record.attempt);
+        is_waiting && is_result && line.attempt == task.last && recorded != Some(line.attempt)
+    }
+
     fn task_key(&self, line: &TaskReport) -> Option<TaskKey> {
         let job = *self.job_ids.get(&line.task.job)?;
         let count = self.jobs.get(job)?.spec.tasks;
@@ -143,17 +185,18 @@
         let Some(member) = self.workers.get_mut(worker) else {
             return;
         };
-        member.is_urgent = true;
+        // A stop under way needs no answer at once, or both sides would exchange without pause.
+        member.is_urgent |= line.state != TaskState::Stopping;
         if !line.state.holds_resources() {
             member.acknowledged.push((line.task.clone(), line.attempt));
             return;
         }
-        member.foreign = member.foreign.plus(&line.demand);
         member.foreign_stops.push(Stop {
             task: line.task.clone(),
             attempt: line.attempt,
             with_checkpoint: false,
         });
+        self.count_foreign(worker, line);
     }
 
     /// Takes in the state of a current attempt.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -15,7 +15,7 @@
 use toucanquay_store::Client;
 use toucanquay_wire::{Pool, heartbeat::Owner};
 
-use crate::{Clock, Settings, lane::Lane, member::Peer, owner::Role};
+use crate::{Clock, Settings, claim::Leases, lane::Lane, member::Peer, owner::Role};
 
 /// What the listeners and loops of one entry share.
 #[derive(Debug)]
@@ -34,11 +34,14 @@
     pub store: Client,
     /// Role of the cell's owner, while this entry holds it.
     pub role: Role,
+    /// Leases of idempotency claims.
+    pub claim_leases: Leases,
     /// Stops the loops, which hold no request in progress.
     pub stop: CancellationToken,
     /// Requests in progress.
     pub requests: TaskTracker,
-    is_ready: AtomicBool,
+    is_configured: AtomicBool,
+    is_stopping: AtomicBool,
     last_request: AtomicU64,
     register: Mutex<Register>,
     roster: Mutex<Roster>,
@@ -65,9 +68,11 @@
             incarnation,
             pool: Pool::new(),
             store,
+            claim_leases: Leases::default(),
             stop: CancellationToken::new(),
             requests: TaskTracker::new(),
-            is_ready: AtomicBool::new(false),
+            is_configured: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
             register: Mutex::new(Register::new()),
             roster: Mutex::new(Roster::new(toucanquay_control::roster::Settings::default())),
@@ -85,12 +90,17 @@
 
     /// Tells whether this entry takes requests.
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        self.is_configured.load(Ordering::Relaxed) && !self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Says whether this entry takes requests.
-    pub fn set_ready(&self, is_ready: bool) {
-        self.is_ready.store(is_ready, Ordering::Relaxed);
+    /// Says that this entry has its configuration, and so takes requests unless it is stopping.
+    pub fn get_ready(&self) {
+        self.is_configured.store(true, Ordering::Relaxed);
+    }
+
+    /// Says that this entry takes no more requests from the balancer.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
     }
 
     /// Returns the configuration, locked.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
-use toucanquay_model::{Error, ErrorKind, Incarnation};
+use toucanquay_model::{Error, Incarnation};
 use toucanquay_store::Client;
 use toucanquay_wire::Server;
 
@@ -48,9 +48,12 @@
     ///
     /// [`ErrorKind::InvalidSetting`] for the first setting that is wrong.
     pub async fn start(mut settings: Settings, log: Logger) -> Result<Self, Error> {
-        settings
-            .check()
-            .map_err(|faults| faults.into_iter().next().expect("a failed check names a fault"))?;
+        settings.check().map_err(|faults| {
+            faults
+                .into_iter()
+                .next()
+                .expect("a failed check names a fault")
+        })?;
         let log = log.new(o!("entry" => settings.name.clone()));
         let clients = Listener::bind("--client-listen", settings.client_listen).await?;
         let operators = Listener::bind("--operator-listen", settings.operator_listen).await?;
@@ -120,7 +123,7 @@
         let settings = &self.context.settings;
         let deadline = Instant::now() + Duration::from_millis(settings.stop_deadline_ms);
         info!(self.context.log, "stop_started");
-        self.context.set_ready(false);
+        self.context.begin_stop();
         tokio::time::sleep(Duration::from_millis(settings.balancer_wait_ms)).await;
         self.context.requests.close();
         let drained = async {
@@ -170,11 +173,9 @@
 }
 
 fn store(settings: &Settings, incarnation: Incarnation) -> Result<Client, Error> {
-    Client::builder(&settings.store)
-        .writer(format!("{}-{incarnation}", settings.name))
+    Client::builder(settings.store, format!("{}-{incarnation}", settings.name))
         .calls_per_second(settings.store_calls_per_second)
         .build()
-        .map_err(|error| Error::new(ErrorKind::InvalidSetting).field("--store").context(error))
 }
 
 /// Returns the process's metrics; the first call installs the recorder.
--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -13,8 +13,9 @@
 use super::{
     Advice, Settings,
     budget::Budget,
+    demand::Demand,
     host::Host,
-    profile::{CLASSES, Profile},
+    profile::{HIGH, Profile},
     track::Track,
 };
 
@@ -27,6 +28,10 @@
 /// Variance that each window adds to a coefficient, so that it can follow a change.
 const DRIFT: f64 = 1e-5;
 
+/// Share of the placement limit up to which a task is placed although the limit is exceeded. Work
+/// that hardly interferes must not wait for tasks that do.
+const NEGLIGIBLE_SHARE: f64 = 0.1;
+
 /// Slow-down of each service by each kind of batch work, with the tasks of each worker.
 ///
 /// The caller reports the start and the end of every attempt and passes on usage reports. Advice
@@ -72,6 +77,12 @@
         }
     }
 
+    /// Sets the requests that a service's upstreams handle at once.
+    pub fn set_slots(&mut self, service: &str, slots: u32) {
+        let service = self.service(service);
+        self.services[service].set_slots(slots);
+    }
+
     /// Records that a task runs on a worker.
     pub fn start(&mut self, worker: &worker::Id, task: &task::Id, kind: &str, now: Time) {
         let kind = self.kind(kind);
@@ -134,7 +145,7 @@
         let profile = &mut self.services[service];
         let class = profile.class(usage);
         let host = host(&mut self.hosts, worker);
-        host.notice(service, class == CLASSES - 1, to);
+        host.notice(service, class == HIGH, to);
         host.learned = host.learned.max(from);
         learn(profile, host, &self.typical_milli, usage, class, (from, to));
     }
@@ -146,7 +157,9 @@
         let service = self.service_index.get(service);
         let profile = service.map(|service| &self.services[*service]);
         let kind = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
-        profile.map_or(0.0, |profile| profile.pair(kind, CLASSES - 1).mean.max(0.0))
+        profile.map_or(0.0, |profile| {
+            profile.pair(kind).mean.max(0.0) * profile.factor(HIGH)
+        })
     }
 
     /// Returns how much one more task of a kind would slow down the services on a worker, given
@@ -157,19 +170,44 @@
             return 0.0;
         };
         let kind = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
-        let increase = |(service, _): &(usize, Time)| {
-            let profile = &self.services[*service];
-            let added = profile.pair(kind, CLASSES - 1).mean.max(0.0);
+        let increase = |demand: &Demand| {
+            let profile = &self.services[demand.service];
+            let factor = profile.factor(HIGH);
+            let added = profile.pair(kind).mean.max(0.0) * factor;
             let present: f64 = host
                 .tracks
                 .values()
-                .map(|track| profile.pair(track.kind, CLASSES - 1).mean.max(0.0))
+                .map(|track| profile.pair(track.kind).mean.max(0.0) * factor)
                 .sum();
             (present + added).exp() - present.exp()
         };
         host.services.iter().map(increase).sum()
     }
 
+    /// Returns the price of starting a task of a kind on a worker, or `None` when that would slow a
+    /// service down so much that tasks would have to be throttled.
+    ///
+    /// Other kinds can use the room, whereas a task that starts and is throttled holds it.
+    #[must_use]
+    pub fn price(&self, worker: &worker::Id, kind: &str, now: Time) -> Option<f64> {
+        let Some(host) = self.hosts.get(worker) else {
+            return Some(0.0);
+        };
+        let kind_index = self.kind_index.get(kind).copied().unwrap_or(usize::MAX);
+        let is_over = |demand: &Demand| {
+            let profile = &self.services[demand.service];
+            let class = demand.class(&self.settings, now);
+            let added = profile.pair(kind_index).cautious() * profile.factor(class);
+            let present = predicted(profile, host, class);
+            let limit = self.settings.scaled(class).place_below;
+            added > NEGLIGIBLE_SHARE * limit && present + added > limit
+        };
+        if host.services.iter().any(is_over) {
+            return None;
+        }
+        Some(self.penalty(worker, kind))
+    }
+
     /// Returns the share of a running task in percent.
     #[must_use]
     pub fn share(&self, worker: &worker::Id, task: &task::Id) -> Option<u8> {
@@ -192,6 +230,7 @@
             return advice;
         };
         let profile = &self.services[service];
+        let settings = settings.scaled(class);
         let slowdown = predicted(profile, host, class);
         if slowdown > settings.throttle_above {
             advice.extend(throttle(
@@ -219,7 +258,7 @@
         if let Some(index) = self.service_index.get(name) {
             return *index;
         }
-        self.services.push(Profile::new());
+        self.services.push(Profile::new(self.settings.slots));
         self.service_index
             .insert(name.to_owned(), self.services.len() - 1);
         self.services.len() - 1
@@ -267,15 +306,16 @@
         f64::from(usage.p99_micros.max(1)).ln(),
     );
     let noise = NOISE + NOISE_ONE_REQUEST / f64::from(usage.requests);
+    let factor = profile.factor(class);
     let base = *profile.base(usage);
-    let mut predicted = base.mean;
     let mut total = noise + base.spread(1.0);
+    let mut slowdown = 0.0;
     let mut kinds: SmallVec<[(usize, f64); 16]> = SmallVec::new();
     for track in host.tracks() {
         let input = track.input(from, to, typical_milli[track.kind]);
         if input > 0.0 {
-            predicted += track.own.mean * input;
-            total += track.own.spread(input);
+            slowdown += track.own.mean * input;
+            total += track.own.spread(factor * input);
             match kinds.iter_mut().find(|(kind, _)| *kind == track.kind) {
                 Some((_, sum)) => *sum += input,
                 None => kinds.push((track.kind, input)),
@@ -283,29 +323,31 @@
         }
     }
     for (kind, input) in &kinds {
-        let pair = profile.pair(*kind, class);
-        predicted += pair.mean * input;
-        total += pair.spread(*input);
+        let pair = profile.pair(*kind);
+        slowdown += pair.mean * input;
+        total += pair.spread(factor * input);
     }
-    let error = measured - predicted;
+    let error = measured - base.mean - factor * slowdown;
     profile.base(usage).update(1.0, error, total, DRIFT);
     for (kind, input) in &kinds {
-        profile
-            .pair_mut(*kind, class)
-            .update(*input, error, total, DRIFT);
+        let pair = profile.pair_mut(*kind);
+        pair.update(factor * input, error, total, DRIFT);
     }
     for track in host.tracks_mut() {
         let input = track.input(from, to, typical_milli[track.kind]);
         if input > 0.0 {
-            track.own.update(input, error, total, DRIFT);
+            track.own.update(factor * input, error, total, DRIFT);
         }
     }
+    if class == HIGH {
+        profile.high_mut().update(slowdown, error, total, DRIFT);
+    }
 }
 
 /// Returns the slow-down by one task at its full share that is probably exceeded.
 fn effect(profile: &Profile, track: &Track, class: usize) -> f64 {
-    let pair = profile.pair(track.kind, class);
-    (pair.cautious() + track.own.mean).max(0.0)
+    let pair = profile.pair(track.kind);
+    (pair.cautious() + track.own.mean).max(0.0) * profile.factor(class)
 }
 
 fn predicted(profile: &Profile, host: &Host, class: usize) -> f64 {
@@ -317,20 +359,15 @@
 }
 
 /// Returns the service on a worker that is predicted to be slowed down most, with its load class.
-/// A high load is assumed to come back within the time for which peaks are remembered.
 fn worst_service(
     services: &[Profile],
     host: &Host,
     settings: &Settings,
     now: Time,
 ) -> Option<(usize, usize)> {
-    let class = |peak: Time| {
-        let is_high = peak != Time::ZERO && peak.plus_micros(settings.peak_micros) > now;
-        usize::from(is_high)
-    };
     host.services
         .iter()
-        .map(|(service, peak)| (*service, class(*peak)))
+        .map(|demand| (demand.service, demand.class(settings, now)))
         .max_by(|a, b| {
             let slowdown =
                 |(service, class): &(usize, usize)| predicted(&services[*service], host, *class);
@@ -405,7 +442,8 @@
         })?;
     let share = (track.share_percent() + settings.share_step_percent).min(100);
     let raise = f64::from(share - track.share_percent()) / 100.0;
-    if slowdown + effect(profile, track, class) * raise > settings.throttle_above {
+    // The gap to the throttling limit is that of a placement, so that a raise is not taken back.
+    if slowdown + effect(profile, track, class) * raise > settings.place_below {
         return None;
     }
     track.hold_until = now.plus_micros(settings.hold_micros);
--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -153,14 +153,19 @@
     /// the expected queueing is shorter there by more than the way there and back.
     #[must_use]
     pub fn pick(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<Key> {
-        let near = self.pick_near(home, excluded, now, random);
-        let far = self.pick_far(home, excluded, now, random::next(random));
-        let (Some(near), Some(far)) = (near, far) else {
-            return near.or(far);
+        let far = || self.pick_far(home, excluded, now, random::next(random));
+        let Some(near) = self.pick_near(home, excluded, now, random) else {
+            return far();
         };
-        let gain =
-            self.candidates[near].queueing_micros(now) - self.candidates[far].queueing_micros(now);
-        Some(if gain > 2.0 * ZONE_MICROS { far } else { near })
+        let gain_max = self.candidates[near].queueing_micros(now);
+        if gain_max <= 2.0 * ZONE_MICROS {
+            return Some(near);
+        }
+        let is_better = |far: &Key| {
+            let gain = gain_max - self.candidates[*far].queueing_micros(now);
+            gain > 2.0 * ZONE_MICROS
+        };
+        Some(far().filter(is_better).unwrap_or(near))
     }
 
     /// Counts a request as in flight.
@@ -187,8 +192,8 @@
             match outcome {
                 Outcome::Answered => {
                     let micros = (latency_micros as f64 - way).max(1.0);
-                    candidate.learn_latency(micros);
-                    candidate.limit.answered(candidate.in_flight, micros);
+                    candidate.learn_latency(micros, now);
+                    candidate.limit.answered(micros);
                 }
                 Outcome::Refused => candidate.limit.refused(candidate.in_flight, now),
                 Outcome::Leaving => candidate.state = State::Draining,
@@ -274,10 +279,7 @@
             return first.or(second);
         };
         let (a, b) = (&self.candidates[one], &self.candidates[other]);
-        let order = a
-            .load(now)
-            .total_cmp(&b.load(now))
-            .then(a.latency_micros.total_cmp(&b.latency_micros));
+        let order = a.cost(now).total_cmp(&b.cost(now));
         Some(if order.is_le() { one } else { other })
     }
 
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -8,16 +8,20 @@
     time::Duration,
 };
 
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use arrivals::Arrivals;
 use faults::Faults;
 
-use super::{Change, Item, Lease};
+use super::{Change, Item, Lease, Refusal};
 
 /// Changes kept for watches that resume. A watch that is further behind is refused.
 const CHANGES_MAX: usize = 100_000;
 
+/// Bytes of values after which no more changes are put into one answer.
+const CHANGES_BYTES_MAX: usize = 4_000_000;
+
 /// Items by key, the log of changes, leases, faults and counts.
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -58,10 +62,40 @@
         }
     }
 
-    /// Tells whether the revision of `key`, with 0 for an absent one, is the expected one.
-    pub(super) fn is_expected(&self, key: &str, expected: Option<u64>) -> bool {
-        let revision = self.items.get(key).map_or(0, |item| item.revision);
-        expected.is_none_or(|expected| expected == revision)
+    /// Writes a key when it is as expected, and returns the answer's body.
+    pub(super) fn put(
+        &mut self,
+        key: &str,
+        value: &str,
+        expected: Option<u64>,
+        lease: Option<u64>,
+    ) -> Result<Value, Refusal> {
+        self.compare(key, expected)?;
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Refusal::LeaseEnded);
+        }
+        let revision = self.write(key, value, lease);
+        Ok(json!({ "revision": revision }))
+    }
+
+    /// Deletes a key when it is as expected, and returns the answer's body.
+    pub(super) fn delete(&mut self, key: &str, expected: Option<u64>) -> Result<Value, Refusal> {
+        if !self.items.contains_key(key) {
+            return Err(Refusal::Absent);
+        }
+        self.compare(key, expected)?;
+        self.remove(key);
+        Ok(json!({ "revision": self.revision }))
+    }
+
+    /// Compares the revision of `key`, 0 for an absent one, with the expected one.
+    fn compare(&self, key: &str, expected: Option<u64>) -> Result<(), Refusal> {
+        let current = self.items.get(key);
+        let revision = current.map_or(0, |item| item.revision);
+        if expected.is_none_or(|expected| expected == revision) {
+            return Ok(());
+        }
+        Err(Refusal::Conflict(current.cloned()))
     }
 
     pub(super) fn write(&mut self, key: &str, value: &str, lease: Option<u64>) -> u64 {
@@ -100,6 +134,8 @@
     }
 
     /// Returns the changes after `after`, or `None` when some of them are no longer kept.
+    ///
+    /// There are at most `most` of them, and no more than about [`CHANGES_BYTES_MAX`].
     pub(super) fn changes(&self, prefix: &str, after: u64, most: usize) -> Option<Vec<Change>> {
         if after < self.compacted {
             return None;
@@ -109,7 +145,13 @@
             .partition_point(|change| change.revision <= after);
         let later = self.changes.range(first..);
         let matching = later.filter(|change| change.key.starts_with(prefix));
-        Some(matching.take(most).cloned().collect())
+        let mut bytes = 0;
+        let bounded = matching.take_while(|change| {
+            let is_room = bytes < CHANGES_BYTES_MAX;
+            bytes += change.value.as_ref().map_or(0, String::len);
+            is_room
+        });
+        Some(bounded.take(most).cloned().collect())
     }
 
     pub(super) fn compact(&mut self) {
@@ -124,10 +166,6 @@
         self.last_lease
     }
 
-    pub(super) fn has_lease(&self, lease: u64) -> bool {
-        self.leases.contains_key(&lease)
-    }
-
     /// Returns the lease's time to live, or `None` when it has ended.
     pub(super) fn keep_alive(&mut self, lease: u64, now: Instant) -> Option<Duration> {
         let lease = self.leases.get_mut(&lease)?;
