companion: refuse to announce an unspecified address

A listener on 0.0.0.0 was announced as such, and no entry could have reached it. The tests of companion, ledger and register passed five times in a row at a load average of 15 to 20.

--- a/crates/companion/src/settings.rs
+++ b/crates/companion/src/settings.rs
@@ -20,7 +20,8 @@
 ///
 /// let settings = Settings::new("w1", "lookup", "desk", "http://127.0.0.1:9000").slots(4);
 /// assert!(settings.check().is_ok());
-/// assert_eq!(settings.slots(0).check().unwrap_err().len(), 1);
+/// let settings = settings.slots(0).listen("0.0.0.0:7710".parse().unwrap());
+/// assert_eq!(settings.check().unwrap_err().len(), 2);
 /// ```
 #[derive(Debug, Clone, Args)]
 pub struct Settings {
@@ -272,6 +273,10 @@
                 faults.push(invalid(flag, value, "an address that starts with http://"));
             }
         }
+        if self.advertise.is_none() && self.listen.ip().is_unspecified() {
+            let expected = "an address that entries can reach, or --advertise";
+            faults.push(invalid("--listen", self.listen, expected));
+        }
         let health_path = self.health_path.as_deref().unwrap_or("/");
         if !health_path.starts_with('/') {
             faults.push(invalid(
