policy: short records in the ready sets for the choice

Cause of the growth with the fleet: a choice read several cache lines of two whole candidates. The ready set now holds what the choice reads, 40 bytes for each candidate.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -13,6 +13,7 @@
 mod release;
 mod request;
 mod router;
+mod snapshot;
 mod state;
 mod zone;
 
--- a/crates/policy/src/route/candidate.rs
+++ b/crates/policy/src/route/candidate.rs
@@ -2,7 +2,7 @@
 
 use toucanquay_model::Time;
 
-use super::{State, Zone};
+use super::{Key, State, Zone, snapshot::Snapshot};
 use crate::{eject::Phase, limit::Limit};
 
 /// Time in which a new or returned upstream reaches its full share, in microseconds. Cold caches
@@ -12,9 +12,6 @@
 /// Weight of a new latency in the average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
-/// Age at which a latency counts for half, in microseconds.
-const LATENCY_AGE_MICROS: f64 = 1_000_000.0;
-
 /// One upstream, as the router sees it.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -101,32 +98,21 @@
             .min(most.saturating_sub(self.in_flight))
     }
 
-    /// Returns the requests in flight of all entries over the slots in use, after one more.
-    pub(super) fn load(&self, now: Time) -> f64 {
-        let share = self.share(now).min(self.limit.current()).max(1);
-        (f64::from(self.in_flight) + self.limit.others() + 1.0) / f64::from(share)
-    }
-
-    /// Returns what one more request costs here: the load times the latency.
-    ///
-    /// A latency counts for less the older it is, so that a candidate that was slow is tried again.
-    /// Before the first answer, `usual_micros` stands for the latency; a new candidate would
-    /// otherwise be preferred until all its slots are in use.
-    pub(super) fn cost(&self, now: Time, usual_micros: f64) -> f64 {
-        if self.latency_micros == 0.0 {
-            return self.load(now) * usual_micros;
-        }
-        let age = now.micros_since(self.answered_at) as f64 / LATENCY_AGE_MICROS;
-        self.load(now) * self.latency_micros / (1.0 + age)
-    }
-
-    /// Returns the expected wait behind other requests, in microseconds.
+    /// Returns what the choice needs to know.
     ///
     /// The next of the slots in use is free after the latency over their number; the square of the
     /// load stands for the chance that all are in use.
-    pub(super) fn queueing_micros(&self, now: Time) -> f64 {
-        let load = self.load(now);
-        load * load * self.latency_micros / f64::from(self.limit.current().max(1))
+    pub(super) fn snapshot(&self, key: Key, now: Time) -> Snapshot {
+        let current = self.limit.current();
+        let share = self.share(now).min(current).max(1);
+        let load = (f64::from(self.in_flight) + self.limit.others() + 1.0) / f64::from(share);
+        Snapshot {
+            key,
+            load,
+            latency_micros: self.latency_micros,
+            queueing_micros: load * load * self.latency_micros / f64::from(current.max(1)),
+            answered_at: self.answered_at,
+        }
     }
 
     pub(super) const fn skip_slow_start(&mut self) {
--- a/crates/policy/src/route/ready.rs
+++ b/crates/policy/src/route/ready.rs
@@ -1,37 +1,42 @@
 //! Upstreams of one zone that have room.
 
-use super::Key;
+use super::{Key, snapshot::Snapshot};
 
-/// Unordered set of keys with constant-time insertion, removal and access by index.
+/// Unordered set of candidates with constant-time insertion, removal and access by index.
 ///
-/// The holder of the keys stores the position of each one.
+/// Each candidate stores its own position.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Ready {
-    keys: Vec<Key>,
+    snapshots: Vec<Snapshot>,
 }
 
 impl Ready {
     pub(super) fn len(&self) -> usize {
-        self.keys.len()
+        self.snapshots.len()
     }
 
-    pub(super) fn get(&self, index: usize) -> Option<Key> {
-        self.keys.get(index).copied()
+    pub(super) fn get(&self, index: usize) -> Option<&Snapshot> {
+        self.snapshots.get(index)
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = Key> + '_ {
-        self.keys.iter().copied()
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Snapshot> {
+        self.snapshots.iter()
     }
 
-    /// Adds a key and returns its position.
-    pub(super) fn push(&mut self, key: Key) -> usize {
-        self.keys.push(key);
-        self.keys.len() - 1
+    /// Adds a candidate and returns its position.
+    pub(super) fn push(&mut self, snapshot: Snapshot) -> usize {
+        self.snapshots.push(snapshot);
+        self.snapshots.len() - 1
     }
 
-    /// Removes the key at `position` and returns the key that took its place, if one did.
+    /// Brings the candidate at `position` up to date.
+    pub(super) fn replace(&mut self, position: usize, snapshot: Snapshot) {
+        self.snapshots[position] = snapshot;
+    }
+
+    /// Removes the candidate at `position` and returns the one that took its place, if one did.
     pub(super) fn remove(&mut self, position: usize) -> Option<Key> {
-        self.keys.swap_remove(position);
-        self.get(position)
+        self.snapshots.swap_remove(position);
+        self.get(position).map(|snapshot| snapshot.key)
     }
 }
--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -5,7 +5,7 @@
 use slotmap::SlotMap;
 use toucanquay_model::Time;
 
-use super::{Candidate, Key, Outcome, State, Zone, random, ready::Ready};
+use super::{Candidate, Key, Outcome, State, Zone, random, ready::Ready, snapshot::Snapshot};
 use crate::eject::Phase;
 
 /// Way between two zones, one way, in microseconds.
@@ -159,17 +159,14 @@
     pub fn pick(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<Key> {
         let far = || self.pick_far(home, excluded, now, random::next(random));
         let Some(near) = self.pick_near(home, excluded, now, random) else {
-            return far();
+            return far().map(|far| far.key);
         };
-        let gain_max = self.candidates[near].queueing_micros(now);
-        if gain_max <= 2.0 * ZONE_MICROS {
-            return Some(near);
+        if near.queueing_micros <= 2.0 * ZONE_MICROS {
+            return Some(near.key);
         }
-        let is_better = |far: &Key| {
-            let gain = gain_max - self.candidates[*far].queueing_micros(now);
-            gain > 2.0 * ZONE_MICROS
-        };
-        Some(far().filter(is_better).unwrap_or(near))
+        let gain = |far: &Snapshot| near.queueing_micros - far.queueing_micros;
+        let better = far().filter(|far| gain(far) > 2.0 * ZONE_MICROS);
+        Some(better.unwrap_or(near).key)
     }
 
     /// Counts a request as in flight.
@@ -234,7 +231,7 @@
         key
     }
 
-    fn pick_near(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<Key> {
+    fn pick_near(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<&Snapshot> {
         let ready = self.ready.get(home.index())?;
         if ready.len() == 0 {
             return None;
@@ -245,7 +242,7 @@
     }
 
     /// Chooses among the ready candidates of all other zones alike.
-    fn pick_far(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<Key> {
+    fn pick_far(&self, home: Zone, excluded: &[Key], now: Time, random: u64) -> Option<&Snapshot> {
         let others = || {
             self.ready
                 .iter()
@@ -259,9 +256,9 @@
         }
         let at = |mut index: usize| {
             others().find_map(|ready| {
-                let key = ready.get(index);
+                let found = ready.get(index);
                 index = index.wrapping_sub(ready.len());
-                key
+                found
             })
         };
         let (first, second) = random::two(total, random);
@@ -271,26 +268,25 @@
 
     /// Returns the first ready candidate that is not excluded. The list of excluded ones is short,
     /// and so is the search.
-    fn any(&self, ready: &Ready, excluded: &[Key]) -> Option<Key> {
-        ready.iter().find(|key| !excluded.contains(key))
+    fn any<'a>(&self, ready: &'a Ready, excluded: &[Key]) -> Option<&'a Snapshot> {
+        ready.iter().find(|one| !excluded.contains(&one.key))
     }
 
-    fn better(
+    fn better<'a>(
         &self,
-        first: Option<Key>,
-        second: Option<Key>,
+        first: Option<&'a Snapshot>,
+        second: Option<&'a Snapshot>,
         excluded: &[Key],
         now: Time,
-    ) -> Option<Key> {
-        let allowed = |key: &Key| !excluded.contains(key);
+    ) -> Option<&'a Snapshot> {
+        let allowed = |one: &&Snapshot| !excluded.contains(&one.key);
         let (first, second) = (first.filter(allowed), second.filter(allowed));
         let (Some(one), Some(other)) = (first, second) else {
             return first.or(second);
         };
-        let (a, b) = (&self.candidates[one], &self.candidates[other]);
         let usual = self.latency_micros.max(1.0);
-        let order = a.cost(now, usual).total_cmp(&b.cost(now, usual));
-        Some(if order.is_le() { one } else { other })
+        let is_first = one.cost(now, usual) <= other.cost(now, usual);
+        Some(if is_first { one } else { other })
     }
 
     fn change(&mut self, key: Key, now: Time, change: impl FnOnce(&mut Candidate)) {
@@ -302,7 +298,7 @@
         }
     }
 
-    /// Puts a candidate into the ready set or takes it out, and schedules the next change.
+    /// Brings the ready set up to date with a candidate, and schedules its next change.
     fn refresh(&mut self, key: Key, now: Time) {
         let Some(candidate) = self.candidates.get_mut(key) else {
             return;
@@ -314,10 +310,12 @@
             woken_at.map(|at| self.wakes.remove(&(at, key)));
             wake_at.map(|at| self.wakes.insert((at, key)));
         }
+        let ready = &mut self.ready[candidate.zone.index()];
         match (has_room, candidate.ready_at) {
-            (true, None) => candidate.ready_at = Some(self.ready[candidate.zone.index()].push(key)),
+            (true, None) => candidate.ready_at = Some(ready.push(candidate.snapshot(key, now))),
+            (true, Some(position)) => ready.replace(position, candidate.snapshot(key, now)),
             (false, Some(_)) => self.leave_ready(key),
-            (true, Some(_)) | (false, None) => {}
+            (false, None) => {}
         }
     }
 
