--- a/crates/policy/src/route/router.rs
+++ b/crates/policy/src/route/router.rs
@@ -204,6 +204,9 @@
             }
         });
         if let Some(micros) = learned {
+            if self.latency_micros == 0.0 {
+                self.latency_micros = micros;
+            }
             self.latency_micros += LATENCY_WEIGHT * (micros - self.latency_micros);
         }
     }
