entry: bound the wait for the owner's decision

Cause: the test of an outage of the store hung after the store client had begun to report lost answers as ambiguous. A job whose write may have reached the store stays undecided until the store is back, and a submission through the owner itself had no time limit. Ruled out: the remote path, which had one. Change: both paths answer outcome_unknown after 5 s.

--- a/crates/entry/src/client/jobs.rs
+++ b/crates/entry/src/client/jobs.rs
@@ -20,6 +20,9 @@
 /// Longest wait for the owner, which answers after a write to the store.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What a caller is told whose call the owner did not decide in time.
+const UNDECIDED: &str = "the owner did not decide in time; a repeat with the same id is harmless";
+
 /// Time between two looks at a job that is watched.
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -213,7 +216,12 @@
 
 /// Asks the owner of the cell, which may be this process.
 async fn call(context: &Arc<Context>, call: job::Call) -> Result<job::Reply, Error> {
-    if let Some(reply) = context.role.job(&call).await {
+    let deadline = Instant::now() + OWNER_TIMEOUT;
+    // A write that may have reached the store keeps the owner from answering until the store is
+    // back, so the wait needs a bound here too.
+    let local = tokio::time::timeout_at(deadline, context.role.job(&call)).await;
+    let undecided = |_elapsed| Error::new(ErrorKind::OutcomeUnknown).context(UNDECIDED);
+    if let Some(reply) = local.map_err(undecided)? {
         return Ok(reply);
     }
     let owner = context
@@ -222,7 +230,6 @@
     if owner.address == context.settings.peer_listen {
         return Err(Error::new(ErrorKind::NoOwner));
     }
-    let deadline = Instant::now() + OWNER_TIMEOUT;
     match context
         .pool
         .call(owner.address, &Frame::Job(call), deadline)
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -104,14 +104,17 @@
     }
 }
 
-/// Checks that a name has 1 to 64 bytes out of letters, digits, `-`, `_` and `.`.
+/// Checks that a name has 1 to 64 bytes out of letters, digits, `-`, `_` and `.`, and is neither
+/// `.` nor `..`, which mean something else in the paths of keys and routes.
 ///
 /// # Errors
 ///
 /// [`ErrorKind::InvalidField`] with `field`, the value and what was expected.
 pub fn check_name(field: &'static str, name: &str) -> Result<(), Error> {
     let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if (1..=ID_LENGTH_MAX).contains(&name.len()) && name.chars().all(is_plain) {
+    let is_path = matches!(name, "." | "..");
+    let has_length = (1..=ID_LENGTH_MAX).contains(&name.len());
+    if has_length && !is_path && name.chars().all(is_plain) {
         return Ok(());
     }
     Err(Error::new(ErrorKind::InvalidField)
--- a/crates/toucanquay/src/command/entry.rs
+++ b/crates/toucanquay/src/command/entry.rs
@@ -2,11 +2,10 @@
 
 use slog::{info, warn};
 use tokio::signal::unix::{SignalKind, signal};
+use toucanquay_companion::log;
 use toucanquay_entry::{Entry, Settings};
 use toucanquay_model::{Error, ErrorKind};
 
-use crate::log;
-
 /// Runs an entry until SIGTERM or SIGINT, then stops it gracefully.
 ///
 /// # Errors
--- a/crates/toucanquay/src/demo.rs
+++ b/crates/toucanquay/src/demo.rs
@@ -13,9 +13,10 @@
 use reqwest::Method;
 use slog::{Discard, Logger, o};
 use tokio::time::{Duration, Instant};
+use toucanquay_companion::log;
 use toucanquay_model::{Error, ErrorKind, Resources, job};
 
-use crate::{api::Api, log, table::Table};
+use crate::{api::Api, table::Table};
 use system::System;
 use tally::Tally;
 
@@ -71,10 +72,11 @@
         let status = watch(&clients[1], &spec.id, &tally, &load).await?;
         load.await
             .map_err(|cause| Error::new(ErrorKind::OutcomeUnknown).context(cause))?;
-        let faults = self.account(&system, &tally, &status);
+        let mut faults = self.account(&system, &tally, &status);
         let stop_faults = system.stop().await;
         print_summary(&self, &tally, &status);
-        conclude(faults.into_iter().chain(stop_faults).collect())
+        faults.extend(stop_faults);
+        conclude(&faults)
     }
 
     fn spec(&self) -> job::Spec {
@@ -195,7 +197,7 @@
     print!("{table}");
 }
 
-fn conclude(faults: Vec<String>) -> Result<(), Error> {
+fn conclude(faults: &[String]) -> Result<(), Error> {
     if faults.is_empty() {
         println!("everything is accounted for");
         return Ok(());
--- a/crates/toucanquay/src/main.rs
+++ b/crates/toucanquay/src/main.rs
@@ -4,7 +4,6 @@
 mod cli;
 mod command;
 mod demo;
-mod log;
 mod table;
 
 use std::process::ExitCode;
--- a/crates/toucanquay/tests/faults.rs
+++ b/crates/toucanquay/tests/faults.rs
@@ -6,7 +6,10 @@
 
 use reqwest::Method;
 use serde_json::{Value, json};
-use support::{SECTION, Site, eventually};
+use support::{
+    eventually,
+    site::{SECTION, Site},
+};
 use tokio::time::Instant;
 
 async fn json(call: reqwest::RequestBuilder) -> (u16, Value) {
--- a/crates/toucanquay/tests/path.rs
+++ b/crates/toucanquay/tests/path.rs
@@ -4,7 +4,10 @@
 
 use reqwest::Method;
 use serde_json::json;
-use support::{SECTION, Site, Transcript};
+use support::{
+    site::{SECTION, Site},
+    transcript::Transcript,
+};
 
 /// Guards against a request, a report or a job that does not get through from end to end, and
 /// against refusals that change their meaning.
--- a/crates/toucanquay/tests/support/mod.rs
+++ b/crates/toucanquay/tests/support/mod.rs
@@ -5,13 +5,9 @@
     reason = "each test file is a crate of its own and uses a part of the fixtures"
 )]
 
-mod process;
-mod site;
-mod transcript;
-
-pub use process::Process;
-pub use site::{SECTION, Site};
-pub use transcript::Transcript;
+pub mod process;
+pub mod site;
+pub mod transcript;
 
 use std::time::Duration;
 
--- a/crates/toucanquay/tests/support/site.rs
+++ b/crates/toucanquay/tests/support/site.rs
@@ -5,7 +5,7 @@
 use toucanquay_model::{Resources, job};
 use toucanquay_standin::{Runtime, Store, Upstream};
 
-use super::{Process, eventually};
+use super::{eventually, process::Process};
 
 /// The section of the site's only team.
 pub const SECTION: &str = "\
