control: an absence found before a start does not end the task

A stop that overtakes its start finds nothing, and its answer can arrive after the answer to the start; the companion then took the running task for stopped and gave its room to another one. The runtime's absence now carries the time of the call and counts only if the call was made after the confirmed start or after the start's deadline.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -369,10 +369,10 @@
             let is_listed = tasks
                 .iter()
                 .any(|listed| listed.task == key.0 && listed.attempt == key.1);
-            if !is_listed && called_at > entry.started_at {
+            if !is_listed {
                 actions.extend(entry.advance(
                     key,
-                    Outcome::Absent,
+                    Outcome::Absent { called_at },
                     now,
                     self.settings.retry_at(now),
                 ));
--- a/crates/control/src/agent/entry.rs
+++ b/crates/control/src/agent/entry.rs
@@ -128,9 +128,9 @@
             Outcome::Finished => self.state = TaskState::Finished,
             Outcome::Failed { reason } => self.state = TaskState::Failed { reason },
             Outcome::Stopped { checkpoint } => self.state = TaskState::Stopped { checkpoint },
-            Outcome::Absent => {
-                let has_started = self.started_at != Time::NEVER;
-                if has_started || now >= self.forget_at {
+            Outcome::Absent { called_at } => {
+                // A start that is still under way takes effect until its deadline.
+                if called_at > self.started_at || called_at >= self.forget_at {
                     self.state = TaskState::Stopped { checkpoint: None };
                 }
             }
--- a/crates/control/src/agent/outcome.rs
+++ b/crates/control/src/agent/outcome.rs
@@ -1,6 +1,6 @@
 //! What became of an attempt at a task runtime.
 
-use toucanquay_model::exchange::TaskState;
+use toucanquay_model::{Time, exchange::TaskState};
 
 /// What a task runtime says of one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,8 +23,11 @@
         /// Checkpoint to resume from, if one was taken.
         checkpoint: Option<String>,
     },
-    /// The runtime does not know it.
-    Absent,
+    /// The runtime does not know it, in the answer to a call.
+    Absent {
+        /// When the call was made. The answer can arrive after that of a start which it overtook.
+        called_at: Time,
+    },
 }
 
 impl Outcome {
--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -191,3 +191,29 @@
 
     assert_eq!(counts, [1, 1, 0]);
 }
+
+/// Guards against a running task that counts as stopped, because the answer to a stop that found
+/// nothing arrives after the answer to the start.
+#[rstest]
+fn absence_found_before_the_start_does_not_end_a_task(mut agent: Agent) {
+    let attempt = Attempt::new(1, 1);
+    let grants = vec![grant(0, attempt, 1_000)];
+    agent.apply(&command(1, 1, grants), Time::ZERO, Time::ZERO);
+    let called_at = Time::from_millis(1_000);
+    let outcomes = [
+        Outcome::StartUnanswered,
+        Outcome::Started,
+        Outcome::Absent { called_at },
+    ];
+
+    for (millis, outcome) in [1_000, 1_500, 1_600].into_iter().zip(outcomes) {
+        let event = Event::Task {
+            task: id(0),
+            attempt,
+            outcome,
+        };
+        agent.observe(event, Time::from_millis(millis));
+    }
+
+    assert_eq!(agent.running(), 1);
+}
--- a/crates/control/tests/sim/runtime.rs
+++ b/crates/control/tests/sim/runtime.rs
@@ -66,9 +66,9 @@
         ended
     }
 
-    pub fn outcome(&self, key: &Key) -> Outcome {
+    pub fn outcome(&self, key: &Key, called_at: Time) -> Outcome {
         match self.held.get(key).map(|held| held.state.clone()) {
-            None | Some(TaskState::Refused { .. }) => Outcome::Absent,
+            None | Some(TaskState::Refused { .. }) => Outcome::Absent { called_at },
             Some(TaskState::Stopped { checkpoint }) => Outcome::Stopped { checkpoint },
             Some(TaskState::Finished) => Outcome::Finished,
             Some(TaskState::Failed { reason }) => Outcome::Failed { reason },
--- a/crates/control/tests/sim/world.rs
+++ b/crates/control/tests/sim/world.rs
@@ -662,7 +662,7 @@
                 return;
             }
         };
-        let outcome = self.hosts[host].runtime.outcome(&key);
+        let outcome = self.hosts[host].runtime.outcome(&key, called_at);
         self.say(host, incarnation, &key, outcome);
     }
 
@@ -720,7 +720,7 @@
             held.state = state.clone();
         }
         self.truth.ends.insert(key.clone(), state);
-        let outcome = self.hosts[host].runtime.outcome(key);
+        let outcome = self.hosts[host].runtime.outcome(key, Time::ZERO);
         let incarnation = self.hosts[host].incarnation;
         self.say(host, incarnation, key, outcome);
     }
