control: a task of a job whose cancellation is not durable is not done

The bound of such a task's attempt could pass, and a checkpoint that its worker reported later was acknowledged without a record; if the owner then died before the cancellation was durable, the task would resume from an older checkpoint. The task now waits outside the queue, so that the result is recorded.

--- a/crates/control/src/cell/placement.rs
+++ b/crates/control/src/cell/placement.rs
@@ -118,8 +118,9 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
-        let is_done = job.is_cancelled || job.is_done(key.index);
-        let is_held_back = job.is_held_back;
+        let is_done = job.is_done(key.index);
+        // A cancellation that is not durable may be lost with the owner, so the task is not done.
+        let is_held_back = job.is_held_back || job.is_cancelled;
         let (rank, demand) = (job.rank(), job.spec.demand);
         let task = &mut job.tasks[key.index as usize];
         if is_done {
