--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -5,10 +5,10 @@
 use rstest::{fixture, rstest};
 use toucanquay_control::cell::{Cell, Settings, stamp};
 use toucanquay_model::{
-    ErrorKind, Resources, Section, Time,
+    Attempt, ErrorKind, Resources, Section, Time,
     exchange::{Command, Report, TaskReport, TaskState},
     job::{Reply, Spec, Urgency},
-    section, worker,
+    section, task, worker,
 };
 
 const CAPACITY: Resources = Resources {
@@ -22,7 +22,7 @@
     cell: Cell,
     now: Time,
     sequence: u64,
-    largest: usize,
+    values: BTreeMap<u32, String>,
 }
 
 impl Stand {
@@ -48,11 +48,21 @@
     fn commit(&mut self) {
         self.now = self.now.plus_millis(200);
         for write in self.cell.drain_writes(self.now) {
-            self.largest = self.largest.max(write.value.len());
             self.cell.durable(write.segment, write.version, self.now);
+            self.values.insert(write.segment, write.value);
         }
     }
 
+    /// Has the owner of epoch 2 take over what is durable.
+    fn take_over(&mut self) {
+        let stamped =
+            |(number, text): (&u32, &String)| (*number, stamp(Some(text), 2).expect("stamp"));
+        let segments: Vec<(u32, String)> = self.values.iter().map(stamped).collect();
+        self.cell = Cell::takeover(Settings::default(), 2, &segments, self.now).expect("valid");
+        self.cell.hold(Time::NEVER);
+        self.cell.configure(sections(), 1, 1);
+    }
+
     fn exchange(&mut self, worker: &str, is_leaving: bool, tasks: &[TaskReport]) -> Command {
         self.sequence += 1;
         let report = Report {
@@ -124,7 +134,7 @@
         cell,
         now: Time::from_millis(1_000),
         sequence: 0,
-        largest: 0,
+        values: BTreeMap::new(),
     }
 }
 
@@ -294,5 +304,85 @@
 
     let evictions: u32 = stand.cell.list().iter().map(|job| job.evictions).sum();
     assert!(evictions >= 2_000, "{evictions} evictions");
-    assert!(stand.largest <= 262_144, "{} bytes", stand.largest);
+    let largest = stand.values.values().map(String::len).max();
+    assert!(largest <= Some(262_144), "{largest:?} bytes");
+}
+
+/// Returns the line of a report for one attempt at task 0 of job "a".
+fn line(attempt: Attempt, state: TaskState) -> TaskReport {
+    TaskReport {
+        task: task::Id::new("a".into(), 0),
+        attempt,
+        demand: CAPACITY,
+        state,
+    }
+}
+
+fn stopped(checkpoint: &str) -> TaskState {
+    TaskState::Stopped {
+        checkpoint: Some(checkpoint.to_owned()),
+    }
+}
+
+/// Guards against a result that is acknowledged without a record because an older end of the same
+/// task is being written after a takeover.
+#[rstest]
+fn result_waits_for_the_write_of_an_older_end(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 10_000);
+    stand.take_over();
+    let newer = line(Attempt::new(1, 2), TaskState::Finished);
+    stand.exchange("v", false, &[line(Attempt::new(1, 1), stopped("1"))]);
+
+    let early = stand.exchange("w", false, std::slice::from_ref(&newer));
+    stand.commit();
+    stand.exchange("w", false, &[newer]);
+    stand.commit();
+
+    assert!(early.acknowledged.is_empty());
+    assert_eq!(stand.cell.show(&"a".into()).expect("known").finished, 1);
+}
+
+/// Guards against a checkpoint that is acknowledged without a record because a cancellation, which
+/// may still be lost with the owner, is being written.
+#[rstest]
+fn checkpoint_is_recorded_while_a_cancellation_is_not_durable(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 10_000);
+    let granted = stand.exchange("w", false, &[]);
+    let attempt = granted.grants[0].attempt;
+    stand.cell.cancel(&"a".into(), 2, stand.now);
+    stand.now = stand.now.plus_millis(12_000);
+    stand.cell.tick(stand.now);
+
+    let early = stand.exchange("w", false, &[line(attempt, stopped("1"))]);
+    stand.commit();
+
+    assert!(early.acknowledged.is_empty());
+    assert!(stand.values[&0].contains("\"checkpoint\":\"1\""));
+}
+
+/// Guards against an owner that grants, renews or accepts after another one may have taken over.
+#[rstest]
+fn owner_is_silent_after_its_own_lease_deadline(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 1_000);
+    stand.cell.hold(stand.now);
+
+    let report = Report {
+        worker: worker::Id::from("w"),
+        incarnation: 1,
+        sequence: 1,
+        epoch: 1,
+        revision: 1,
+        is_leaving: false,
+        is_settling: false,
+        capacity: CAPACITY,
+        tasks: Vec::new(),
+        task_usage: Vec::new(),
+        service_usage: Vec::new(),
+    };
+    let answer = stand.cell.exchange(&report, stand.now);
+    stand.cell.cancel(&"a".into(), 2, stand.now);
+    stand.commit();
+
+    assert_eq!(answer, None);
+    assert_eq!(stand.cell.drain_answers(stand.now), []);
 }
