--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -217,3 +217,16 @@
 
     assert_eq!(agent.running(), 1);
 }
+
+/// Guards against two attempts at one task on the same worker.
+#[rstest]
+fn second_attempt_beside_the_first_is_refused(mut agent: Agent) {
+    let grants = vec![
+        grant(0, Attempt::new(1, 1), 1_000),
+        grant(0, Attempt::new(1, 2), 1_000),
+    ];
+
+    let actions = agent.apply(&command(1, 1, grants), Time::ZERO, Time::ZERO);
+
+    assert_eq!(starts(&actions), 1);
+}
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -386,3 +386,50 @@
     assert_eq!(answer, None);
     assert_eq!(stand.cell.drain_answers(stand.now), []);
 }
+
+/// Guards against a second attempt while the first may still run by its companion's slower clock.
+#[rstest]
+fn task_restarts_after_the_lease_and_its_margin(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 1_000);
+    let granted_at = stand.now;
+    let first = stand.exchange("v", false, &[]);
+
+    stand.now = granted_at.plus_millis(10_999);
+    let early = stand.exchange("w", false, &[]);
+    stand.now = granted_at.plus_millis(11_000);
+    let second = stand.exchange("w", false, &[]);
+
+    let counts = [&first, &early, &second].map(|command| command.grants.len());
+    assert_eq!(counts, [1, 0, 1]);
+}
+
+/// Guards against a second attempt while an attempt of the former owner may still run.
+#[rstest]
+fn unreported_task_waits_after_a_takeover(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 1_000);
+    stand.take_over();
+    let taken_over_at = stand.now;
+
+    stand.now = taken_over_at.plus_millis(10_999);
+    let early = stand.exchange("w", false, &[]);
+    stand.submit("new", "desk", 1, 1_000);
+    stand.now = taken_over_at.plus_millis(11_000);
+    let late = stand.exchange("w", false, &[]);
+
+    assert!(early.grants.is_empty());
+    assert_eq!(late.grants.len(), 2);
+}
+
+/// Guards against grants and acceptances by an outdated configuration.
+#[rstest]
+fn owner_waits_for_a_configuration_that_it_knows_of(mut stand: Stand) {
+    stand.submit("a", "desk", 1, 1_000);
+    stand.cell.learn(2);
+
+    let stale = stand.exchange("w", false, &[]);
+    let reply = stand.submit("b", "desk", 1, 1_000);
+    stand.cell.configure(sections(), 2, 2);
+
+    assert!(stale.grants.is_empty());
+    assert!(matches!(reply, Reply::Refused(_)));
+}
--- a/crates/control/tests/sim/world.rs
+++ b/crates/control/tests/sim/world.rs
@@ -91,7 +91,8 @@
         let mut rng = StdRng::seed_from_u64(plan.seed);
         let mut clock = || Clock {
             offset: rng.random_range(0..1_000 * SECOND),
-            rate: rng.random_range(965..=1_035),
+            // Mostly the extremes, since only they use up the margin of a lease.
+            rate: [965, 965, 1_000, 1_035, 1_035][rng.random_range(0..5)],
         };
         let owners = (0..2).map(|_| Owner::new(clock())).collect();
         let capacity = Resources {
@@ -913,7 +914,7 @@
     }
 
     fn restart_agent(&mut self, host: usize) {
-        let longest = if self.chance(25) { 14 } else { 3 };
+        let longest = if self.chance(40) { 14 } else { 3 };
         let restart_at = self.now + self.rng.random_range(10 * MILLI..longest * SECOND);
         let this = &mut self.hosts[host];
         if this.agent.is_some() && this.runtime.running().count() > 0 {
