--- a/crates/policy/src/interfere/host.rs
+++ b/crates/policy/src/interfere/host.rs
@@ -1,8 +1,7 @@
 //! A worker, as the interference model sees it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-use foldhash::fast::RandomState;
 use smallvec::SmallVec;
 use toucanquay_model::{Time, task};
 
@@ -11,7 +10,8 @@
 /// Tasks and services of one worker.
 #[derive(Debug, Default)]
 pub(super) struct Host {
-    pub tracks: HashMap<task::Id, Track, RandomState>,
+    /// Ordered, so that sums and ties do not depend on the seed of a hash and runs can be repeated.
+    pub tracks: BTreeMap<task::Id, Track>,
     /// Tasks that ended recently; late reports may describe the time in which they ran.
     pub past: Vec<Track>,
     /// Services that run here.
