batch: remember refusals by price during a round

Cause: when workers have room but the interference model refuses a kind, each waiting job of that kind asked for the price of every worker again. Change: a round remembers the kind and the reservation that all fitting workers refused. The placement bench gets the case that every worker refuses.

--- a/crates/policy/benches/placement.rs
+++ b/crates/policy/benches/placement.rs
@@ -49,6 +49,8 @@
     rooms: Vec<Room>,
     running: Vec<(usize, task::Id)>,
     pushed: u32,
+    /// Whether no worker takes a task, which is the worst case for the cost.
+    is_refused: bool,
 }
 
 impl Cell {
@@ -60,6 +62,7 @@
             rooms: (0..workers).map(room).collect(),
             running: Vec::new(),
             pushed: 0,
+            is_refused: false,
         };
         for room in &cell.rooms {
             cell.backlog.join(&room.worker, CAPACITY, Time::ZERO);
@@ -83,7 +86,11 @@
 
     fn assign(&mut self, now: Time) -> usize {
         let matrix = &self.matrix;
-        let price = |room: &Room, kind: &str| matrix.price(&room.worker, kind, now);
+        let is_refused = self.is_refused;
+        let price = |room: &Room, kind: &str| {
+            let price = matrix.price(&room.worker, kind, now);
+            price.filter(|_| !is_refused)
+        };
         let assignments = self.backlog.assign(&mut self.rooms, now, usize::MAX, price);
         for assignment in &assignments {
             let worker = &self.rooms[assignment.room].worker;
@@ -178,6 +185,22 @@
             }
         });
     });
+    // Jobs of all kinds wait and every worker has room, but none takes them.
+    cell.is_refused = true;
+    for _ in 0..200 {
+        cell.end(0, Time::from_millis(millis));
+    }
+    cell.push(500);
+    group.bench_function("second, all refused", |bencher| {
+        bencher.iter(|| {
+            for index in 0..WORKERS {
+                millis += 5;
+                let now = Time::from_millis(millis);
+                cell.observe(index, now);
+                black_box(cell.assign(now));
+            }
+        });
+    });
     group.finish();
 }
 
--- a/crates/policy/src/batch/round.rs
+++ b/crates/policy/src/batch/round.rs
@@ -15,6 +15,8 @@
     claims: SmallVec<[(usize, Key); 4]>,
     /// Reservations that fitted no room; whatever is at least as large is not tried again.
     misses: SmallVec<[Resources; 8]>,
+    /// Reservations and kinds for which every fitting room had no price; starts only raise prices.
+    refusals: SmallVec<[(Resources, String); 4]>,
     offset: usize,
     candidates: usize,
     price: Price,
@@ -38,6 +40,7 @@
             rooms,
             claims,
             misses: SmallVec::new(),
+            refusals: SmallVec::new(),
             offset,
             candidates,
             price,
@@ -52,9 +55,16 @@
         if self.misses.iter().any(|miss| miss.fits(reservation)) {
             return None;
         }
+        let is_refused =
+            |(refused, name): &(Resources, String)| name == kind && refused.fits(reservation);
+        if self.refusals.iter().any(is_refused) {
+            return None;
+        }
         let (best, has_fit) = self.scan(reservation, kind);
         if !has_fit {
             self.misses.push(*reservation);
+        } else if best.is_none() {
+            self.refusals.push((*reservation, kind.to_owned()));
         }
         best
     }
