interfere: bound learned slow-downs below by zero

Cause: kinds that alternate took each other's effect with opposite signs, because only their difference shows; the negative one was read as harmless. Change: a learned slow-down is never negative.

--- a/crates/policy/src/interfere/matrix.rs
+++ b/crates/policy/src/interfere/matrix.rs
@@ -332,6 +332,9 @@
     for (kind, input) in &kinds {
         let pair = profile.pair_mut(*kind);
         pair.update(factor * input, error, total, DRIFT);
+        // Batch work never speeds a service up. Without the bound, kinds that alternate take each
+        // other's effect with opposite signs.
+        pair.mean = pair.mean.max(0.0);
     }
     for track in host.tracks_mut() {
         let input = track.input(from, to, typical_milli[track.kind]);
