--- a/crates/companion/src/tasks/call.rs
+++ b/crates/companion/src/tasks/call.rs
@@ -117,6 +117,7 @@
     let is_ended = !with_checkpoint && is_ended(runtime, task, attempt).await;
     if !is_ended {
         // A stop without checkpoint would make the runtime forget an attempt that has ended.
+        let called_at = clock.now();
         let result = runtime.stop(task, attempt, with_checkpoint).await;
         info!(log, "task_stop"; "task" => %task, "attempt" => %attempt,
             "epoch" => attempt.epoch, "with_checkpoint" => with_checkpoint,
@@ -125,7 +126,7 @@
             return Some(Event::Task {
                 task: task.clone(),
                 attempt,
-                outcome: Outcome::Absent,
+                outcome: Outcome::Absent { called_at },
             });
         }
     }
--- /dev/null
+++ b/crates/toucanquay/benches/slopes/program.rs
@@ -0,0 +1,89 @@
+//! A program as a process, and what it has used.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+};
+
+use std::io::{BufRead, BufReader};
+
+/// Ticks of processor time per second in `/proc/<id>/stat` on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// An entry's process, which is killed when this is dropped.
+pub struct Program {
+    child: Child,
+    line: String,
+}
+
+impl Program {
+    /// Starts an entry.
+    pub fn entry(store: SocketAddr) -> Self {
+        let arguments = [
+            "entry".to_owned(),
+            "--name=entry-0".to_owned(),
+            "--zone=a".to_owned(),
+            format!("--store={store}"),
+            "--client-listen=127.0.0.1:0".to_owned(),
+            "--operator-listen=127.0.0.1:0".to_owned(),
+            "--peer-listen=127.0.0.1:0".to_owned(),
+        ];
+        let mut child = Command::new(PathBuf::from(env!("CARGO_BIN_EXE_toucanquay")))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the entry starts");
+        let stdout = child.stdout.take().expect("the output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the entry prints its addresses");
+        Self { child, line }
+    }
+
+    /// Returns one of the addresses that the entry printed.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.line
+            .split_whitespace()
+            .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+            .and_then(|address| address.parse().ok())
+            .expect("the entry printed the address")
+    }
+
+    /// Returns the processor time used so far, in seconds.
+    pub fn processor_seconds(&self) -> f64 {
+        let stat = self.read("stat");
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .expect("the name of the program ends with a parenthesis")
+            .split_whitespace()
+            .collect();
+        let ticks = |index: usize| -> f64 { fields[index].parse().expect("a number of ticks") };
+        // User and system time are the 14th and 15th field, the 12th and 13th after the name.
+        (ticks(11) + ticks(12)) / TICKS_PER_SECOND
+    }
+
+    /// Returns the memory in use, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        self.read("status")
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|rest| rest.trim().trim_end_matches("kB").trim().parse().ok())
+            .expect("the system reports the memory in use")
+    }
+
+    fn read(&self, file: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id()))
+            .expect("the process runs")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
