companion: take tasks again when the team has returned

Cause: the task table had no way back from leaving, so a worker whose team had returned got no tasks until its companion was restarted. Ruled out: the admission of requests, which did follow the section. Change: Agent::stay, called when the leaving ends. Result: the new test returned_department_gets_tasks_again passes.

--- a/crates/companion/src/tasks/driver.rs
+++ b/crates/companion/src/tasks/driver.rs
@@ -142,12 +142,7 @@
     fn tick(&mut self) {
         let now = self.context.now();
         self.configure();
-        if self.context.admission.is_leaving() && !self.has_left {
-            self.has_left = true;
-            let actions = self.agent.leave(now);
-            info!(self.context.log, "tasks_leaving"; "running" => self.agent.running());
-            self.carry_out(actions);
-        }
+        self.follow_leaving(now);
         let actions = self.agent.tick(now);
         self.carry_out(actions);
         if self.agent.running() > 0 && now >= self.list_at {
@@ -159,6 +154,22 @@
         }
     }
 
+    fn follow_leaving(&mut self, now: Time) {
+        let is_leaving = self.context.admission.is_leaving();
+        if is_leaving == self.has_left {
+            return;
+        }
+        self.has_left = is_leaving;
+        if is_leaving {
+            let actions = self.agent.leave(now);
+            info!(self.context.log, "tasks_leaving"; "running" => self.agent.running());
+            self.carry_out(actions);
+        } else {
+            self.agent.stay();
+            info!(self.context.log, "tasks_staying");
+        }
+    }
+
     fn configure(&mut self) {
         let register = self.context.register();
         let (held, known) = (register.revision(), register.revision_known());
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -91,6 +91,11 @@
         actions
     }
 
+    /// Ends the leaving, for example because the team has returned: the worker takes tasks again.
+    pub const fn stay(&mut self) {
+        self.is_leaving = false;
+    }
+
     /// Carries out the owner's answer to the report that was sent at `sent_at`.
     ///
     /// An answer of an older epoch, or to any other report than the last one, changes nothing.
--- a/crates/toucanquay/tests/faults.rs
+++ b/crates/toucanquay/tests/faults.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use support::{
     eventually,
-    site::{SECTION, Site},
+    site::{GUEST_SECTION, SECTION, Site},
 };
 use tokio::time::Instant;
 
@@ -288,6 +288,34 @@
     site.assert_tasks_ran_once_at_a_time();
 }
 
+/// Guards against a department that has returned and whose worker still gets no tasks.
+#[tokio::test]
+async fn returned_department_gets_tasks_again() {
+    let site = Site::start_with_guest(1, 1).await;
+    let section = |text: &str| {
+        site.store.write("config/section/guest", text);
+    };
+    let guest_state = |wanted: &'static str| {
+        let site = &site;
+        eventually("the upstream is in the wanted state", move || async move {
+            let known = site.upstreams(0).await?;
+            let is_guest = |upstream: &&Value| upstream["team"] == "guest";
+            let guest = known.as_array()?.iter().find(is_guest)?;
+            (guest["state"] == wanted).then_some(())
+        })
+    };
+    section("state = \"leaving\"\n[services.kiosk]\n");
+    guest_state("drained").await;
+
+    section(GUEST_SECTION);
+    guest_state("available").await;
+    site.submit(0, "plans", 8, 500).await;
+    site.finished(0, "plans").await;
+
+    assert!(!site.workers[1].runtime.intervals().is_empty());
+    site.assert_tasks_ran_once_at_a_time();
+}
+
 /// Guards against a racing edit that overwrites another, and against an accepted edit that an
 /// entry started during an outage of the store does not know (invariant 9).
 #[tokio::test]
