--- a/crates/control/benches/cell.rs
+++ b/crates/control/benches/cell.rs
@@ -212,16 +212,16 @@
     world.submit(1);
     world.commit();
     world.sequence += 1;
-    world.exchange(0);
+    let grant = world.exchange(0);
     world.commit();
     world.sequence += 1;
-    let command = world.exchange(0);
+    let end = world.exchange(0);
+    assert_eq!((grant.grants.len(), end.acknowledged.len()), (1, 1));
     println!("size: report with {TASKS_PER_WORKER} tasks {report} B, empty command {empty} B");
     println!(
-        "size: command with {} grant and {} acknowledgement {} B",
-        command.grants.len(),
-        command.acknowledged.len(),
-        encoded(&command)
+        "size: command with a grant {} B, with an acknowledgement {} B",
+        encoded(&grant),
+        encoded(&end)
     );
 }
 
@@ -250,12 +250,14 @@
 fn print_cancellations(world: &World, jobs: u32, tasks: u32) {
     let mut world = world.clone();
     let first = world.next_job;
-    for _ in 0..jobs {
+    for number in 0..jobs {
         world.submit(tasks);
+        // A burst beyond the room of two segments is refused until a write has made room.
+        if number % 100 == 99 || number + 1 == jobs {
+            world.commit();
+        }
     }
-    while world.cell.list().len() < (first + jobs) as usize {
-        world.commit();
-    }
+    assert_eq!(world.cell.list().len(), (first + jobs) as usize);
     let mut longest = [0.0_f64; 3];
     let mut time = |place: usize, step: &mut dyn FnMut()| {
         let started = Instant::now();
--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -230,3 +230,31 @@
 
     assert_eq!(starts(&actions), 1);
 }
+
+/// Guards against a start that arrives after its attempt has ended, and runs it again because the
+/// runtime was told to forget it.
+#[rstest]
+fn result_is_forgotten_once_no_start_can_arrive(mut agent: Agent) {
+    let attempt = Attempt::new(1, 1);
+    let grants = vec![grant(0, attempt, 1_000)];
+    agent.apply(&command(1, 1, grants), Time::ZERO, Time::ZERO);
+    let finished = Event::Task {
+        task: id(0),
+        attempt,
+        outcome: Outcome::Finished,
+    };
+    agent.observe(finished, Time::ZERO);
+    agent.report(Time::ZERO);
+    let answer = Command {
+        acknowledged: vec![(id(0), attempt)],
+        ..command(1, 2, Vec::new())
+    };
+    agent.apply(&answer, Time::ZERO, Time::ZERO);
+
+    let early = agent.tick(Time::from_millis(9_999));
+    let due = agent.tick(Time::from_millis(10_000));
+
+    let is_forget = |action: &Action| matches!(action, Action::Forget { .. });
+    assert!(!early.iter().any(is_forget));
+    assert!(due.iter().any(is_forget));
+}
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -64,10 +64,20 @@
     }
 
     fn exchange(&mut self, worker: &str, is_leaving: bool, tasks: &[TaskReport]) -> Command {
+        self.exchange_as(1, worker, is_leaving, tasks)
+    }
+
+    fn exchange_as(
+        &mut self,
+        incarnation: u64,
+        worker: &str,
+        is_leaving: bool,
+        tasks: &[TaskReport],
+    ) -> Command {
         self.sequence += 1;
         let report = Report {
             worker: worker::Id::from(worker),
-            incarnation: 1,
+            incarnation,
             sequence: self.sequence,
             epoch: 1,
             revision: 1,
@@ -433,3 +443,21 @@
     assert!(stale.grants.is_empty());
     assert!(matches!(reply, Reply::Refused(_)));
 }
+
+/// Guards against a second attempt while a start that a former companion sent may take effect.
+/// The same companion's report without the attempt says that it was never started.
+#[rstest]
+#[case(1, 1)]
+#[case(2, 0)]
+fn missing_attempt_of_a_former_companion_holds_its_lease(
+    mut stand: Stand,
+    #[case] incarnation: u64,
+    #[case] expected: usize,
+) {
+    stand.submit("a", "desk", 1, 1_000);
+    stand.exchange("w", false, &[]);
+
+    let command = stand.exchange_as(incarnation, "w", false, &[]);
+
+    assert_eq!(command.grants.len(), expected);
+}
