--- a/crates/entry/src/claim/claims.rs
+++ b/crates/entry/src/claim/claims.rs
@@ -10,7 +10,7 @@
 use super::Record;
 use crate::{
     Context,
-    forward::{Answer, Call, Outcome, after_refusal, attempt, tombstone},
+    forward::{Answer, Call, Outcome, after_refusal, attempt, check_protocol, tombstone},
     lane::{Permit, Refused, Turn},
 };
 
@@ -172,6 +172,7 @@
             }
             Outcome::Unknown(error) => error,
         };
+        check_protocol(&context.log, &error);
         warn!(context.log, "attempt_broken"; "request" => %self.call.id,
             "worker" => %target.worker, "cause" => %error);
         permit.end(route::Outcome::Unreachable);
--- a/crates/entry/src/client/service.rs
+++ b/crates/entry/src/client/service.rs
@@ -13,7 +13,7 @@
 use crate::{
     Context,
     claim::Claims,
-    forward::{Answer, Call, Relay, headers::REQUEST_HEADER},
+    forward::{Answer, Call, Relay, check_protocol, headers::REQUEST_HEADER},
     http::Refusal,
     lane::{Permit, Refused},
 };
@@ -117,6 +117,7 @@
                     record(&context, started_at);
                 }
                 Err(Some(error)) => {
+                    check_protocol(&context.log, &error);
                     warn!(context.log, "answer_cut"; "request" => %id, "error" => %error);
                     end(permit, Outcome::Failed);
                     count("cut");
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -12,5 +12,5 @@
 pub use attempt::{attempt, tombstone};
 pub use call::Call;
 pub use outcome::Outcome;
-pub use relay::{Relay, after_refusal};
+pub use relay::{Relay, after_refusal, check_protocol};
 pub use target::Target;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -8,7 +8,7 @@
 
 use super::{Answer, Call, Outcome, attempt, tombstone};
 use crate::{
-    Context,
+    Context, invariant,
     lane::{Permit, Refused, Turn},
 };
 
@@ -77,6 +77,7 @@
             Outcome::Answered(answer) => Ok((answer, permit)),
             Outcome::NotRun(error) => Err(self.not_run(error, permit)),
             Outcome::Unknown(error) => {
+                check_protocol(&self.context.log, &error);
                 warn!(self.context.log, "attempt_broken"; "request" => %self.call.id,
                     "worker" => %target.worker, "cause" => %error);
                 let is_late = error.kind() == ErrorKind::DeadlineWhileRunning;
@@ -150,3 +151,10 @@
         _ => (route::Outcome::Cancelled, None),
     }
 }
+
+/// Counts an answer that does not belong to its request, which the caller refuses.
+pub fn check_protocol(log: &slog::Logger, error: &Error) {
+    if error.kind() == ErrorKind::Protocol {
+        invariant::violated(log, 4, &error.to_string());
+    }
+}
