Watches take connections, not the slots of lookups

Cause: a watch stays open for hours and held one of the eight slots, so eight walkers with an open feed kept every lookup from an upstream. Ruled out: a larger limit, since the slots are what the upstream can work on at once. Change: a companion has further slots for watches out of its connections (47 with 8 slots and 64 connections), and an entry keeps them in a lane of their own, without slow start. Result: the new test with 12 feeds and a lookup passes; the tests of the companion pass unchanged.

--- a/crates/companion/src/admission/gate.rs
+++ b/crates/companion/src/admission/gate.rs
@@ -21,6 +21,8 @@
 pub struct Admission {
     inner: Mutex<Inner>,
     slots: u32,
+    /// Slots for watches, which follow the other ones.
+    watch_slots: u32,
     in_flight: watch::Sender<u32>,
     clock: Clock,
     meters: Meters,
@@ -31,6 +33,8 @@
     ledger: Ledger,
     /// Free slots. The one that was free longest comes first, since its connection is idle again.
     free: VecDeque<usize>,
+    /// Free slots for watches.
+    free_watches: VecDeque<usize>,
     is_stopping: bool,
     is_leaving: bool,
     latencies_micros: Vec<u32>,
@@ -38,12 +42,20 @@
 }
 
 impl Admission {
-    /// Returns admission to `slots` slots.
+    /// Returns admission to `slots` slots and `watch_slots` further ones for watches.
     #[must_use]
-    pub fn new(incarnation: Incarnation, slots: u32, clock: Clock, meters: Meters) -> Self {
+    pub fn new(
+        incarnation: Incarnation,
+        slots: u32,
+        watch_slots: u32,
+        clock: Clock,
+        meters: Meters,
+    ) -> Self {
+        let end = (slots + watch_slots) as usize;
         let inner = Inner {
             ledger: Ledger::new(incarnation),
             free: (0..slots as usize).collect(),
+            free_watches: (slots as usize..end).collect(),
             is_stopping: false,
             is_leaving: false,
             latencies_micros: Vec::new(),
@@ -52,15 +64,16 @@
         Self {
             inner: Mutex::new(inner),
             slots,
+            watch_slots,
             in_flight: watch::Sender::new(0),
             clock,
             meters,
         }
     }
 
-    /// Decides on a request that has arrived.
+    /// Decides on a request that has arrived. A watch takes a slot for watches if there are any.
     #[must_use]
-    pub fn enter(self: &Arc<Self>, request: Request) -> Entered {
+    pub fn enter(self: &Arc<Self>, request: Request, is_watch: bool) -> Entered {
         let now = self.clock.now();
         let mut inner = self.lock();
         match inner.ledger.begin(request, now) {
@@ -68,7 +81,7 @@
             Begin::Replay(response) => return Entered::Replay(response),
             known => return Entered::Refused(refusal(&known, request.is_keyed)),
         }
-        match inner.take_slot() {
+        match inner.take_slot(is_watch && self.watch_slots > 0) {
             Ok(slot) => {
                 self.publish(&mut inner);
                 drop(inner);
@@ -106,7 +119,13 @@
         inner.is_leaving || inner.is_stopping
     }
 
-    /// Returns the requests in flight.
+    /// Returns the slots in use by requests other than watches.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.slots_used(&self.lock())
+    }
+
+    /// Returns the requests in flight, watches included.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
         *self.in_flight.borrow()
@@ -140,23 +159,29 @@
         let micros = now.micros_since(begun);
         self.meters.finished(&outcome, micros);
         let mut inner = self.lock();
-        let is_whole = matches!(outcome, Outcome::Whole(_));
+        let is_watch = slot >= self.slots as usize;
+        let is_whole = matches!(outcome, Outcome::Whole(_)) && !is_watch;
         if is_whole && inner.latencies_micros.len() < LATENCIES_MAX {
             let micros = u32::try_from(micros).unwrap_or(u32::MAX);
             inner.latencies_micros.push(micros);
         }
         inner.ledger.finish(id, outcome, now);
-        inner.free.push_back(slot);
+        if is_watch {
+            inner.free_watches.push_back(slot);
+        } else {
+            inner.free.push_back(slot);
+        }
         self.publish(&mut inner);
     }
 
     fn publish(&self, inner: &mut Inner) {
-        let in_flight = self.slots_used(inner);
+        let slots_used = self.slots_used(inner);
+        let in_flight = slots_used + self.watches(inner);
         assert!(
             in_flight as usize == inner.ledger.running(),
             "each running request holds exactly one slot"
         );
-        inner.in_flight_max = inner.in_flight_max.max(in_flight);
+        inner.in_flight_max = inner.in_flight_max.max(slots_used);
         self.meters.in_flight(in_flight);
         self.meters.ledger(inner.ledger.len());
         self.in_flight.send_replace(in_flight);
@@ -169,6 +194,13 @@
             .expect("no more slots are free than there are")
     }
 
+    fn watches(&self, inner: &Inner) -> u32 {
+        let free = u32::try_from(inner.free_watches.len()).unwrap_or(u32::MAX);
+        self.watch_slots
+            .checked_sub(free)
+            .expect("no more slots are free than there are")
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner
             .lock()
@@ -177,15 +209,19 @@
 }
 
 impl Inner {
-    fn take_slot(&mut self) -> Result<usize, Error> {
+    fn take_slot(&mut self, is_watch: bool) -> Result<usize, Error> {
         if self.is_stopping {
             return Err(Error::new(ErrorKind::ShuttingDown).context("the companion is stopping"));
         }
         if self.is_leaving {
             return Err(Error::new(ErrorKind::Leaving));
         }
-        self.free
-            .pop_front()
+        let free = if is_watch {
+            &mut self.free_watches
+        } else {
+            &mut self.free
+        };
+        free.pop_front()
             .ok_or_else(|| Error::new(ErrorKind::Overloaded).context("all slots are in use"))
     }
 }
--- a/crates/companion/src/context.rs
+++ b/crates/companion/src/context.rs
@@ -12,7 +12,12 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use toucanquay_control::register::Register;
-use toucanquay_model::{Incarnation, Time, section::State, upstream::Announcement, worker};
+use toucanquay_model::{
+    Incarnation, Time,
+    section::State,
+    upstream::{Announcement, watch_slots},
+    worker,
+};
 use toucanquay_wire::{Pool, heartbeat::Beat, heartbeat::Owner};
 
 use crate::{
@@ -75,7 +80,13 @@
             Load::NONE
         };
         let meters = Meters::new(&settings.worker);
-        let admission = Admission::new(incarnation, settings.slots, clock, meters.clone());
+        let admission = Admission::new(
+            incarnation,
+            settings.slots,
+            watch_slots(settings.slots, settings.connections),
+            clock,
+            meters.clone(),
+        );
         Self {
             worker: worker::Id(settings.worker.clone()),
             address: settings.advertise.unwrap_or(address),
@@ -163,7 +174,7 @@
             announcement: with_announcement.then(|| self.announcement()),
             revision,
             revision_known,
-            in_flight,
+            in_flight: self.admission.load(),
             is_healthy: self.is_healthy.load(Ordering::Relaxed),
             is_leaving,
             is_drained: is_leaving && in_flight == 0 && tasks.is_drained,
--- a/crates/companion/src/forward/serve.rs
+++ b/crates/companion/src/forward/serve.rs
@@ -105,7 +105,8 @@
         incarnation: head.incarnation,
         is_keyed: head.is_keyed,
     };
-    match context.admission.enter(request) {
+    let is_watch = head.remaining_micros.is_none();
+    match context.admission.enter(request, is_watch) {
         Entered::Run(permit) => run_upstream(context, head, intake, permit, outlet)
             .await
             .map(Ended::Served),
--- a/crates/companion/src/upstream.rs
+++ b/crates/companion/src/upstream.rs
@@ -3,7 +3,7 @@
 use std::{error::Error as _, time::Duration};
 
 use reqwest::{Body, Client, Method, Request, Response, Url, redirect::Policy};
-use toucanquay_model::{Error, ErrorKind};
+use toucanquay_model::{Error, ErrorKind, upstream::watch_slots};
 use toucanquay_wire::request::Head;
 
 use crate::{Settings, forward::headers};
@@ -46,8 +46,12 @@
             .connections
             .saturating_sub(settings.slots)
             .saturating_sub(1);
-        let clients: Result<Vec<Client>, reqwest::Error> = (0..settings.slots)
-            .map(|slot| client(usize::from(slot < spare)))
+        // The connection of a watch ends with it.
+        let watches = watch_slots(settings.slots, settings.connections);
+        let idle = (0..settings.slots).map(|slot| usize::from(slot < spare));
+        let clients: Result<Vec<Client>, reqwest::Error> = idle
+            .chain((0..watches).map(|_watch| 0))
+            .map(client)
             .collect();
         let clients = clients.map_err(|cause| unusable(cause.to_string()))?;
         Ok(Self { base, clients })
--- a/crates/entry/src/claim/claims.rs
+++ b/crates/entry/src/claim/claims.rs
@@ -95,7 +95,7 @@
     async fn acquire(&self, turn: Turn) -> Result<Permit, Refused> {
         let lane = self
             .context
-            .lane(&self.call.service)
+            .lane(&self.call.service, self.call.traffic())
             .ok_or_else(|| Error::new(ErrorKind::NoUpstream))?;
         lane.acquire(&self.request, turn).await
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -15,7 +15,13 @@
 use toucanquay_store::Client;
 use toucanquay_wire::{Pool, heartbeat::Owner};
 
-use crate::{Clock, Settings, claim::Leases, lane::Lane, member::Peer, owner::Role};
+use crate::{
+    Clock, Settings,
+    claim::Leases,
+    lane::{Lane, Traffic},
+    member::Peer,
+    owner::Role,
+};
 
 /// What the listeners and loops of one entry share.
 #[derive(Debug)]
@@ -45,7 +51,7 @@
     last_request: AtomicU64,
     register: Mutex<Register>,
     roster: Mutex<Roster>,
-    lanes: Mutex<HashMap<String, Arc<Lane>>>,
+    lanes: Mutex<HashMap<(String, Traffic), Arc<Lane>>>,
     peers: Mutex<BTreeMap<String, Peer>>,
     owner: Mutex<Option<Owner>>,
 }
@@ -131,19 +137,22 @@
         }
     }
 
-    /// Returns the lane of `service`, if an upstream or a section has named it.
-    pub fn lane(&self, service: &str) -> Option<Arc<Lane>> {
-        lock(&self.lanes).get(service).cloned()
+    /// Returns the lane of `service` for a kind of requests, if an upstream has named it.
+    pub fn lane(&self, service: &str, traffic: Traffic) -> Option<Arc<Lane>> {
+        lock(&self.lanes)
+            .get(&(service.to_owned(), traffic))
+            .cloned()
     }
 
-    /// Returns the lane of `service`, and starts it where it is new.
-    pub fn lane_or_new(&self, service: &str) -> Arc<Lane> {
+    /// Returns the lane of `service` for a kind of requests, and starts it where it is new.
+    pub fn lane_or_new(&self, service: &str, traffic: Traffic) -> Arc<Lane> {
         let mut lanes = lock(&self.lanes);
-        if let Some(lane) = lanes.get(service) {
+        let name = (service.to_owned(), traffic);
+        if let Some(lane) = lanes.get(&name) {
             return lane.clone();
         }
         let lane = Arc::new(Lane::new(&self.settings.zone, self.clock));
-        lanes.insert(service.to_owned(), lane.clone());
+        lanes.insert(name, lane.clone());
         let stop = self.stop.clone();
         let run = lane.clone().run();
         tokio::spawn(async move { stop.run_until_cancelled(run).await });
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -6,7 +6,7 @@
 use toucanquay_wire::request::Head;
 
 use super::headers::{self, DEADLINE_HEADER, KEY_HEADER};
-use crate::Clock;
+use crate::{Clock, lane::Traffic};
 
 /// Longest deadline that a client may ask for, in milliseconds.
 const DEADLINE_MS_MAX: u64 = 600_000;
@@ -70,6 +70,16 @@
         matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
     }
 
+    /// Returns the kind of requests that it competes with.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        if self.deadline == Time::NEVER {
+            Traffic::Watch
+        } else {
+            Traffic::Request
+        }
+    }
+
     /// Returns the head to send to the run `incarnation` of a companion.
     #[must_use]
     pub fn head(&self, incarnation: u64, now: Time) -> Head {
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -63,7 +63,7 @@
     async fn acquire(&self) -> Result<Permit, Refused> {
         let lane = self
             .context
-            .lane(&self.call.service)
+            .lane(&self.call.service, self.call.traffic())
             .ok_or_else(|| Error::new(ErrorKind::NoUpstream))?;
         lane.acquire(&self.request, self.turn).await
     }
--- a/crates/entry/src/lane/service.rs
+++ b/crates/entry/src/lane/service.rs
@@ -58,8 +58,9 @@
 
     /// Adds an upstream, or replaces the one of the same worker.
     ///
-    /// A warm one gets its full share at once, as when this entry itself is new.
-    pub fn join(self: &Arc<Self>, announcement: &Announcement, is_warm: bool) {
+    /// It takes at most `slots` requests of this lane at once. A warm one gets its full share at
+    /// once, as when this entry itself is new.
+    pub fn join(self: &Arc<Self>, announcement: &Announcement, slots: u32, is_warm: bool) {
         let now = self.clock.now();
         let target = Target {
             worker: announcement.worker.clone(),
@@ -69,13 +70,9 @@
         let mut inner = self.lock();
         inner.remove(&announcement.worker);
         let key = if is_warm {
-            inner
-                .balancer
-                .insert_warm(&announcement.zone, announcement.slots, now)
+            inner.balancer.insert_warm(&announcement.zone, slots, now)
         } else {
-            inner
-                .balancer
-                .insert(&announcement.zone, announcement.slots, now)
+            inner.balancer.insert(&announcement.zone, slots, now)
         };
         inner.targets.insert(key, target);
         inner.keys.insert(announcement.worker.clone(), key);
--- a/crates/entry/src/member/hear.rs
+++ b/crates/entry/src/member/hear.rs
@@ -4,11 +4,11 @@
 
 use slog::info;
 use toucanquay_control::roster::{Heard, Load};
-use toucanquay_model::upstream::Announcement;
+use toucanquay_model::upstream::{Announcement, watch_slots};
 use toucanquay_policy::route::State;
 use toucanquay_wire::heartbeat::{Beat, Reply};
 
-use crate::Context;
+use crate::{Context, lane::Traffic};
 
 /// How long after its start an entry takes upstreams for long-serving ones, in milliseconds. They
 /// all announce themselves to a new entry within three heartbeats.
@@ -50,8 +50,10 @@
         let announcement = member.announcement;
         info!(context.log, "upstream_expired";
             "worker" => %announcement.worker, "incarnation" => announcement.incarnation);
-        if let Some(lane) = context.lane(&announcement.service) {
-            lane.remove(&announcement.worker);
+        for traffic in [Traffic::Request, Traffic::Watch] {
+            if let Some(lane) = context.lane(&announcement.service, traffic) {
+                lane.remove(&announcement.worker);
+            }
         }
     }
 }
@@ -61,9 +63,18 @@
         "worker" => %announcement.worker, "incarnation" => announcement.incarnation,
         "service" => &announcement.service, "zone" => &announcement.zone);
     let is_warm = context.clock.now().as_millis() < WARM_MS;
+    let slots = announcement.slots;
     context
-        .lane_or_new(&announcement.service)
-        .join(announcement, is_warm);
+        .lane_or_new(&announcement.service, Traffic::Request)
+        .join(announcement, slots, is_warm);
+    let watches = match watch_slots(slots, announcement.connections) {
+        0 => slots,
+        watches => watches,
+    };
+    context
+        .lane_or_new(&announcement.service, Traffic::Watch)
+        // Slow start would hold back watches, which hardly load a new upstream.
+        .join(announcement, watches, true);
 }
 
 fn follow(context: &Arc<Context>, beat: &Beat) {
@@ -71,7 +82,7 @@
         .roster()
         .get(&beat.worker)
         .map(|member| member.announcement.service.clone());
-    let Some(lane) = service.and_then(|service| context.lane(&service)) else {
+    let Some(service) = service else {
         return;
     };
     let state = match (beat.is_leaving, beat.is_healthy) {
@@ -79,7 +90,13 @@
         (false, true) => State::Up,
         (false, false) => State::Unhealthy,
     };
-    lane.report(&beat.worker, state, beat.in_flight);
+    if let Some(lane) = context.lane(&service, Traffic::Request) {
+        lane.report(&beat.worker, state, beat.in_flight);
+    }
+    if let Some(lane) = context.lane(&service, Traffic::Watch) {
+        // The reported load counts no watches.
+        lane.report(&beat.worker, state, 0);
+    }
 }
 
 const fn load(beat: &Beat) -> Load {
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -32,3 +32,14 @@
     /// Cell that the worker belongs to.
     pub cell: u32,
 }
+
+/// Returns how many watches an upstream with these `slots` and `connections` takes beside its other
+/// requests.
+///
+/// A watch holds a connection for hours but is idle for most of that time, so it takes none of the
+/// slots. Each slot may have a second connection for a moment, and one is for health checks. Zero
+/// means that watches have to take slots.
+#[must_use]
+pub const fn watch_slots(slots: u32, connections: u32) -> u32 {
+    connections.saturating_sub(slots.saturating_mul(2).saturating_add(1))
+}
--- a/crates/toucanquay/tests/path.rs
+++ b/crates/toucanquay/tests/path.rs
@@ -137,3 +137,23 @@
     };
     assert!(body.is_err());
 }
+
+/// Guards against watches that take the slots of lookups: an upstream has eight.
+#[tokio::test]
+async fn watches_leave_the_slots_to_lookups() {
+    let site = Site::start(1, 1).await;
+    let mut feeds = Vec::new();
+    for _ in 0..12 {
+        let call = site.call(0, Method::GET, "/services/desk/feed");
+        let mut feed = call.send().await.expect("the feed begins");
+        let line = feed.chunk().await.expect("the feed goes on");
+        assert!(feed.status().is_success() && line.is_some());
+        feeds.push(feed);
+    }
+
+    let call = site.call(0, Method::GET, "/services/desk/lookup/1");
+    let answer = call.send().await.expect("the entry answers");
+
+    assert_eq!(answer.status().as_u16(), 200);
+    assert!(feeds[0].chunk().await.expect("the feed goes on").is_some());
+}
