entry: tests against companions that misbehave

A fake companion at the wire protocol sends heartbeats to entries in the test's process and misbehaves on order: wrong ids and lengths, missing end frames, late responses, broken connections, refusals and restarts. The order belongs to the next request at any companion, so that no test depends on which one the entry picks.

--- /dev/null
+++ b/crates/entry/tests/forward.rs
@@ -0,0 +1,183 @@
+//! Requests through an entry to companions that misbehave.
+
+mod support;
+
+use std::sync::Arc;
+
+use rstest::rstest;
+use support::{Act, SERVICE, TEAM, site, until};
+use tokio::sync::Notify;
+use toucanquay_model::{ErrorKind, request::Verdict};
+
+/// Guards against passing on a response that belongs to another request.
+#[tokio::test]
+async fn head_of_another_request_is_never_passed_on() {
+    let site = site(1, 1).await;
+    site.script.order(Act::OtherHead);
+    let reply = site.send(0, "POST", "/a", &[]).await;
+    let expected = (502, "protocol".to_owned(), "unknown".to_owned());
+    assert_eq!(reply.refusal(), expected);
+    assert_eq!(site.script.runs(), 1);
+}
+
+/// Guards against giving up a GET whose response had the id of another request, although another
+/// companion can serve it.
+#[tokio::test]
+async fn get_goes_to_another_companion_after_a_head_of_another_request() {
+    let site = site(1, 2).await;
+    site.script.order(Act::OtherHead);
+    let reply = site.send(0, "GET", "/a", &[]).await;
+    assert_eq!(reply.text(), "GET /a run 2");
+}
+
+/// Guards against a response that breaks off, or whose end belongs to another request, and that
+/// the client takes for whole.
+#[rstest]
+#[case::end_of_another_request(Act::OtherEnd)]
+#[case::length_differs(Act::OtherLength)]
+#[case::no_end(Act::NoEnd)]
+#[tokio::test]
+async fn response_without_its_end_is_not_whole(#[case] act: Act) {
+    let site = site(1, 1).await;
+    site.script.order(act);
+    let reply = site.send(0, "GET", "/a", &[]).await;
+    assert_eq!((reply.status, reply.body), (200, None));
+    let reply = site.send(0, "GET", "/b", &[]).await;
+    assert_eq!(reply.text(), "GET /b run 2");
+}
+
+/// Guards against a response that comes after its deadline and reaches the next request on the
+/// same connection.
+#[tokio::test]
+async fn late_response_does_not_reach_the_next_request() {
+    let site = site(1, 1).await;
+    let permit = Arc::new(Notify::new());
+    site.script.order(Act::Hold(permit.clone()));
+    let fields = [("toucanquay-deadline-ms", "1000")];
+    let late = site.send(0, "GET", "/late", &fields).await;
+    permit.notify_one();
+    let next = site.send(0, "GET", "/next", &[]).await;
+    let expected = (504, "deadline_while_running".to_owned());
+    let (status, kind, _) = late.refusal();
+    assert_eq!((status, kind), expected);
+    assert_eq!(next.text(), "GET /next run 2");
+    assert_eq!(site.companions[0].connections(), 1);
+}
+
+/// Guards against a GET that fails because one connection broke, although another companion can
+/// serve it.
+#[tokio::test]
+async fn get_goes_to_another_companion_after_a_broken_connection() {
+    let site = site(1, 2).await;
+    site.script.order(Act::Cut(Verdict::Running));
+    let reply = site.send(0, "GET", "/a", &[]).await;
+    assert_eq!(reply.text(), "GET /a run 2");
+    let seen = site.script.seen();
+    assert_eq!(seen.len(), 2);
+    assert_ne!(seen[0].worker, seen[1].worker);
+}
+
+/// Guards against a POST that fails although the companion has confirmed that it did not run.
+#[tokio::test]
+async fn post_that_did_not_run_moves_and_runs_once() {
+    let site = site(1, 2).await;
+    site.script.order(Act::Cut(Verdict::NotRun));
+    let reply = site.send(0, "POST", "/a", &[]).await;
+    assert_eq!(reply.text(), "POST /a run 1");
+    assert_eq!(site.script.seen().len(), 2);
+}
+
+/// Guards against a POST that is sent again, or reported as not run, when it may have run.
+#[rstest]
+#[case::running(Verdict::Running)]
+#[case::finished(Verdict::Finished)]
+#[case::unknown(Verdict::Unknown)]
+#[tokio::test]
+async fn post_that_may_have_run_is_not_sent_again(
+    #[case] verdict: Verdict,
+    #[values(&[], &[("idempotency-key", "k")])] fields: &support::Fields,
+) {
+    let site = site(1, 2).await;
+    site.script.order(Act::Cut(verdict));
+    let reply = site.send(0, "POST", "/a", fields).await;
+    let expected = (502, "outcome_unknown".to_owned(), "unknown".to_owned());
+    assert_eq!(reply.refusal(), expected);
+    assert_eq!(site.script.seen().len(), 1);
+}
+
+/// Guards against refusing a request that one companion has no room for, although another has.
+#[tokio::test]
+async fn refused_request_goes_to_another_companion() {
+    let site = site(1, 2).await;
+    // An entry that picks at random would pass a single round every other time.
+    for _ in 0..8 {
+        site.script.order(Act::Refuse(ErrorKind::Overloaded));
+        site.send(0, "POST", "/a", &[]).await.text();
+    }
+    let seen = site.script.seen();
+    assert_eq!(seen.len(), 16);
+    assert!(seen.chunks(2).all(|pair| pair[0].worker != pair[1].worker));
+}
+
+/// Guards against new requests to a companion whose heartbeat says that it leaves.
+#[tokio::test]
+async fn leaving_companion_gets_no_new_request() {
+    let site = site(1, 2).await;
+    site.companions[0].leave().await;
+    for _ in 0..20 {
+        site.send(0, "GET", "/a", &[]).await.text();
+    }
+    assert!(site.script.seen().iter().all(|seen| seen.worker == "w1"));
+}
+
+/// Guards against new requests to the services of a team whose section says that it leaves.
+#[tokio::test]
+async fn leaving_section_withdraws_its_services() {
+    let site = site(1, 1).await;
+    site.send(0, "GET", "/a", &[]).await.text();
+    let section = format!("state = \"leaving\"\n[services.{SERVICE}]\n");
+    site.store
+        .write(&format!("config/section/{TEAM}"), &section);
+    let wait = async {
+        loop {
+            let reply = site.send(0, "GET", "/a", &[]).await;
+            if reply.status != 200 {
+                break reply;
+            }
+        }
+    };
+    let reply = tokio::time::timeout(support::PATIENCE, wait).await.unwrap();
+    let expected = (503, "leaving".to_owned(), "not_run".to_owned());
+    assert_eq!(reply.refusal(), expected);
+    let seen = site.script.seen().len();
+    site.send(0, "GET", "/a", &[]).await;
+    assert_eq!(site.script.seen().len(), seen);
+}
+
+/// Guards against requests for the former run of a companion, also when a heartbeat of that run
+/// arrives late.
+#[tokio::test]
+async fn restarted_companion_gets_requests_for_its_new_run() {
+    let site = site(1, 1).await;
+    site.send(0, "GET", "/a", &[]).await.text();
+    site.companions[0].restart().await;
+    site.companions[0].beat_as(1).await;
+    site.send(0, "GET", "/b", &[]).await.text();
+    let runs: Vec<_> = site.script.seen().iter().map(|s| s.incarnation).collect();
+    assert_eq!(runs, [1, site.companions[0].incarnation()]);
+}
+
+/// Guards against trusting a restarted companion about a request that its former run may have run.
+#[tokio::test]
+async fn restart_makes_the_outcome_of_a_sent_post_unknown() {
+    let site = Arc::new(site(1, 1).await);
+    site.script.order(Act::Hold(Arc::new(Notify::new())));
+    let sending = site.clone();
+    let post = tokio::spawn(async move { sending.send(0, "POST", "/a", &[]).await });
+    until(|| site.script.seen().len() == 1).await;
+    site.companions[0].restart().await;
+    let reply = post.await.unwrap();
+    let expected = (502, "outcome_unknown".to_owned(), "unknown".to_owned());
+    assert_eq!(reply.refusal(), expected);
+    assert_eq!(site.script.seen().len(), 1);
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,120 @@
+//! Fixtures: entries with a store stand-in, and fake companions that misbehave on order.
+
+pub mod act;
+pub mod companion;
+pub mod script;
+
+use std::{sync::Arc, time::Duration};
+
+use slog::{Discard, Logger, o};
+use toucanquay_entry::{Entry, Settings};
+use toucanquay_standin::Store;
+
+pub use act::Act;
+pub use companion::Companion;
+pub use script::Script;
+
+/// Bound on each wait of a test.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub const SERVICE: &str = "lookup";
+pub const TEAM: &str = "desk";
+
+const SECTION: &str = "[services.lookup]\ndeadline_ms = 5000\n";
+
+/// Entries that share a store and know the same companions.
+pub struct Site {
+    pub store: Store,
+    pub entries: Vec<Entry>,
+    pub companions: Vec<Companion>,
+    pub script: Arc<Script>,
+    http: reqwest::Client,
+}
+
+/// What a client gets back.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    /// The whole body, or `None` when it broke off.
+    pub body: Option<String>,
+}
+
+impl Reply {
+    /// The error kind and what the entry says about the run.
+    pub fn refusal(&self) -> (u16, String, String) {
+        let body = self.body.as_deref().unwrap();
+        let json: serde_json::Value = serde_json::from_str(body).unwrap();
+        let text = |name: &str| json[name].as_str().unwrap().to_owned();
+        (self.status, text("kind"), text("run"))
+    }
+
+    pub fn text(&self) -> &str {
+        assert_eq!(self.status, 200, "{self:?}");
+        self.body.as_deref().unwrap()
+    }
+}
+
+pub async fn site(entries: usize, companions: usize) -> Site {
+    let store = Store::start().await.unwrap();
+    store.write(&format!("config/section/{TEAM}"), SECTION);
+    let script = Arc::new(Script::default());
+    let mut site = Site {
+        store,
+        entries: Vec::new(),
+        companions: Vec::new(),
+        script,
+        http: reqwest::Client::builder()
+            .no_proxy()
+            .timeout(PATIENCE)
+            .build()
+            .unwrap(),
+    };
+    for number in 0..entries {
+        let settings = Settings::new(format!("e{number}"), "a", site.store.address())
+            .store_calls_per_second(1_000);
+        let log = Logger::root(Discard, o!());
+        site.entries
+            .push(Entry::start(settings, log).await.unwrap());
+    }
+    until(|| site.entries.iter().all(Entry::is_ready)).await;
+    let peers: Vec<_> = site.entries.iter().map(Entry::peer_address).collect();
+    for number in 0..companions {
+        let name = format!("w{number}");
+        let companion = Companion::start(&name, &peers, site.script.clone()).await;
+        site.companions.push(companion);
+    }
+    site
+}
+
+impl Site {
+    /// Sends a request through entry `entry` and reads its response to the end.
+    pub async fn send(&self, entry: usize, method: &str, path: &str, fields: &Fields) -> Reply {
+        let address = self.entries[entry].client_address();
+        let url = format!("http://{address}/services/{SERVICE}{path}");
+        let method = reqwest::Method::from_bytes(method.as_bytes()).unwrap();
+        let mut request = self.http.request(method, url);
+        for (name, value) in fields {
+            request = request.header(*name, *value);
+        }
+        let response = request.send().await.unwrap();
+        Reply {
+            status: response.status().as_u16(),
+            body: response.text().await.ok(),
+        }
+    }
+}
+
+/// Header fields of a request.
+pub type Fields = [(&'static str, &'static str)];
+
+/// Waits until `is_true` holds, at most [`PATIENCE`].
+pub async fn until(is_true: impl Fn() -> bool) {
+    let wait = async {
+        while !is_true() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the condition holds in time");
+}
