entry: tests for a lone leaving companion and for a GET that may have run

With two companions the balancer prefers one of them, so that the test of the leaving heartbeat passed with the mechanism removed. A lone companion decides it. A trial also showed that no test noticed a GET reported as not run after an attempt that may have run.

--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -77,6 +77,17 @@
     assert_ne!(seen[0].worker, seen[1].worker);
 }
 
+/// Guards against reporting a GET as not run because its last attempt was refused, although an
+/// earlier attempt may have run.
+#[tokio::test]
+async fn get_whose_first_attempt_may_have_run_is_not_reported_as_not_run() {
+    let site = site(1, 1).await;
+    site.script.order(Act::Cut(Verdict::Running));
+    let reply = site.send(0, "GET", "/a", &[]).await;
+    let expected = (502, "outcome_unknown".to_owned(), "unknown".to_owned());
+    assert_eq!(reply.refusal(), expected);
+}
+
 /// Guards against a POST that fails although the companion has confirmed that it did not run.
 #[tokio::test]
 async fn post_that_did_not_run_moves_and_runs_once() {
@@ -122,6 +133,18 @@
 /// Guards against new requests to a companion whose heartbeat says that it leaves.
 #[tokio::test]
 async fn leaving_companion_gets_no_new_request() {
+    let site = site(1, 1).await;
+    site.send(0, "GET", "/a", &[]).await.text();
+    site.companions[0].leave().await;
+    let fields = [("toucanquay-deadline-ms", "500")];
+    let reply = site.send(0, "GET", "/a", &fields).await;
+    assert_eq!(reply.refusal().2, "not_run");
+    assert_eq!(site.script.seen().len(), 1);
+}
+
+/// Guards against refusing requests because one of two companions leaves.
+#[tokio::test]
+async fn requests_go_on_to_the_companion_that_stays() {
     let site = site(1, 2).await;
     site.companions[0].leave().await;
     for _ in 0..20 {
