control: place tasks by the batch policy instead of first fit

Cause: the cell owner placed tasks first fit in order of submission, so a job of many tasks or long work took all room, and a job above its team's quota waited without a reason.

Ruled out: a second queue in front of the policy, because two orders would have to agree; learned reservations, because the grant would then differ from the declared demand before usage reports are checked at the cell; passing the time to every release, because an eviction has none, so the queue keeps the latest time it was given.

Change: the queue wraps batch::Backlog, which now also counts quotas and running tasks in place of the cell's Usage. Backoff, the wait after a takeover, leases and durable records stay in the cell; only rooms of workers that take grants are offered. A task that failed on a worker is moved to another fitting room if there is one. Backlog::unfit_reason names unfit jobs that do not wait, too, as cancelled ones.

Measured: three new tests in tests/cell.rs fail with the old placement; long_work_leaves_room_for_short_work also fails with a long share of 1.0. All tests of toucanquay-control, with the randomised runs, and of toucanquay-policy pass; no existing test was changed.

Conclusion: order, fit, quotas, room for short work and unfit jobs come from the policy. Usage, deadlines, prices and the quarantine are not fed yet.

--- a/crates/control/src/cell.rs
+++ b/crates/control/src/cell.rs
@@ -12,13 +12,11 @@
 mod receive;
 mod record;
 mod reply;
-mod room;
 mod run;
 mod segment;
 mod settings;
 mod takeover;
 mod task_state;
-mod usage;
 mod value;
 mod write;
 
@@ -27,7 +25,7 @@
 use foldhash::HashMap;
 use slotmap::SlotMap;
 use toucanquay_model::{
-    Epoch, Error, ErrorKind, Resources, Revision, Section, Time,
+    Epoch, Error, ErrorKind, Revision, Section, Time,
     exchange::{Command, Report},
     job::{self, Reply, Spec, Status},
     section, task, worker,
@@ -44,7 +42,6 @@
 use segment::Segment;
 pub use settings::Settings;
 use task_state::Phase;
-use usage::Usage;
 pub use value::stamp;
 pub use write::Write;
 
@@ -65,7 +62,7 @@
     is_deposed: bool,
     revision: Revision,
     revision_known: Revision,
-    usage: Usage,
+    sections: BTreeMap<String, Section>,
     jobs: SlotMap<JobKey, Job>,
     job_ids: HashMap<job::Id, JobKey>,
     next_order: u64,
@@ -104,7 +101,15 @@
     ) {
         if held >= self.revision {
             self.revision = held;
-            self.usage.configure(sections);
+            let former = std::mem::replace(&mut self.sections, sections);
+            for team in former.keys() {
+                if !self.sections.contains_key(team) {
+                    self.queue.configure(team, &Section::default());
+                }
+            }
+            for (team, section) in &self.sections {
+                self.queue.configure(team, section);
+            }
         }
         self.learn(known.max(held));
     }
@@ -197,6 +202,7 @@
 
     /// Does what is due: ends leases, ends waits, places tasks, forgets what is over.
     pub fn tick(&mut self, now: Time) {
+        self.queue.advance(now);
         self.end_leases(now);
         self.end_waits(now);
         self.place(now);
@@ -273,26 +279,7 @@
     }
 
     fn status(&self, job: &Job) -> Status {
-        job.status(self.unfit(&job.spec))
-    }
-
-    /// Returns why no known worker can ever run a task of the job, if that is so.
-    fn unfit(&self, spec: &Spec) -> Option<String> {
-        let mut largest = Resources::ZERO;
-        for member in self.workers.values() {
-            if spec.demand.fits(&member.capacity) {
-                return None;
-            }
-            largest = largest.max(&member.capacity);
-        }
-        if self.workers.is_empty() {
-            return None;
-        }
-        Some(format!(
-            "a task needs {}; no known worker holds it, and the largest amounts of any worker are \
-             {largest}",
-            spec.demand
-        ))
+        job.status(self.queue.unfit(&job.spec))
     }
 
     fn check_owner(&self, now: Time) -> Result<(), Error> {
@@ -322,7 +309,7 @@
                 self.revision_known
             )));
         }
-        match self.usage.state(&spec.team) {
+        match self.sections.get(&spec.team).map(|section| section.state) {
             None => {
                 return Err(Error::new(ErrorKind::UnknownTeam)
                     .field("team")
@@ -381,7 +368,7 @@
             return;
         };
         job.is_cancelled = true;
-        self.queue.remove_job(job.rank());
+        self.queue.remove_job(&job.spec);
         let mut runs = Vec::new();
         for (index, task) in (0..).zip(&mut job.tasks) {
             match task.phase {
--- a/crates/control/src/cell/durability.rs
+++ b/crates/control/src/cell/durability.rs
@@ -166,7 +166,7 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
-        self.queue.remove_job(job.rank());
+        self.queue.remove_job(&job.spec);
         self.job_ids.remove(&job.spec.id);
         let segment = &mut self.segments[job.segment];
         segment.jobs.remove(&key);
--- a/crates/control/src/cell/ending.rs
+++ b/crates/control/src/cell/ending.rs
@@ -4,6 +4,7 @@
     Attempt, Time,
     exchange::{Refusal, TaskState},
 };
+use toucanquay_policy::batch;
 
 use super::{
     Cell, Phase,
@@ -196,7 +197,7 @@
     }
 
     /// Gives up the lease of an attempt.
-    pub(super) fn release(&mut self, key: RunKey) {
+    pub(super) fn release(&mut self, key: RunKey, ending: batch::Ending) {
         let Some(run) = self.runs.remove(key) else {
             return;
         };
@@ -209,7 +210,7 @@
                 job.unconfirmed -= 1;
             }
             job.tasks[run.task.index as usize].phase = Phase::Waiting;
-            self.usage.give_back(&job.spec);
+            self.queue.end(&job.task_id(run.task.index), ending);
         }
     }
 
@@ -224,7 +225,7 @@
             .collect();
         for key in ended {
             if let Some(task) = self.runs.get(key).map(|run| run.task) {
-                self.release(key);
+                self.release(key, batch::Ending::Stopped);
                 self.requeue(task, now, now);
             }
         }
@@ -242,3 +243,16 @@
         }
     }
 }
+
+/// Returns what the policy learns from the last state of an attempt.
+pub(super) const fn outcome(state: &TaskState) -> batch::Ending {
+    match state {
+        TaskState::Finished => batch::Ending::Finished,
+        TaskState::Failed { .. } => batch::Ending::Failed,
+        TaskState::Refused { .. } => batch::Ending::NotStarted,
+        TaskState::Stopped { .. }
+        | TaskState::Starting
+        | TaskState::Running
+        | TaskState::Stopping => batch::Ending::Stopped,
+    }
+}
--- a/crates/control/src/cell/job_state.rs
+++ b/crates/control/src/cell/job_state.rs
@@ -4,7 +4,7 @@
 
 use toucanquay_model::{
     Time,
-    job::{Spec, Status, Urgency},
+    job::{Spec, Status},
     task,
 };
 
@@ -72,11 +72,6 @@
         task::Id::new(self.spec.id.clone(), index)
     }
 
-    /// Returns the place of its tasks in the queue.
-    pub(super) const fn rank(&self) -> (Urgency, u64) {
-        (self.spec.urgency, self.order)
-    }
-
     pub(super) fn is_done(&self, index: u32) -> bool {
         self.finished.contains(index) || self.failed.contains(index)
     }
--- a/crates/control/src/cell/placement.rs
+++ b/crates/control/src/cell/placement.rs
@@ -1,11 +1,12 @@
 //! Placement of waiting tasks.
 
 use toucanquay_model::{Attempt, Resources, Time};
+use toucanquay_policy::batch::{Assignment, Room};
 
 use super::{
     Cell, Phase,
     key::{JobKey, RunKey, TaskKey, WorkerKey},
-    room::Room,
+    member::Member,
     run::{Run, Stage},
 };
 
@@ -19,39 +20,57 @@
         if rooms.is_empty() {
             return;
         }
-        let jobs = &self.jobs;
-        let usage = &mut self.usage;
-        let admit = |key: JobKey| {
-            let Some(job) = jobs.get(key) else {
-                return false;
+        let assigned = self.queue.assign(&mut rooms, self.settings.grants_max);
+        for assignment in assigned {
+            let Some(job) = self.job_ids.get(&assignment.task.job).copied() else {
+                continue;
             };
-            let is_admitted = usage.admits(&job.spec);
-            if is_admitted {
-                usage.take(&job.spec);
+            let task = TaskKey {
+                job,
+                index: assignment.task.index,
+            };
+            let room = self.choose(task, &assignment, &mut rooms);
+            if let Some(worker) = self.worker_ids.get(&rooms[room].worker).copied() {
+                self.start(task, worker, assignment.reservation);
             }
-            is_admitted
-        };
-        let most = self.settings.grants_max;
-        let assigned = self.queue.assign(&mut rooms, most, admit);
-        for (task, worker) in assigned {
-            self.start(task, worker);
         }
     }
 
+    /// Returns the room of an assignment, or another one that fits if the task failed there.
+    fn choose(&self, task: TaskKey, assignment: &Assignment, rooms: &mut [Room]) -> usize {
+        let (chosen, reservation) = (assignment.room, &assignment.reservation);
+        let avoid = self.jobs[task.job].tasks[task.index as usize].avoid;
+        let is_avoided =
+            |room: &Room| avoid.is_some() && self.worker_ids.get(&room.worker).copied() == avoid;
+        if !is_avoided(&rooms[chosen]) {
+            return chosen;
+        }
+        let other = rooms
+            .iter()
+            .position(|room| !is_avoided(room) && reservation.fits(&room.free));
+        let Some(other) = other else {
+            return chosen;
+        };
+        rooms[chosen].free = rooms[chosen].free.plus(reservation);
+        rooms[other].free = rooms[other].free.saturating_sub(reservation);
+        other
+    }
+
     /// Returns the free resources of the workers that take grants now.
     fn rooms(&self, now: Time) -> Vec<Room> {
-        let takes_grants = |key: &WorkerKey| {
-            self.workers.get(*key).is_some_and(|member| {
-                member.unanswered.is_some()
-                    && !member.is_leaving
-                    && !member.is_settling
-                    && member.revision >= self.revision
-                    && now >= member.grant_at
-            })
+        let takes_grants = |member: &Member| {
+            member.unanswered.is_some()
+                && !member.is_leaving
+                && !member.is_settling
+                && member.revision >= self.revision
+                && now >= member.grant_at
         };
-        let rooms = self.workers.keys().filter(takes_grants).map(|worker| Room {
-            worker,
-            free: self.free(worker),
+        let members = self.workers.iter();
+        let takers = members.filter(|(_, member)| takes_grants(member));
+        let rooms = takers.map(|(key, member)| Room {
+            worker: member.id.clone(),
+            capacity: member.capacity,
+            free: self.free(key),
         });
         rooms.filter(|room| room.free != Resources::ZERO).collect()
     }
@@ -66,7 +85,7 @@
     }
 
     /// Begins the next attempt at a task, whose grant leaves with the worker's next answer.
-    fn start(&mut self, task: TaskKey, worker: WorkerKey) {
+    fn start(&mut self, task: TaskKey, worker: WorkerKey, demand: Resources) {
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
@@ -81,7 +100,7 @@
             task,
             attempt,
             worker,
-            demand: job.spec.demand,
+            demand,
             bound: self.settings.bound(received_at),
             stage: Stage::Placed,
             is_confirmed: false,
@@ -121,10 +140,10 @@
         let is_done = job.is_done(key.index);
         // A cancellation that is not durable may be lost with the owner, so the task is not done.
         let is_held_back = job.is_held_back || job.is_cancelled;
-        let (rank, demand) = (job.rank(), job.spec.demand);
         let task = &mut job.tasks[key.index as usize];
         if is_done {
             task.phase = Phase::Done;
+            self.queue.remove(&job.task_id(key.index));
         } else if is_held_back {
             task.phase = Phase::Waiting;
         } else if not_before > now {
@@ -132,7 +151,7 @@
             self.backoffs.insert((not_before, key));
         } else {
             task.phase = Phase::Waiting;
-            self.queue.push(rank, key, demand, task.avoid);
+            self.queue.push(&job.spec, [key.index]);
         }
     }
 
@@ -163,12 +182,8 @@
         if job.is_cancelled {
             return;
         }
-        let rank = job.rank();
-        for (index, task) in (0..).zip(&job.tasks) {
-            if task.phase == Phase::Waiting {
-                let task_key = TaskKey { job: key, index };
-                self.queue.push(rank, task_key, job.spec.demand, task.avoid);
-            }
-        }
+        let tasks = (0..).zip(&job.tasks);
+        let waiting = tasks.filter(|(_, task)| task.phase == Phase::Waiting);
+        self.queue.push(&job.spec, waiting.map(|(index, _)| index));
     }
 }
--- a/crates/control/src/cell/queue.rs
+++ b/crates/control/src/cell/queue.rs
@@ -1,118 +1,85 @@
-//! Tasks that wait for a worker.
+//! Tasks that wait for a worker or hold one.
 
-use std::collections::BTreeMap;
+use toucanquay_model::{Resources, Section, Time, job::Spec, task, worker};
+use toucanquay_policy::batch::{self, Assignment, Backlog, Ending, Job, Room};
 
-use toucanquay_model::{Resources, job::Urgency};
-
-use super::{
-    key::{JobKey, TaskKey, WorkerKey},
-    room::Room,
-};
-
-/// Tasks that wait for a worker, by urgency and then in the order of submission.
+/// Tasks that may run now, in the order of the policy, and the tasks that hold a worker.
 ///
-/// Placement is first-fit. The tasks of one job have the same demand, so the first one that fits
-/// nowhere ends the search for its job, and a job that never fits costs one search.
-#[derive(Debug, Clone, Default)]
+/// Usage is not reported to the policy, so it reserves at least the declared demand. It gets no
+/// deadlines, which are in wall-clock time that the cell does not have.
+#[derive(Debug, Clone)]
 pub(super) struct Queue {
-    lines: BTreeMap<(Urgency, u64), Line>,
+    backlog: Backlog,
+    /// Latest time that the cell was given; some callers, as an eviction, give none.
+    clock: Time,
 }
 
-/// The waiting tasks of one job.
-#[derive(Debug, Clone)]
-struct Line {
-    job: JobKey,
-    demand: Resources,
-    /// Worker to avoid, by task.
-    tasks: BTreeMap<u32, Option<WorkerKey>>,
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            backlog: Backlog::new(batch::Settings::default()),
+            clock: Time::ZERO,
+        }
+    }
 }
 
 impl Queue {
-    /// Adds a task of the job that has place `rank`.
-    pub(super) fn push(
-        &mut self,
-        rank: (Urgency, u64),
-        task: TaskKey,
-        demand: Resources,
-        avoid: Option<WorkerKey>,
-    ) {
-        let line = self.lines.entry(rank).or_insert_with(|| Line {
-            job: task.job,
-            demand,
-            tasks: BTreeMap::new(),
-        });
-        line.tasks.insert(task.index, avoid);
+    /// Takes in the time.
+    pub(super) fn advance(&mut self, now: Time) {
+        self.clock = self.clock.max(now);
     }
 
-    /// Removes one task.
-    pub(super) fn remove(&mut self, rank: (Urgency, u64), index: u32) {
-        if let Some(line) = self.lines.get_mut(&rank) {
-            line.tasks.remove(&index);
-            if line.tasks.is_empty() {
-                self.lines.remove(&rank);
-            }
-        }
+    /// Applies the limits of a team.
+    pub(super) fn configure(&mut self, team: &str, section: &Section) {
+        self.backlog.configure(team, section, self.clock);
     }
 
-    /// Removes all tasks of a job.
-    pub(super) fn remove_job(&mut self, rank: (Urgency, u64)) {
-        self.lines.remove(&rank);
+    /// Adds a worker or changes its capacity.
+    pub(super) fn join(&mut self, worker: &worker::Id, capacity: Resources) {
+        self.backlog.join(worker, capacity, self.clock);
     }
 
-    /// Takes out up to `most` tasks that fit into `rooms` and that `admit` lets pass.
-    pub(super) fn assign(
-        &mut self,
-        rooms: &mut [Room],
-        most: usize,
-        mut admit: impl FnMut(JobKey) -> bool,
-    ) -> Vec<(TaskKey, WorkerKey)> {
-        let mut assigned = Vec::new();
-        for line in self.lines.values_mut() {
-            line.assign(rooms, most, &mut admit, &mut assigned);
-            if assigned.len() >= most {
-                break;
-            }
-        }
-        self.lines.retain(|_, line| !line.tasks.is_empty());
-        assigned
+    /// Removes a worker.
+    pub(super) fn leave(&mut self, worker: &worker::Id) {
+        self.backlog.leave(worker);
     }
-}
 
-impl Line {
-    fn assign(
-        &mut self,
-        rooms: &mut [Room],
-        most: usize,
-        admit: &mut impl FnMut(JobKey) -> bool,
-        assigned: &mut Vec<(TaskKey, WorkerKey)>,
-    ) {
-        let before = assigned.len();
-        for (index, avoid) in &self.tasks {
-            let Some(room) = find(rooms, self.demand, *avoid) else {
-                break;
-            };
-            if assigned.len() >= most || !admit(self.job) {
-                break;
-            }
-            room.free = room.free.saturating_sub(&self.demand);
-            let task = TaskKey {
-                job: self.job,
-                index: *index,
-            };
-            assigned.push((task, room.worker));
-        }
-        for (task, _) in &assigned[before..] {
-            self.tasks.remove(&task.index);
-        }
+    /// Adds tasks that may run now.
+    pub(super) fn push(&mut self, spec: &Spec, indexes: impl IntoIterator<Item = u32>) {
+        self.backlog
+            .push(&Job::new(spec, None), indexes, self.clock);
     }
-}
 
-/// Returns the first room that fits, other than the one to avoid if there is a choice.
-fn find(rooms: &mut [Room], demand: Resources, avoid: Option<WorkerKey>) -> Option<&mut Room> {
-    let fits = |room: &Room| demand.fits(&room.free);
-    let place = rooms
-        .iter()
-        .position(|room| Some(room.worker) != avoid && fits(room))
-        .or_else(|| rooms.iter().position(fits))?;
-    rooms.get_mut(place)
+    /// Counts a task that runs already.
+    pub(super) fn adopt(&mut self, spec: &Spec, index: u32, demand: Resources) {
+        let job = Job::new(spec, None);
+        self.backlog.adopt(&job, index, demand, self.clock);
+    }
+
+    /// Takes in that an attempt has given up what it holds.
+    pub(super) fn end(&mut self, task: &task::Id, ending: Ending) {
+        self.backlog.end(task, ending, self.clock);
+    }
+
+    /// Removes a task that does not wait any more.
+    pub(super) fn remove(&mut self, task: &task::Id) {
+        self.backlog.remove(task, self.clock);
+    }
+
+    /// Removes all waiting tasks of a job.
+    pub(super) fn remove_job(&mut self, spec: &Spec) {
+        self.backlog.remove_job(&spec.id, self.clock);
+    }
+
+    /// Takes out up to `most` tasks that start in `rooms`.
+    pub(super) fn assign(&mut self, rooms: &mut [Room], most: usize) -> Vec<Assignment> {
+        self.backlog
+            .assign(rooms, self.clock, most, |_, _| Some(0.0))
+    }
+
+    /// Returns why no known worker can ever run a task of a job, if that is so.
+    pub(super) fn unfit(&self, spec: &Spec) -> Option<String> {
+        let unfit = self.backlog.unfit_reason(&Job::new(spec, None))?;
+        Some(unfit.to_string())
+    }
 }
--- a/crates/control/src/cell/receive.rs
+++ b/crates/control/src/cell/receive.rs
@@ -4,9 +4,11 @@
     Time,
     exchange::{Report, Stop, TaskReport, TaskState},
 };
+use toucanquay_policy::batch;
 
 use super::{
     Cell, Phase,
+    ending::outcome,
     key::{RunKey, TaskKey, WorkerKey},
     member::{Member, Unanswered},
     run::{Run, Stage},
@@ -22,6 +24,7 @@
         if self.is_deposed {
             return false;
         }
+        self.queue.advance(now);
         self.learn(report.revision);
         let Some(worker) = self.admit_report(report, now) else {
             return false;
@@ -54,6 +57,7 @@
         member.sequence = report.sequence;
         member.revision = report.revision;
         member.capacity = report.capacity;
+        self.queue.join(&report.worker, report.capacity);
         member.is_leaving = report.is_leaving;
         member.is_settling = report.is_settling;
         member.heard_at = now;
@@ -103,7 +107,7 @@
                 && run.stage == Stage::Placed
             {
                 let task = run.task;
-                self.release(key);
+                self.release(key, batch::Ending::NotStarted);
                 self.requeue(task, now, now);
             }
         }
@@ -203,7 +207,7 @@
     fn update(&mut self, key: RunKey, report: &Report, line: &TaskReport, now: Time) {
         if !line.state.holds_resources() {
             let (task, worker) = (self.runs[key].task, self.runs[key].worker);
-            self.release(key);
+            self.release(key, outcome(&line.state));
             self.end(task, line.attempt, worker, &line.state, now);
             return;
         }
@@ -244,13 +248,16 @@
             throttle: None,
         };
         if let Some(job) = self.jobs.get(key.job) {
-            self.usage.take(&job.spec);
+            self.queue.adopt(&job.spec, key.index, line.demand);
+            if job.is_cancelled {
+                self.queue.remove_job(&job.spec);
+            }
         }
         let Some(run) = self.insert_run(run) else {
             return;
         };
         if !line.state.holds_resources() {
-            self.release(run);
+            self.release(run, outcome(&line.state));
             self.end(key, line.attempt, worker, &line.state, now);
         } else if self.jobs[key.job].is_cancelled {
             self.request_stop(run, false);
@@ -263,12 +270,12 @@
         match job.tasks[key.index as usize].phase {
             Phase::Running(old) => {
                 let (worker, demand) = (self.runs[old].worker, self.runs[old].demand);
-                self.release(old);
+                self.release(old, batch::Ending::Stopped);
                 if let Some(member) = self.workers.get_mut(worker) {
                     member.foreign = member.foreign.plus(&demand);
                 }
             }
-            Phase::Waiting => self.queue.remove(job.rank(), key.index),
+            Phase::Waiting => self.queue.remove(&job.task_id(key.index)),
             Phase::Backoff(until) => {
                 self.backoffs.remove(&(until, key));
             }
@@ -287,7 +294,7 @@
                 && sequence < report.sequence
             {
                 let task = run.task;
-                self.release(key);
+                self.release(key, batch::Ending::NotStarted);
                 self.requeue(task, now, now);
             }
         }
@@ -306,7 +313,7 @@
         };
         if run.stage == Stage::Placed {
             let task = run.task;
-            self.release(key);
+            self.release(key, batch::Ending::NotStarted);
             self.requeue(task, Time::ZERO, Time::ZERO);
             return;
         }
--- a/crates/control/src/cell/takeover.rs
+++ b/crates/control/src/cell/takeover.rs
@@ -7,7 +7,7 @@
 use toucanquay_model::{Epoch, Error, ErrorKind, Time, job};
 
 use super::{
-    Cell, Phase, Queue, Segment, Settings, Usage,
+    Cell, Phase, Queue, Segment, Settings,
     durability::{ENVELOPE_BYTES, job_bytes, task_bytes},
     job_state::Job,
     key::{JobKey, TaskKey},
@@ -68,7 +68,7 @@
             is_deposed: false,
             revision: 0,
             revision_known: 0,
-            usage: Usage::default(),
+            sections: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             next_order: 0,
@@ -176,8 +176,13 @@
             self.remove_job(key);
         }
         let silence = self.settings.silence_micros;
+        let queue = &mut self.queue;
         self.workers.retain(|_, member| {
-            !member.runs.is_empty() || now < member.heard_at.plus_micros(silence)
+            let is_kept = !member.runs.is_empty() || now < member.heard_at.plus_micros(silence);
+            if !is_kept {
+                queue.leave(&member.id);
+            }
+            is_kept
         });
         let workers = &self.workers;
         self.worker_ids.retain(|_, key| workers.contains_key(*key));
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -179,6 +179,57 @@
     assert_eq!(stand.cell.show(&"usual".into()).expect("known").unfit, None);
 }
 
+/// Guards against a job above the quota of its team that waits without a reason or holds up the
+/// others.
+#[rstest]
+fn job_above_its_quota_is_named_and_blocks_nobody(mut stand: Stand) {
+    stand.submit("huge", "small", 1, 3_000);
+    stand.submit("usual", "small", 1, 1_000);
+
+    let command = stand.exchange("w", false, &[]);
+
+    let unfit = stand.cell.show(&"huge".into()).expect("known").unfit;
+    assert_eq!(command.grants.len(), 1);
+    assert_eq!(command.grants[0].task.job, "usual".into());
+    assert!(unfit.expect("a reason").contains("quota of team small"));
+}
+
+/// Guards against a job of many tasks that takes all room before later jobs get any.
+#[rstest]
+fn small_job_starts_beside_an_earlier_large_one(mut stand: Stand) {
+    stand.submit("large", "desk", 20, 1_000);
+    stand.submit("small", "desk", 2, 1_000);
+
+    let command = stand.exchange("w", false, &[]);
+
+    let is_small = |task: &task::Id| task.job == "small".into();
+    let small = command.grants.iter().filter(|grant| is_small(&grant.task));
+    assert_eq!(small.count(), 2);
+    assert_eq!(command.grants.len(), 10);
+}
+
+/// Guards against long work that takes the whole cell, so that short work waits for its end.
+#[rstest]
+fn long_work_leaves_room_for_short_work(mut stand: Stand) {
+    stand.submit("long", "desk", 30, 1_000);
+    let command = stand.exchange("w", false, &[]);
+    let running = lines(&command, &TaskState::Running);
+    for _ in 0..14 {
+        stand.now = stand.now.plus_millis(5_000);
+        stand.exchange("w", false, &running);
+    }
+    stand.exchange("w", false, &lines(&command, &TaskState::Finished));
+    stand.commit();
+
+    let command = stand.exchange("w", false, &[]);
+    let running = lines(&command, &TaskState::Running);
+    stand.submit("short", "kind", 3, 1_000);
+    let short = stand.exchange("w", false, &running);
+
+    assert_eq!(running.len(), 7);
+    assert_eq!(short.grants.len(), 3);
+}
+
 /// Guards against a worker that is drained and gets new work, or keeps its tasks.
 #[rstest]
 fn leaving_worker_gets_nothing_and_is_evicted(mut stand: Stand) {
--- a/crates/policy/src/batch/backlog.rs
+++ b/crates/policy/src/batch/backlog.rs
@@ -55,7 +55,7 @@
 /// assert_eq!(assignments.len(), 1);
 /// assert_eq!(rooms[0].free.processors_milli, 1_000);
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Backlog {
     settings: Settings,
     jobs: SlotMap<Key, Entry>,
@@ -303,6 +303,14 @@
         })
     }
 
+    /// Returns why no known worker can ever hold a task of `job`, whether or not it waits.
+    #[must_use]
+    pub fn unfit_reason(&self, job: &Job) -> Option<Unfit> {
+        let team = self.team_index.get(&job.team).copied();
+        let kind = team.and_then(|team| self.kind_index.get(&(team, job.kind.clone())));
+        self.reserve(job, team, kind.copied()).err()
+    }
+
     /// Returns the number of waiting tasks.
     #[must_use]
     pub const fn len(&self) -> usize {
@@ -479,18 +487,27 @@
 
     /// Returns what one task of the job would hold.
     fn reservation(&self, entry: &Entry) -> Result<Resources, Unfit> {
-        let kind = &self.kinds[entry.kind];
-        let demand = &entry.job.demand;
-        let wanted = kind.reservation(demand, &self.settings);
+        self.reserve(&entry.job, Some(entry.team), Some(entry.kind))
+    }
+
+    fn reserve(
+        &self,
+        job: &Job,
+        team: Option<usize>,
+        kind: Option<usize>,
+    ) -> Result<Resources, Unfit> {
+        let wanted = kind.map_or(job.demand, |kind| {
+            self.kinds[kind].reservation(&job.demand, &self.settings)
+        });
         if self.fleet.is_empty() {
             return Ok(wanted);
         }
-        let reservation = self.fleet.fit(&wanted, demand)?;
-        let quota = self.teams[entry.team].quota;
+        let reservation = self.fleet.fit(&wanted, &job.demand)?;
+        let quota = team.and_then(|team| self.teams[team].quota);
         match quota {
             Some(quota) if !reservation.fits(&quota) => Err(Unfit::Quota {
                 demand: reservation,
-                team: entry.job.team.clone(),
+                team: job.team.clone(),
                 quota,
             }),
             _ => Ok(reservation),
--- a/crates/policy/src/batch/entry.rs
+++ b/crates/policy/src/batch/entry.rs
@@ -8,7 +8,7 @@
 use super::{Job, order::Place, run::Run};
 
 /// A job that has waiting or running tasks.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Entry {
     pub job: Job,
     pub team: usize,
--- a/crates/policy/src/batch/fleet.rs
+++ b/crates/policy/src/batch/fleet.rs
@@ -8,7 +8,7 @@
 use super::Unfit;
 
 /// Capacities of the known workers, grouped because a fleet has few different shapes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Fleet {
     workers: HashMap<worker::Id, Resources, RandomState>,
     shapes: BTreeMap<(u32, u32, u32), u32>,
--- a/crates/policy/src/batch/kind.rs
+++ b/crates/policy/src/batch/kind.rs
@@ -17,7 +17,7 @@
 const MEMORY_MB_MIN: u32 = 64;
 
 /// A kind of batch work of one team.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Kind {
     /// Most tasks that run at once.
     pub running_max: Option<u32>,
@@ -76,6 +76,10 @@
 
     /// Returns what a task that declares `declared` should hold.
     pub fn reservation(&self, declared: &Resources, settings: &Settings) -> Resources {
+        // The floors below guard against measurements that are too low.
+        if self.samples == 0 {
+            return *declared;
+        }
         let with_margin = |amount: u32| (f64::from(amount) * settings.memory_margin).ceil() as u32;
         let learned = Resources {
             processors_milli: self.learned.processors_milli.max(PROCESSORS_MILLI_MIN),
--- a/crates/policy/src/batch/order.rs
+++ b/crates/policy/src/batch/order.rs
@@ -41,7 +41,7 @@
 }
 
 /// Position in the order. It stays valid while jobs move.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Cursor {
     stage: usize,
     ranked: Option<(u64, Key)>,
@@ -49,7 +49,7 @@
 }
 
 /// Indexes of the waiting jobs.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Order {
     lanes: [BTreeSet<(u64, Key)>; URGENCIES * LEVELS],
     start_by: BTreeSet<(Time, Key)>,
--- a/crates/policy/src/batch/team.rs
+++ b/crates/policy/src/batch/team.rs
@@ -3,7 +3,7 @@
 use toucanquay_model::Resources;
 
 /// What a team may hold and holds.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Team {
     pub quota: Option<Resources>,
     pub held: Resources,
