owner: deadlines of jobs reach the batch policy; entry: configuration from companions

The cell had no wall clock, so that finish_by_unix_ms had no effect on the order. The caller now gives the wall-clock time once for each term. The new test fails without it (two tasks of the earlier job start instead). An entry that starts during an outage of the store and knows no other entry now fetches the sections from a companion whose heartbeat names a higher revision; the new test entry_gets_its_configuration_from_a_companion passes.

--- a/crates/control/src/cell.rs
+++ b/crates/control/src/cell.rs
@@ -92,6 +92,12 @@
         self.hold_until = until;
     }
 
+    /// Takes in the wall-clock time at `now`, in milliseconds since the Unix epoch, which the
+    /// deadlines of jobs are compared with.
+    pub const fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
+        self.queue.set_wall_clock(unix_ms, now);
+    }
+
     /// Takes in the teams' sections, the revision that they are of and the highest known one.
     pub fn configure(
         &mut self,
--- a/crates/control/src/cell/queue.rs
+++ b/crates/control/src/cell/queue.rs
@@ -5,13 +5,15 @@
 
 /// Tasks that may run now, in the order of the policy, and the tasks that hold a worker.
 ///
-/// Usage is not reported to the policy, so it reserves at least the declared demand. It gets no
-/// deadlines, which are in wall-clock time that the cell does not have.
+/// Usage is not reported to the policy, so it reserves at least the declared demand.
 #[derive(Debug, Clone)]
 pub(super) struct Queue {
     backlog: Backlog,
     /// Latest time that the cell was given; some callers, as an eviction, give none.
     clock: Time,
+    /// Wall-clock time at the zero of the process's clock, in milliseconds since the Unix epoch.
+    /// Deadlines of jobs count only once it is known.
+    zero_unix_ms: Option<u64>,
 }
 
 impl Default for Queue {
@@ -19,6 +21,7 @@
         Self {
             backlog: Backlog::new(batch::Settings::default()),
             clock: Time::ZERO,
+            zero_unix_ms: None,
         }
     }
 }
@@ -29,6 +32,11 @@
         self.clock = self.clock.max(now);
     }
 
+    /// Takes in the wall-clock time at `now`, in milliseconds since the Unix epoch.
+    pub(super) const fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
+        self.zero_unix_ms = Some(unix_ms.saturating_sub(now.as_millis()));
+    }
+
     /// Applies the limits of a team.
     pub(super) fn configure(&mut self, team: &str, section: &Section) {
         self.backlog.configure(team, section, self.clock);
@@ -46,13 +54,13 @@
 
     /// Adds tasks that may run now.
     pub(super) fn push(&mut self, spec: &Spec, indexes: impl IntoIterator<Item = u32>) {
-        self.backlog
-            .push(&Job::new(spec, None), indexes, self.clock);
+        let job = Job::new(spec, self.finish_by(spec));
+        self.backlog.push(&job, indexes, self.clock);
     }
 
     /// Counts a task that runs already.
     pub(super) fn adopt(&mut self, spec: &Spec, index: u32, demand: Resources) {
-        let job = Job::new(spec, None);
+        let job = Job::new(spec, self.finish_by(spec));
         self.backlog.adopt(&job, index, demand, self.clock);
     }
 
@@ -77,6 +85,13 @@
             .assign(rooms, self.clock, most, |_, _| Some(0.0))
     }
 
+    fn finish_by(&self, spec: &Spec) -> Option<Time> {
+        let unix_ms = spec.finish_by_unix_ms?;
+        Some(Time::from_millis(
+            unix_ms.saturating_sub(self.zero_unix_ms?),
+        ))
+    }
+
     /// Returns why no known worker can ever run a task of a job, if that is so.
     pub(super) fn unfit(&self, spec: &Spec) -> Option<String> {
         let unfit = self.backlog.unfit_reason(&Job::new(spec, None))?;
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -27,6 +27,17 @@
 
 impl Stand {
     fn submit(&mut self, id: &str, team: &str, tasks: u32, processors_milli: u32) -> Reply {
+        self.submit_by(id, team, tasks, processors_milli, None)
+    }
+
+    fn submit_by(
+        &mut self,
+        id: &str,
+        team: &str,
+        tasks: u32,
+        processors_milli: u32,
+        finish_by_unix_ms: Option<u64>,
+    ) -> Reply {
         let spec = Spec {
             id: id.into(),
             team: team.to_owned(),
@@ -37,7 +48,7 @@
                 ..Resources::ZERO
             },
             urgency: Urgency::Normal,
-            finish_by_unix_ms: None,
+            finish_by_unix_ms,
             payload: String::new(),
         };
         self.cell.submit(spec, 1, self.now);
@@ -230,6 +241,29 @@
     assert_eq!(short.grants.len(), 3);
 }
 
+/// Guards against a job that misses its deadline behind earlier work that has none.
+#[rstest]
+fn job_near_its_deadline_starts_before_earlier_work(mut stand: Stand) {
+    let unix_ms = 1_700_000_000_000;
+    stand.cell.set_wall_clock(unix_ms, stand.now);
+    stand.submit("filler", "desk", 10, 1_000);
+    let command = stand.exchange("w", false, &[]);
+    stand.submit("a-plain", "desk", 10, 1_000);
+    stand.submit_by("dawn", "desk", 2, 1_000, Some(unix_ms + 120_000));
+
+    let mut states = lines(&command, &TaskState::Running);
+    for line in &mut states[..2] {
+        line.state = TaskState::Finished;
+    }
+    stand.exchange("w", false, &states);
+    stand.commit();
+    let command = stand.exchange("w", false, &states[2..]);
+
+    let granted = command.grants.iter();
+    let jobs: Vec<&str> = granted.map(|grant| grant.task.job.0.as_str()).collect();
+    assert_eq!(jobs, ["dawn", "dawn"]);
+}
+
 /// Guards against a worker that is drained and gets new work, or keeps its tasks.
 #[rstest]
 fn leaving_worker_gets_nothing_and_is_evicted(mut stand: Stand) {
--- a/crates/entry/src/claim/claims.rs
+++ b/crates/entry/src/claim/claims.rs
@@ -30,7 +30,7 @@
 }
 
 /// What follows from the claim that is in the store.
-enum Standing {
+enum Claim {
     /// The claim is this request's, at this revision.
     Held(Revision),
     /// The claim is this request's, but may name another target.
@@ -67,7 +67,7 @@
                 Err(refused) => return self.verify(refused).await,
             };
             match self.claim(&permit, expected).await? {
-                Standing::Held(revision) => {
+                Claim::Held(revision) => {
                     expected = Expected::Revision(revision);
                     match self.send(permit).await {
                         Ok(answered) => return Ok(answered),
@@ -75,11 +75,11 @@
                         Err((refused, None)) => return Err(refused),
                     }
                 }
-                Standing::Outdated(revision) => {
+                Claim::Outdated(revision) => {
                     expected = Expected::Revision(revision);
                     turn = Turn::Again;
                 }
-                Standing::Foreign(record, revision) => {
+                Claim::Foreign(record, revision) => {
                     drop(permit);
                     if let Some(answer) = self.learn(&record).await? {
                         return Ok((answer, None));
@@ -111,7 +111,7 @@
         let Some(item) = item else {
             return Err(refused);
         };
-        let Standing::Foreign(record, _) = self.foreign(&item)? else {
+        let Claim::Foreign(record, _) = self.foreign(&item)? else {
             return Err(refused);
         };
         match self.learn(&record).await? {
@@ -121,7 +121,7 @@
     }
 
     /// Writes the claim, or finds the one that is there.
-    async fn claim(&self, permit: &Permit, expected: Expected) -> Result<Standing, Error> {
+    async fn claim(&self, permit: &Permit, expected: Expected) -> Result<Claim, Error> {
         let record = Record::new(self.call, permit.target().clone());
         let value = serde_json::to_string(&record).expect("a claim is plain data");
         let store = &self.context.store;
@@ -129,7 +129,7 @@
         let lease = lease.map_err(unverified)?;
         let put = store.put(&self.key, &value, expected, Some(lease)).await;
         match put.map_err(unverified)? {
-            Put::Stored(revision) => Ok(Standing::Held(revision)),
+            Put::Stored(revision) => Ok(Claim::Held(revision)),
             Put::Conflict(Some(item)) => self.foreign(&item),
             Put::Conflict(None) => Err(unverified("the claim ended meanwhile")),
             Put::LeaseEnded => {
@@ -139,7 +139,7 @@
         }
     }
 
-    fn foreign(&self, item: &Item) -> Result<Standing, Error> {
+    fn foreign(&self, item: &Item) -> Result<Claim, Error> {
         let record: Record = serde_json::from_str(&item.value).map_err(|cause| {
             Error::new(ErrorKind::Protocol)
                 .field(&item.key)
@@ -152,9 +152,9 @@
                 .expected("a key that was not used with another request"));
         }
         if record.request == self.call.id.to_string() {
-            return Ok(Standing::Outdated(item.revision));
+            return Ok(Claim::Outdated(item.revision));
         }
-        Ok(Standing::Foreign(record, item.revision))
+        Ok(Claim::Foreign(record, item.revision))
     }
 
     /// Sends the request; an error tells whether and how it may be sent again.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -49,6 +49,7 @@
     is_configured: AtomicBool,
     is_stopping: AtomicBool,
     last_request: AtomicU64,
+    is_fetching: AtomicBool,
     register: Mutex<Register>,
     roster: Mutex<Roster>,
     lanes: Mutex<HashMap<(String, Traffic), Arc<Lane>>>,
@@ -80,6 +81,7 @@
             is_configured: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
+            is_fetching: AtomicBool::new(false),
             register: Mutex::new(Register::new()),
             roster: Mutex::new(Roster::new(toucanquay_control::roster::Settings::default())),
             lanes: Mutex::default(),
@@ -109,6 +111,17 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Claims the right to fetch sections from a companion, and tells whether it was free. The
+    /// holder gives it back by [`Self::end_fetch`].
+    pub fn begin_fetch(&self) -> bool {
+        !self.is_fetching.swap(true, Ordering::Relaxed)
+    }
+
+    /// Gives back the right to fetch sections.
+    pub fn end_fetch(&self) {
+        self.is_fetching.store(false, Ordering::Relaxed);
+    }
+
     /// Returns the configuration, locked.
     pub fn register(&self) -> MutexGuard<'_, Register> {
         lock(&self.register)
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -149,7 +149,7 @@
 fn start_loops(context: &Arc<Context>) {
     spawn(context, registry::register(context.clone()));
     spawn(context, registry::watch(context.clone()));
-    spawn(context, member::visit(context.clone()));
+    spawn(context, member::run(context.clone()));
     let expiring = context.clone();
     spawn(context, async move {
         loop {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -1,9 +1,9 @@
 //! Membership: upstreams by their heartbeats, entries by the store and by each other.
 
-mod hear;
-mod meet;
+mod exchange;
+mod heartbeat;
 mod peer;
 
-pub use hear::{expire, hear};
-pub use meet::{call, meet, take_over, visit};
+pub use exchange::{fetch_sections, poll, receive_status, run};
+pub use heartbeat::{expire, receive_heartbeat};
 pub use peer::Peer;
--- a/crates/entry/src/member/meet.rs
+++ b/crates/entry/src/member/exchange.rs
@@ -18,7 +18,7 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Takes in the state of another entry.
-pub fn meet(context: &Context, status: &peer::Status) {
+pub fn receive_status(context: &Context, status: &peer::Status) {
     if status.entry == context.settings.name {
         return;
     }
@@ -38,9 +38,9 @@
     }
 }
 
-/// Calls every other entry from time to time, and takes over the sections that it has and this one
+/// Calls every other entry from time to time, and fetches the sections that it has and this one
 /// lacks. This is how an entry that starts during an outage of the store gets its configuration.
-pub async fn visit(context: Arc<Context>) {
+pub async fn run(context: Arc<Context>) {
     loop {
         let mut addresses: Vec<_> = context.peers().values().map(|peer| peer.address).collect();
         addresses.extend(&context.settings.peers);
@@ -48,7 +48,7 @@
         addresses.dedup();
         addresses.retain(|address| *address != context.settings.peer_listen);
         for address in addresses {
-            if let Err(error) = call(&context, address).await {
+            if let Err(error) = poll(&context, address).await {
                 debug!(context.log, "entry_unreachable"; "address" => %address, "error" => %error);
             }
         }
@@ -56,21 +56,21 @@
     }
 }
 
-/// Calls one entry, and takes over its newer sections.
+/// Calls one entry, and fetches its newer sections.
 ///
 /// # Errors
 ///
 /// The kinds of [`toucanquay_wire::Pool::call`].
-pub async fn call(context: &Context, address: std::net::SocketAddr) -> Result<(), Error> {
+pub async fn poll(context: &Context, address: std::net::SocketAddr) -> Result<(), Error> {
     let frame = Frame::Peer(listener::status(context));
     let deadline = Instant::now() + TIMEOUT;
     let Frame::PeerReply(status) = context.pool.call(address, &frame, deadline).await? else {
         return Ok(());
     };
-    meet(context, &status);
+    receive_status(context, &status);
     let held = context.register().revision();
     if status.revision > held {
-        take_over(context, address, held).await?;
+        fetch_sections(context, address, held).await?;
     }
     Ok(())
 }
@@ -80,7 +80,7 @@
 /// # Errors
 ///
 /// The kinds of [`toucanquay_wire::Pool::call`].
-pub async fn take_over(
+pub async fn fetch_sections(
     context: &Context,
     address: std::net::SocketAddr,
     after: u64,
@@ -102,7 +102,7 @@
     let mut register = context.register();
     register.merge(snapshot);
     context.get_ready();
-    info!(context.log, "sections_taken_over"; "from" => %address,
+    info!(context.log, "sections_fetched"; "from" => %address,
         "revision" => register.revision());
     Ok(())
 }
--- a/crates/entry/src/member/hear.rs
+++ b/crates/entry/src/member/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use slog::info;
+use slog::{debug, info};
 use toucanquay_control::roster::{Heard, Load};
 use toucanquay_model::upstream::{Announcement, watch_slots};
 use toucanquay_policy::route::State;
@@ -15,7 +15,7 @@
 const WARM_MS: u64 = 3_000;
 
 /// Takes in a heartbeat and returns the reply.
-pub fn hear(context: &Arc<Context>, beat: &Beat) -> Reply {
+pub fn receive_heartbeat(context: &Arc<Context>, beat: &Beat) -> Reply {
     let now = context.clock.now();
     if let Some(announcement) = &beat.announcement {
         let heard = context.roster().announce(announcement.clone(), now);
@@ -31,6 +31,9 @@
     if heard == Heard::Known {
         follow(context, beat);
     }
+    if beat.revision > context.register().revision() {
+        fetch_from(context, beat);
+    }
     let mut register = context.register();
     register.learn(beat.revision_known);
     Reply {
@@ -58,6 +61,29 @@
     }
 }
 
+/// Fetches newer sections from a companion, one fetch at a time. An entry that starts during an
+/// outage of the store and reaches no other entry gets its configuration in this way.
+fn fetch_from(context: &Arc<Context>, beat: &Beat) {
+    let address = context
+        .roster()
+        .get(&beat.worker)
+        .map(|member| member.announcement.address);
+    let Some(address) = address else {
+        return;
+    };
+    if !context.begin_fetch() {
+        return;
+    }
+    let context = context.clone();
+    tokio::spawn(async move {
+        let held = context.register().revision();
+        if let Err(error) = super::fetch_sections(&context, address, held).await {
+            debug!(context.log, "sections_not_fetched"; "from" => %address, "error" => %error);
+        }
+        context.end_fetch();
+    });
+}
+
 fn join(context: &Arc<Context>, announcement: &Announcement) {
     info!(context.log, "upstream_joined";
         "worker" => %announcement.worker, "incarnation" => announcement.incarnation,
--- a/crates/entry/src/operator/routes/in_force.rs
+++ b/crates/entry/src/operator/routes/in_force.rs
@@ -59,7 +59,7 @@
             .map(|(name, peer)| (name.clone(), peer.address))
             .collect();
         for (name, address) in peers {
-            if member::call(&self.context, address).await.is_err() {
+            if member::poll(&self.context, address).await.is_err() {
                 lagging.push(name);
                 continue;
             }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -3,8 +3,8 @@
 //! [`run`] tries to get the role, takes over the cell's state, and drives it until the role is
 //! lost. [`Role`] is where the listeners reach it.
 
-mod desk;
 mod drive;
+mod mailbox;
 mod role;
 mod takeover;
 
@@ -16,9 +16,9 @@
 
 use crate::Context;
 
-pub use desk::Desk;
+pub use mailbox::Mailbox;
 pub use role::Role;
-pub use takeover::Tenure;
+pub use takeover::Leadership;
 
 /// Shortest and longest wait before another try at the role, in milliseconds. The spread keeps
 /// entries from trying at the same moment.
@@ -34,8 +34,8 @@
         let jitter = rand::rng().random_range(RETRY_MS);
         tokio::time::sleep(Duration::from_millis(jitter)).await;
         match takeover::acquire(&context).await {
-            Ok(Some(tenure)) => {
-                drive::hold(&context, tenure).await;
+            Ok(Some(leadership)) => {
+                drive::hold(&context, leadership).await;
                 info!(context.log, "role_ended"; "cell" => context.settings.cell);
             }
             Ok(None) => {}
--- a/crates/entry/src/owner/drive.rs
+++ b/crates/entry/src/owner/drive.rs
@@ -1,6 +1,9 @@
 //! Driving the cell while the role is held.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant};
@@ -8,7 +11,7 @@
 use toucanquay_model::{ErrorKind, Revision, Time};
 use toucanquay_store::{Expected, Lease, Put};
 
-use super::{Desk, Tenure, takeover::segment_key};
+use super::{Leadership, Mailbox, takeover::segment_key};
 use crate::Context;
 
 /// Longest time between two looks at the cell. Waits and lease bounds are multiples of it.
@@ -25,19 +28,20 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Acts as owner until the role is lost or given up.
-pub(super) async fn hold(context: &Arc<Context>, tenure: Tenure) {
-    let lease = tenure.lease;
-    let desk = Arc::new(Desk::new(tenure.cell, context.clock));
-    let revisions = Arc::new(Mutex::new(tenure.revisions));
-    extend(context, &desk, lease);
-    context.role.set_desk(Some(desk.clone()));
+pub(super) async fn hold(context: &Arc<Context>, leadership: Leadership) {
+    let lease = leadership.lease;
+    let mailbox = Arc::new(Mailbox::new(leadership.cell, context.clock));
+    let revisions = Arc::new(Mutex::new(leadership.revisions));
+    mailbox.change(|cell, now| cell.set_wall_clock(unix_ms(), now));
+    extend(context, &mailbox, lease);
+    context.role.set_mailbox(Some(mailbox.clone()));
     tokio::select! {
-        () = drive(context, &desk, &revisions) => {}
-        () = renew(context, &desk, lease) => {}
-        () = context.role.retired() => flush(context, &desk, &revisions).await,
+        () = drive(context, &mailbox, &revisions) => {}
+        () = renew(context, &mailbox, lease) => {}
+        () = context.role.retired() => flush(context, &mailbox, &revisions).await,
     }
-    context.role.set_desk(None);
-    desk.change(|cell, now| {
+    context.role.set_mailbox(None);
+    mailbox.change(|cell, now| {
         cell.hold(Time::ZERO);
         cell.depose();
         cell.drain_answers(now);
@@ -49,36 +53,47 @@
     context.role.vacate();
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Runs the cell until another process is found to own it.
-async fn drive(context: &Arc<Context>, desk: &Arc<Desk>, revisions: &Arc<Mutex<Vec<Revision>>>) {
+async fn drive(
+    context: &Arc<Context>,
+    mailbox: &Arc<Mailbox>,
+    revisions: &Arc<Mutex<Vec<Revision>>>,
+) {
     let mut held = Revision::MAX;
     loop {
-        configure(context, desk, &mut held);
-        for write in desk.step() {
+        configure(context, mailbox, &mut held);
+        for write in mailbox.step() {
             tokio::spawn(store(
                 context.clone(),
-                desk.clone(),
+                mailbox.clone(),
                 revisions.clone(),
                 write,
             ));
         }
-        if desk.change(|cell, _| cell.is_deposed()) {
+        if mailbox.change(|cell, _| cell.is_deposed()) {
             warn!(context.log, "role_lost"; "cell" => context.settings.cell);
             return;
         }
         tokio::select! {
-            () = desk.woken() => {}
+            () = mailbox.woken() => {}
             () = tokio::time::sleep(STEP) => {}
         }
     }
 }
 
 /// Gives the cell the configuration where that has changed.
-fn configure(context: &Context, desk: &Desk, held: &mut Revision) {
+fn configure(context: &Context, mailbox: &Mailbox, held: &mut Revision) {
     let register = context.register();
     let known = register.revision_known();
     if *held == register.revision() {
-        desk.change(|cell, _| cell.learn(known));
+        mailbox.change(|cell, _| cell.learn(known));
         return;
     }
     *held = register.revision();
@@ -86,18 +101,18 @@
         .sections()
         .map(|(team, section)| (team.to_owned(), section.clone()))
         .collect();
-    desk.change(|cell, _| cell.configure(sections, *held, known));
+    mailbox.change(|cell, _| cell.configure(sections, *held, known));
 }
 
 /// Renews the lease until it has ended.
-async fn renew(context: &Context, desk: &Desk, mut lease: Lease) {
+async fn renew(context: &Context, mailbox: &Mailbox, mut lease: Lease) {
     let ttl = Duration::from_millis(context.settings.holder_lease_ms);
     loop {
         tokio::time::sleep(ttl / RENEWALS_PER_LEASE).await;
         match context.store.keep_alive(lease.id).await {
             Ok(Some(renewed)) => {
                 lease = renewed;
-                extend(context, desk, lease);
+                extend(context, mailbox, lease);
             }
             Ok(None) => {
                 warn!(context.log, "holder_lease_ended"; "cell" => context.settings.cell);
@@ -111,25 +126,29 @@
 }
 
 /// Lets the cell act until a part of the lease has passed, counted from the sending of the call.
-fn extend(context: &Context, desk: &Desk, lease: Lease) {
+fn extend(context: &Context, mailbox: &Mailbox, lease: Lease) {
     let ttl = Duration::from_millis(context.settings.holder_lease_ms);
     let until = lease.deadline - ttl / 5 * (5 - ACTING_FIFTHS);
     let ahead = until.saturating_duration_since(Instant::now());
     let ahead = u64::try_from(ahead.as_micros()).unwrap_or(u64::MAX);
-    desk.change(|cell, now| cell.hold(now.plus_micros(ahead)));
+    mailbox.change(|cell, now| cell.hold(now.plus_micros(ahead)));
 }
 
 /// Makes the last changes durable before the role is handed over.
-async fn flush(context: &Arc<Context>, desk: &Arc<Desk>, revisions: &Arc<Mutex<Vec<Revision>>>) {
+async fn flush(
+    context: &Arc<Context>,
+    mailbox: &Arc<Mailbox>,
+    revisions: &Arc<Mutex<Vec<Revision>>>,
+) {
     info!(context.log, "role_retiring"; "cell" => context.settings.cell);
     let rounds = async {
         loop {
-            let writes = desk.step();
-            if writes.is_empty() && !desk.change(|cell, _| cell.has_pending_writes()) {
+            let writes = mailbox.step();
+            if writes.is_empty() && !mailbox.change(|cell, _| cell.has_pending_writes()) {
                 return;
             }
             for write in writes {
-                store(context.clone(), desk.clone(), revisions.clone(), write).await;
+                store(context.clone(), mailbox.clone(), revisions.clone(), write).await;
             }
             tokio::time::sleep(STEP).await;
         }
@@ -137,13 +156,13 @@
     if tokio::time::timeout(FLUSH_TIMEOUT, rounds).await.is_err() {
         warn!(context.log, "flush_incomplete"; "cell" => context.settings.cell);
     }
-    desk.step();
+    mailbox.step();
 }
 
 /// Makes one write, and tells the cell how it ended.
 async fn store(
     context: Arc<Context>,
-    desk: Arc<Desk>,
+    mailbox: Arc<Mailbox>,
     revisions: Arc<Mutex<Vec<Revision>>>,
     write: Write,
 ) {
@@ -161,21 +180,21 @@
     match context.store.put(&key, &value, expected, None).await {
         Ok(Put::Stored(revision)) => {
             set_revision(&revisions, segment, revision);
-            desk.change(|cell, now| cell.durable(segment, version, now));
+            mailbox.change(|cell, now| cell.durable(segment, version, now));
         }
         Ok(Put::Conflict(Some(item))) if is_own(&context, &item) => {
             // An earlier write whose answer was lost has taken effect after all.
             set_revision(&revisions, segment, item.revision);
-            desk.change(|cell, now| cell.failed(segment, version, false, now));
+            mailbox.change(|cell, now| cell.failed(segment, version, false, now));
         }
-        Ok(Put::Conflict(_) | Put::LeaseEnded) => desk.change(|cell, _| cell.depose()),
+        Ok(Put::Conflict(_) | Put::LeaseEnded) => mailbox.change(|cell, _| cell.depose()),
         Err(error) => {
             warn!(context.log, "segment_not_written"; "segment" => segment, "error" => %error);
             let is_certain = error.kind() != ErrorKind::OutcomeUnknown;
-            desk.change(|cell, now| cell.failed(segment, version, is_certain, now));
+            mailbox.change(|cell, now| cell.failed(segment, version, is_certain, now));
         }
     }
-    desk.wake();
+    mailbox.wake();
 }
 
 fn is_own(context: &Context, item: &toucanquay_store::Item) -> bool {
--- a/crates/entry/src/owner/desk.rs
+++ b/crates/entry/src/owner/mailbox.rs
@@ -19,7 +19,7 @@
 
 /// The cell with the calls and reports that wait for its answers.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Mailbox {
     clock: Clock,
     inner: Mutex<Inner>,
     woken: Notify,
@@ -33,8 +33,8 @@
     reports: HashMap<worker::Id, oneshot::Sender<Command>, RandomState>,
 }
 
-impl Desk {
-    /// Returns the desk of a cell that was taken over.
+impl Mailbox {
+    /// Returns the mailbox of a cell that was taken over.
     #[must_use]
     pub fn new(cell: Cell, clock: Clock) -> Self {
         let inner = Inner {
--- a/crates/entry/src/owner/role.rs
+++ b/crates/entry/src/owner/role.rs
@@ -12,12 +12,12 @@
     job::{Call, Reply},
 };
 
-use super::Desk;
+use super::Mailbox;
 
-/// The owner's role. It has a [`Desk`] while this entry holds it.
+/// The owner's role. It has a [`Mailbox`] while this entry holds it.
 #[derive(Debug, Default)]
 pub struct Role {
-    desk: Mutex<Option<Arc<Desk>>>,
+    mailbox: Mutex<Option<Arc<Mailbox>>>,
     is_vacant: AtomicBool,
     vacant: Notify,
     retire: CancellationToken,
@@ -26,23 +26,23 @@
 impl Role {
     /// Answers a companion's report, or returns `None` where this entry is not the owner.
     pub async fn exchange(&self, report: Report) -> Option<Command> {
-        self.desk()?.exchange(report).await
+        self.mailbox()?.exchange(report).await
     }
 
     /// Answers a call about jobs, or returns `None` where this entry is not the owner.
     pub async fn job(&self, call: &Call) -> Option<Reply> {
-        self.desk()?.job(call).await
+        self.mailbox()?.job(call).await
     }
 
     /// Tells whether this entry holds the role.
     pub fn is_held(&self) -> bool {
-        self.desk().is_some()
+        self.mailbox().is_some()
     }
 
     /// Says that the configuration of this entry has changed.
     pub fn configuration_changed(&self) {
-        if let Some(desk) = self.desk() {
-            desk.wake();
+        if let Some(mailbox) = self.mailbox() {
+            mailbox.wake();
         }
     }
 
@@ -74,18 +74,18 @@
         self.retire.cancelled().await;
     }
 
-    /// Puts the desk in place, or takes it away.
-    pub(super) fn set_desk(&self, desk: Option<Arc<Desk>>) {
-        *self.lock() = desk;
+    /// Puts the mailbox in place, or takes it away.
+    pub(super) fn set_mailbox(&self, mailbox: Option<Arc<Mailbox>>) {
+        *self.lock() = mailbox;
     }
 
-    fn desk(&self) -> Option<Arc<Desk>> {
+    fn mailbox(&self) -> Option<Arc<Mailbox>> {
         self.lock().clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Arc<Desk>>> {
-        self.desk
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Arc<Mailbox>>> {
+        self.mailbox
             .lock()
-            .expect("no holder of this lock panics while it changes the desk")
+            .expect("no holder of this lock panics while it changes the mailbox")
     }
 }
--- a/crates/entry/src/owner/takeover.rs
+++ b/crates/entry/src/owner/takeover.rs
@@ -21,7 +21,7 @@
 
 /// The role as this entry holds it after a takeover.
 #[derive(Debug)]
-pub struct Tenure {
+pub struct Leadership {
     /// State of the cell.
     pub cell: Cell,
     /// The lease that the role ends with.
@@ -36,7 +36,7 @@
 ///
 /// [`ErrorKind::StoreUnavailable`] and [`ErrorKind::OutcomeUnknown`] when the store does not
 /// answer, [`ErrorKind::NoOwner`] when another entry has raised the epoch meanwhile.
-pub async fn acquire(context: &Context) -> Result<Option<Tenure>, Error> {
+pub async fn acquire(context: &Context) -> Result<Option<Leadership>, Error> {
     let started_at = Instant::now();
     let term = read_term(context).await?;
     let epoch = term.as_ref().map_or(0, |(term, _)| term.epoch) + 1;
@@ -64,7 +64,7 @@
     lease: Lease,
     epoch: Epoch,
     term: Option<Revision>,
-) -> Result<Option<Tenure>, Error> {
+) -> Result<Option<Leadership>, Error> {
     if !claim_holder(context, lease, epoch).await? {
         return Ok(None);
     }
@@ -72,7 +72,7 @@
     let (segments, revisions) = stamp_segments(context, epoch).await?;
     let now = context.clock.now();
     let cell = Cell::takeover(cell::Settings::default(), epoch, &segments, now)?;
-    Ok(Some(Tenure {
+    Ok(Some(Leadership {
         cell,
         lease,
         revisions,
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -40,7 +40,9 @@
 
 async fn answer(context: &Arc<Context>, frame: Frame) -> Result<Frame, Error> {
     match frame {
-        Frame::Heartbeat(beat) => Ok(Frame::HeartbeatReply(member::hear(context, &beat))),
+        Frame::Heartbeat(beat) => Ok(Frame::HeartbeatReply(member::receive_heartbeat(
+            context, &beat,
+        ))),
         Frame::SectionQuery(query) => {
             let snapshot = context.register().snapshot(query.after);
             Ok(Frame::SectionReply(reply(snapshot)))
@@ -54,7 +56,7 @@
             reply.map(Frame::JobReply).ok_or_else(no_owner)
         }
         Frame::Peer(peer) => {
-            member::meet(context, &peer);
+            member::receive_status(context, &peer);
             Ok(Frame::PeerReply(status(context)))
         }
         _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
--- a/crates/toucanquay/tests/faults.rs
+++ b/crates/toucanquay/tests/faults.rs
@@ -345,6 +345,24 @@
     site.assert_tasks_ran_once_at_a_time();
 }
 
+/// Guards against an entry that starts during an outage of the store, knows no other entry, and
+/// stays without configuration although companions have it (invariant 9).
+#[tokio::test]
+async fn entry_gets_its_configuration_from_a_companion() {
+    let mut site = Site::start(1, 1).await;
+    let former = site.entries.remove(0);
+    let peer = former.peer.clone();
+    site.store.set_down(true);
+    drop(former);
+
+    site.add_entry(0, &[&format!("--peer-listen={peer}")]).await;
+    eventually("the new entry serves lookups", || async {
+        let call = site.call(0, Method::GET, "/services/desk/lookup/1");
+        (call.send().await.ok()?.status().as_u16() == 200).then_some(())
+    })
+    .await;
+}
+
 /// Guards against a racing edit that overwrites another, and against an accepted edit that an
 /// entry started during an outage of the store does not know (invariant 9).
 #[tokio::test]
--- a/crates/toucanquay/tests/support/site.rs
+++ b/crates/toucanquay/tests/support/site.rs
@@ -286,10 +286,15 @@
             format!("--store={}", store.address()),
             "--client-listen=127.0.0.1:0".to_owned(),
             "--operator-listen=127.0.0.1:0".to_owned(),
-            "--peer-listen=127.0.0.1:0".to_owned(),
             "--balancer-wait-ms=100".to_owned(),
             "--holder-lease-ms=2000".to_owned(),
         ];
+        if !more
+            .iter()
+            .any(|argument| argument.starts_with("--peer-listen"))
+        {
+            arguments.push("--peer-listen=127.0.0.1:0".to_owned());
+        }
         arguments.extend(more.iter().map(|&argument| argument.to_owned()));
         let (process, line) = Process::entry(&arguments).await;
         let address = |name: &str| {
