--- a/crates/companion/src/admission/gate.rs
+++ b/crates/companion/src/admission/gate.rs
@@ -9,9 +9,10 @@
 use tokio::sync::watch;
 use toucanquay_control::ledger::{Begin, Ledger, Outcome, Request};
 use toucanquay_model::{Error, ErrorKind, Incarnation, request, request::Verdict};
+use toucanquay_wire::Clock;
 
 use super::{Entered, Permit};
-use crate::{Clock, Meters};
+use crate::Meters;
 
 /// Latencies kept until the next report of usage. More would only refine the percentiles.
 const LATENCIES_MAX: usize = 65_536;
--- a/crates/companion/src/context.rs
+++ b/crates/companion/src/context.rs
@@ -18,11 +18,9 @@
     upstream::{Announcement, watch_slots},
     worker,
 };
-use toucanquay_wire::{Pool, heartbeat::Beat, heartbeat::Owner};
+use toucanquay_wire::{Clock, Pool, heartbeat::Beat, heartbeat::Owner};
 
-use crate::{
-    Clock, Meters, Settings, Upstream, admission::Admission, heartbeat::Entries, tasks::Load,
-};
+use crate::{Meters, Settings, Upstream, admission::Admission, heartbeat::Entries, tasks::Load};
 
 /// What the loops and streams of one companion share.
 #[derive(Debug)]
--- a/crates/companion/src/forward.rs
+++ b/crates/companion/src/forward.rs
@@ -1,7 +1,5 @@
 //! Requests from entries: each is one stream of frames.
 
-pub mod headers;
-
 mod intake;
 mod outlet;
 mod record;
--- a/crates/companion/src/forward/relay.rs
+++ b/crates/companion/src/forward/relay.rs
@@ -4,9 +4,9 @@
 use reqwest::Response;
 use toucanquay_control::ledger;
 use toucanquay_model::{Error, ErrorKind, request};
-use toucanquay_wire::{Frame, response::Head};
+use toucanquay_wire::{Frame, headers, response::Head};
 
-use super::{headers, outlet::Outlet, record::Record};
+use super::{outlet::Outlet, record::Record};
 use crate::upstream::describe;
 
 /// Largest part of a body in one frame, in bytes, well below the limit on frames.
--- a/crates/companion/src/lib.rs
+++ b/crates/companion/src/lib.rs
@@ -4,7 +4,6 @@
 //! A [`Companion`] is started from [`Settings`]; several can run in one process.
 
 pub mod admission;
-pub mod clock;
 pub mod companion;
 pub mod configuration;
 pub mod context;
@@ -18,7 +17,6 @@
 pub mod tasks;
 pub mod upstream;
 
-pub use clock::Clock;
 pub use companion::Companion;
 pub use context::Context;
 pub use meters::Meters;
--- a/crates/companion/src/tasks/call.rs
+++ b/crates/companion/src/tasks/call.rs
@@ -3,9 +3,9 @@
 use slog::{Logger, info, warn};
 use toucanquay_control::agent::{Action, Event, Outcome};
 use toucanquay_model::{Attempt, Time, exchange::Grant, task};
+use toucanquay_wire::Clock;
 
 use super::runtime::{LEASE_CALL_MS, Refusal, Runtime};
-use crate::Clock;
 
 /// Carries out one action and returns what the runtime has said, if that matters.
 pub async fn call(runtime: &Runtime, clock: Clock, log: &Logger, action: Action) -> Option<Event> {
--- a/crates/companion/src/upstream.rs
+++ b/crates/companion/src/upstream.rs
@@ -4,9 +4,9 @@
 
 use reqwest::{Body, Client, Method, Request, Response, Url, redirect::Policy};
 use toucanquay_model::{Error, ErrorKind, upstream::watch_slots};
-use toucanquay_wire::request::Head;
+use toucanquay_wire::{headers, request::Head};
 
-use crate::{Settings, forward::headers};
+use crate::Settings;
 
 /// Longest time to connect. The upstream is on the same host, so a longer wait means that it
 /// accepts no connections.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -13,10 +13,10 @@
 use toucanquay_control::{register::Register, roster::Roster};
 use toucanquay_model::{Incarnation, request};
 use toucanquay_store::Client;
-use toucanquay_wire::{Pool, heartbeat::Owner};
+use toucanquay_wire::{Clock, Pool, heartbeat::Owner};
 
 use crate::{
-    Clock, Settings,
+    Settings,
     claim::Leases,
     lane::{Lane, Traffic},
     member::Peer,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -15,10 +15,10 @@
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::{Error, Incarnation};
 use toucanquay_store::Client;
-use toucanquay_wire::Server;
+use toucanquay_wire::{Clock, Server};
 
 use crate::{
-    Clock, Context, Settings, client,
+    Context, Settings, client,
     http::{Listener, Serving},
     member, operator, owner, peer, registry,
 };
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -8,10 +8,9 @@
     Error, ErrorKind, Incarnation, Time,
     request::{self, Verdict},
 };
-use toucanquay_wire::{End, Frame, Pool, Stream, Tombstone};
+use toucanquay_wire::{Clock, End, Frame, Pool, Stream, Tombstone};
 
 use super::{Answer, Call, Outcome, Target};
-use crate::Clock;
 
 /// Longest time to open a stream to a companion. Hosts answer within milliseconds, so a longer
 /// wait only delays the choice of another one.
--- a/crates/entry/src/forward/call.rs
+++ b/crates/entry/src/forward/call.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use salvo::http::{Method, Request, errors::ParseError};
 use toucanquay_model::{Error, ErrorKind, Incarnation, Time, job, request, section};
-use toucanquay_wire::request::Head;
+use toucanquay_wire::{Clock, request::Head};
 
 use super::headers::{self, DEADLINE_HEADER, KEY_HEADER};
-use crate::{Clock, lane::Traffic};
+use crate::lane::Traffic;
 
 /// Longest deadline that a client may ask for, in milliseconds.
 const DEADLINE_MS_MAX: u64 = 600_000;
--- a/crates/entry/src/lane/service.rs
+++ b/crates/entry/src/lane/service.rs
@@ -13,12 +13,13 @@
     queue::{Reason, Shed},
     route::{Balancer, Decision, Key, Outcome, Release as Released, Request, State, Ticket},
 };
+use toucanquay_wire::Clock;
 
 use super::{
     Permit, Refused, Turn,
     wait::{Release, Wait},
 };
-use crate::{Clock, forward::Target};
+use crate::forward::Target;
 
 /// The upstreams and waiting requests of one service at this entry.
 #[derive(Debug)]
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod claim;
 pub mod client;
-pub mod clock;
 pub mod context;
 pub mod entry;
 pub mod forward;
@@ -19,7 +18,6 @@
 pub mod registry;
 pub mod settings;
 
-pub use clock::Clock;
 pub use context::Context;
 pub use entry::Entry;
 pub use settings::Settings;
--- a/crates/entry/src/owner/mailbox.rs
+++ b/crates/entry/src/owner/mailbox.rs
@@ -14,8 +14,7 @@
     job::{Call, Reply},
     worker,
 };
-
-use crate::Clock;
+use toucanquay_wire::Clock;
 
 /// The cell with the calls and reports that wait for its answers.
 #[derive(Debug)]
--- a/crates/companion/src/forward/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -1,6 +1,6 @@
 //! Header fields between frames and HTTP.
 
-use reqwest::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 
 /// Fields that a proxy must not pass on (RFC 9110, section 7.6.1), and those that belong to the
 /// framing of one connection.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,10 +5,12 @@
 //! [`Server`] accepts streams.
 
 pub mod client;
+pub mod clock;
 pub mod codec;
 pub mod end;
 pub mod failure;
 pub mod frame;
+pub mod headers;
 pub mod heartbeat;
 pub mod peer;
 pub mod pool;
@@ -22,6 +24,7 @@
 pub mod tombstone;
 
 pub use client::Client;
+pub use clock::Clock;
 pub use end::End;
 pub use failure::Failure;
 pub use frame::Frame;
