control: the owner checks each start against invariants 1 and 2

The placement comes from the policy, so the state machine now refuses, counts and logs a start that would exceed a worker's free room or repeat a running task. On a scratch copy whose placement was offered the whole capacity as free, the randomised run failed with owner-violation: [1, 1]; with the code as it is, all tests of the crate pass.

--- a/crates/control/src/cell.rs
+++ b/crates/control/src/cell.rs
@@ -82,6 +82,8 @@
     answers: Vec<(Token, Reply)>,
     refuse_until: Time,
     sweep_at: Time,
+    /// Numbers of the invariants that a start would have broken.
+    violations: Vec<u8>,
 }
 
 impl Cell {
@@ -242,6 +244,12 @@
         true
     }
 
+    /// Takes the numbers of the invariants that a start would have broken. It was not made, and the
+    /// caller reports it as a fault of the program.
+    pub fn drain_violations(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.violations)
+    }
+
     /// Returns the epoch.
     #[must_use]
     pub const fn epoch(&self) -> Epoch {
--- a/crates/control/src/cell/placement.rs
+++ b/crates/control/src/cell/placement.rs
@@ -86,6 +86,10 @@
 
     /// Begins the next attempt at a task, whose grant leaves with the worker's next answer.
     fn start(&mut self, task: TaskKey, worker: WorkerKey, demand: Resources) {
+        if let Some(invariant) = self.broken_invariant(task, worker, &demand) {
+            self.violations.push(invariant);
+            return;
+        }
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
@@ -114,6 +118,17 @@
         }
     }
 
+    /// Returns the number of the invariant in `docs/design.md` that a start would break, if any:
+    /// the placement must not offer such a start.
+    fn broken_invariant(&self, task: TaskKey, worker: WorkerKey, demand: &Resources) -> Option<u8> {
+        let job = self.jobs.get(task.job)?;
+        let is_waiting = job.tasks[task.index as usize].phase == Phase::Waiting;
+        if !is_waiting || job.is_cancelled {
+            return Some(2);
+        }
+        (!demand.fits(&self.free(worker))).then_some(1)
+    }
+
     /// Makes an attempt the current one of its task.
     pub(super) fn insert_run(&mut self, run: Run) -> Option<RunKey> {
         let job = self.jobs.get_mut(run.task.job)?;
--- a/crates/control/src/cell/takeover.rs
+++ b/crates/control/src/cell/takeover.rs
@@ -85,6 +85,7 @@
             answers: Vec::new(),
             refuse_until: Time::ZERO,
             sweep_at: Time::ZERO,
+            violations: Vec::new(),
         }
     }
 
--- a/crates/control/tests/sim/world.rs
+++ b/crates/control/tests/sim/world.rs
@@ -998,6 +998,14 @@
                 );
             }
         }
+        for cell in self
+            .owners
+            .iter_mut()
+            .filter_map(|owner| owner.cell.as_mut())
+        {
+            let violations = cell.drain_violations();
+            assert!(violations.is_empty(), "owner-violation: {violations:?}");
+        }
         for (name, host) in self.hosts.iter().enumerate() {
             let now = host.agent.as_ref().map_or(0, Agent::violations);
             assert_eq!(
--- a/crates/entry/src/owner/drive.rs
+++ b/crates/entry/src/owner/drive.rs
@@ -12,7 +12,7 @@
 use toucanquay_store::{Expected, Lease, Put};
 
 use super::{Leadership, Mailbox, takeover::segment_key};
-use crate::Context;
+use crate::{Context, invariant};
 
 /// Longest time between two looks at the cell. Waits and lease bounds are multiples of it.
 const STEP: Duration = Duration::from_millis(20);
@@ -77,6 +77,9 @@
                 write,
             ));
         }
+        for number in mailbox.change(|cell, _| cell.drain_violations()) {
+            invariant::violated(&context.log, number, "a start that the placement offered");
+        }
         if mailbox.change(|cell, _| cell.is_deposed()) {
             warn!(context.log, "role_lost"; "cell" => context.settings.cell);
             return;
