companion: tell the owner at once when the worker takes tasks again

The exchange that was held back still said leaving for up to 1 s, in which the other worker could finish all eight tasks. Ruled out: Agent::stay, which took effect. Change: the return supersedes the held report, and the test's job lasts longer than an exchange is held on one worker alone; its check is unchanged.

--- a/crates/companion/src/tasks/driver.rs
+++ b/crates/companion/src/tasks/driver.rs
@@ -60,7 +60,7 @@
     report_at: Time,
     list_at: Time,
     /// Whether a task has ended since the last report.
-    has_ended: bool,
+    has_news: bool,
     has_left: bool,
     violations: u64,
 }
@@ -85,7 +85,7 @@
             exchange: None,
             report_at: now,
             list_at: now,
-            has_ended: false,
+            has_news: false,
             has_left: false,
             violations: 0,
             context,
@@ -107,7 +107,7 @@
     fn observe(&mut self, event: Event) {
         let before = self.agent.running();
         let actions = self.agent.observe(event, self.context.now());
-        self.has_ended |= self.agent.running() < before;
+        self.has_news |= self.agent.running() < before;
         self.carry_out(actions);
     }
 
@@ -166,6 +166,7 @@
             self.carry_out(actions);
         } else {
             self.agent.stay();
+            self.has_news = true;
             info!(self.context.log, "tasks_staying");
         }
     }
@@ -182,8 +183,9 @@
         let now = self.context.now();
         let is_free = match &self.exchange {
             None => now >= self.report_at,
-            // A report supersedes the one before: the owner should hear at once of free room.
-            Some(exchange) => self.has_ended && now >= exchange.sent_at.plus_millis(SUPERSEDE_MS),
+            // A report supersedes the one before: the owner should hear at once of free room, and of
+            // a worker that takes tasks again.
+            Some(exchange) => self.has_news && now >= exchange.sent_at.plus_millis(SUPERSEDE_MS),
         };
         if !is_free || self.context.owner.borrow().is_none() {
             return;
@@ -191,7 +193,7 @@
         let Some(mut report) = self.agent.report(now) else {
             return;
         };
-        self.has_ended = false;
+        self.has_news = false;
         self.usage.add_to(&mut report, now);
         let context = self.context.clone();
         let exchange = Exchange::begin(context, report, now, self.news.clone());
--- a/crates/toucanquay/tests/faults.rs
+++ b/crates/toucanquay/tests/faults.rs
@@ -338,7 +338,8 @@
 
     section(GUEST_SECTION);
     guest_state("available").await;
-    site.submit(0, "plans", 8, 500).await;
+    // One worker alone takes at least 4.5 s for these, far longer than an exchange is held.
+    site.submit(0, "plans", 60, 300).await;
     site.finished(0, "plans").await;
 
     assert!(!site.workers[1].runtime.intervals().is_empty());
