tests: refusals of a site in trouble

no_upstream, deadline_while_running, shed requests and store_unavailable through the real programs, each with its word on whether the request ran. A repeat while the first request runs is left to the entry's own test: through the programs it may also wait for a slot and then get the kept answer, which is as true.

--- a/crates/toucanquay/tests/path.rs
+++ b/crates/toucanquay/tests/path.rs
@@ -5,6 +5,7 @@
 use reqwest::Method;
 use serde_json::json;
 use support::{
+    eventually,
     site::{SECTION, Site},
     transcript::Transcript,
 };
@@ -124,6 +125,44 @@
     insta::assert_snapshot!(session.text());
 }
 
+/// Guards against a refusal whose kind or whose word on "not run" is wrong when the site is in
+/// trouble rather than the input.
+#[tokio::test]
+async fn refusals_of_a_site_in_trouble() {
+    let site = Site::start(1, 1).await;
+    site.store
+        .write("config/section/spare", "[services.spare]\n[batch.plan]\n");
+    let kind = |call: reqwest::RequestBuilder| async {
+        let answer = call.send().await.expect("the entry answers");
+        let body: serde_json::Value = answer.json().await.unwrap_or_default();
+        format!("{} {}", body["kind"], body["run"]).replace('"', "")
+    };
+    let slow = |deadline_ms: &'static str| {
+        site.call(0, Method::GET, "/services/desk/slow?ms=2000")
+            .header("Toucanquay-Deadline-Ms", deadline_ms)
+    };
+    eventually("the spare service is known", || async {
+        let call = site.call(0, Method::GET, "/services/spare/lookup/1");
+        (kind(call).await == "no_upstream not_run").then_some(())
+    })
+    .await;
+    assert_eq!(kind(slow("200")).await, "deadline_while_running unknown");
+
+    let flood = futures_util::future::join_all((0..60).map(|_| kind(slow("2500")))).await;
+    let is_shed = |kind: &&String| {
+        matches!(
+            kind.as_str(),
+            "overloaded not_run" | "deadline_before_send not_run"
+        )
+    };
+    assert!(flood.iter().filter(is_shed).count() > 40, "{flood:?}");
+
+    site.store.set_down(true);
+    let edit = json!({ "text": SECTION, "expected": 1, "author": "ann" });
+    let call = site.operate(0, Method::PUT, "/document/team").json(&edit);
+    assert_eq!(kind(call).await, "store_unavailable not_run");
+}
+
 /// Guards against an answer that breaks off and looks whole to the client.
 #[tokio::test]
 async fn cut_answer_is_an_error() {
