entry: say that no configuration was read yet, not that a service is unknown

Cause: an entry that started during an outage of the store answered 404 unknown_service for services it could not look up. Ruled out: the balancer, which leaves such an entry out because it is not ready; a client may call it all the same. Change: requests and jobs are refused as store_unavailable, not run, until the configuration is read.

--- a/crates/entry/src/client/jobs.rs
+++ b/crates/entry/src/client/jobs.rs
@@ -189,6 +189,7 @@
 
 /// Checks what the configuration says of the job's team and kind.
 fn admit(context: &Context, spec: &job::Spec) -> Result<(), Error> {
+    context.require_configuration()?;
     let register = context.register();
     let Some(section) = register.section(&spec.team) else {
         return Err(Error::new(ErrorKind::UnknownTeam)
--- a/crates/entry/src/client/service.rs
+++ b/crates/entry/src/client/service.rs
@@ -146,6 +146,7 @@
 }
 
 fn rules(context: &Context, service: &str) -> Result<section::Service, Refused> {
+    context.require_configuration()?;
     let register = context.register();
     let Some((team, section, rules)) = register.service(service) else {
         return Err(Error::new(ErrorKind::UnknownService)
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,7 +11,7 @@
 use slog::Logger;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use toucanquay_control::{register::Register, roster::Roster};
-use toucanquay_model::{Incarnation, request};
+use toucanquay_model::{Error, ErrorKind, Incarnation, request};
 use toucanquay_store::Client;
 use toucanquay_wire::{Clock, Pool, heartbeat::Owner};
 
@@ -101,6 +101,18 @@
         self.is_configured.load(Ordering::Relaxed) && !self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Refuses work whose service or team can't be looked up, because there is no configuration yet.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] until the configuration is read: "unknown" would be false.
+    pub fn require_configuration(&self) -> Result<(), Error> {
+        if self.is_configured.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        Err(Error::new(ErrorKind::StoreUnavailable).context("no configuration was read yet"))
+    }
+
     /// Says that this entry has its configuration, and so takes requests unless it is stopping.
     pub fn get_ready(&self) {
         self.is_configured.store(true, Ordering::Relaxed);
--- a/crates/toucanquay/tests/faults.rs
+++ b/crates/toucanquay/tests/faults.rs
@@ -346,6 +346,23 @@
     site.assert_tasks_ran_once_at_a_time();
 }
 
+/// Guards against an entry without configuration that calls a service unknown which it can't look
+/// up.
+#[tokio::test]
+async fn entry_without_configuration_says_so() {
+    let mut site = Site::start(1, 1).await;
+    site.store.set_down(true);
+    site.add_entry(1, &[]).await;
+
+    let (ready, probe) = json(site.call(1, Method::GET, "/ready")).await;
+    let (_, lookup) = json(site.call(1, Method::GET, "/services/desk/lookup/1")).await;
+    let (_, jobs) = json(site.call(1, Method::GET, "/jobs")).await;
+
+    assert_eq!((ready, &probe["kind"]), (503, &json!("shutting_down")));
+    assert_eq!(lookup["kind"], "store_unavailable", "{lookup}");
+    assert_eq!(jobs["kind"], "no_owner", "{jobs}");
+}
+
 /// Guards against an entry that starts during an outage of the store, knows no other entry, and
 /// stays without configuration although companions have it (invariant 9).
 #[tokio::test]
