--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod ledger;
 pub mod register;
 pub mod roster;
+pub mod runner;
+pub mod scheduler;
--- /dev/null
+++ b/crates/control/src/runner.rs
@@ -0,0 +1,472 @@
+//! State of a companion that takes orders in sessions: attempts on its worker, ends that are not
+//! acknowledged, the worker's lease, and the pace of tasks that use idle processors.
+
+mod action;
+mod beat;
+mod entry;
+mod listed;
+mod listing;
+mod outcome;
+mod pacer;
+mod settings;
+
+use std::collections::BTreeMap;
+
+use toucanquay_model::{
+    Epoch, Incarnation, Resources, Time,
+    graph::Task,
+    session::{End, Orders, Phase, Profile, Rejection, Run, Start, Stop, Update, Worker},
+};
+
+pub use action::Action;
+pub use beat::Beat;
+use entry::Entry;
+pub use listed::Listed;
+pub use listing::Listing;
+pub use outcome::Outcome;
+use pacer::Pacer;
+pub use settings::Settings;
+
+/// An attempt at a task.
+type Key = (Task, u64);
+
+/// Attempts on one worker, as its companion knows them.
+///
+/// The worker itself guards nothing. This table is the final authority on capacity, on attempts
+/// of one task and on draining.
+#[derive(Debug)]
+pub struct Runner {
+    settings: Settings,
+    epoch: Epoch,
+    applied: u64,
+    updates: u64,
+    lease_until: Time,
+    settled_at: Time,
+    worker: Option<Worker>,
+    worker_id: String,
+    beat: u64,
+    life: Incarnation,
+    listed_at: Option<Time>,
+    runs: BTreeMap<Key, Entry>,
+    ends: Vec<End>,
+    ends_seen: u64,
+    acknowledged: u64,
+    pacer: Pacer,
+}
+
+impl Runner {
+    /// Returns the table of a process that starts now.
+    ///
+    /// Starts that its predecessor sent may take effect until the longest lease has passed.
+    #[must_use]
+    pub fn new(settings: Settings, now: Time) -> Self {
+        let settled_at = now.plus_micros(settings.lease_micros);
+        Self {
+            settings,
+            epoch: 0,
+            applied: 0,
+            updates: 0,
+            lease_until: Time::ZERO,
+            settled_at,
+            worker: None,
+            worker_id: String::new(),
+            beat: 0,
+            life: 0,
+            listed_at: None,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            ends_seen: 0,
+            acknowledged: 0,
+            pacer: Pacer::default(),
+        }
+    }
+
+    /// Takes a heartbeat of the worker. Returns whether it changed what is known.
+    ///
+    /// Heartbeats of a former life and those that were overtaken are ignored.
+    pub fn announce(&mut self, beat: Beat) -> bool {
+        if beat.worker.incarnation < self.life {
+            return false;
+        }
+        if beat.worker.incarnation > self.life {
+            self.begin_life(beat.worker.incarnation);
+        }
+        if beat.sequence <= self.beat && self.worker.is_some() {
+            return false;
+        }
+        self.beat = beat.sequence;
+        self.worker_id = beat.id;
+        let mut worker = beat.worker;
+        // A life that has begun to drain doesn't return to service.
+        worker.is_draining |= self
+            .worker
+            .as_ref()
+            .is_some_and(|former| former.is_draining);
+        let is_changed = self.worker.as_ref() != Some(&worker);
+        self.worker = Some(worker);
+        is_changed
+    }
+
+    /// The worker says that it ends now.
+    pub fn withdraw(&mut self, id: &str) {
+        if self.worker_id == id {
+            self.lose_worker();
+        }
+    }
+
+    /// The worker's process is gone: its address refuses connections.
+    pub fn lose_worker(&mut self) {
+        self.worker = None;
+        self.runs.clear();
+        self.ends.clear();
+        // Whatever is heard next of the same life is an old message.
+        self.life += 1;
+        self.forget_life();
+    }
+
+    /// Begins a session with the owner of `epoch`. Returns `false` if a later owner is known.
+    pub const fn begin_session(&mut self, epoch: Epoch) -> bool {
+        if epoch < self.epoch {
+            return false;
+        }
+        self.epoch = epoch;
+        self.applied = 0;
+        true
+    }
+
+    /// Applies orders of the session's owner.
+    pub fn apply(&mut self, orders: &Orders, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if orders.epoch != self.epoch || orders.number <= self.applied {
+            return actions;
+        }
+        self.applied = orders.number;
+        let lease_until = orders.stamp.plus_micros(self.settings.lease_micros);
+        self.lease_until = self.lease_until.max(lease_until);
+        self.acknowledge(orders);
+        for (stop, profile) in &orders.profiles {
+            if let Some(entry) = self.runs.get_mut(&(stop.task, stop.attempt)) {
+                entry.profile = Some(*profile);
+            }
+        }
+        for stop in &orders.stops {
+            self.stop(*stop, &mut actions);
+        }
+        for start in &orders.starts {
+            self.start(start, lease_until, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes the outcome of a start.
+    pub fn started(&mut self, task: Task, attempt: u64, outcome: Outcome, now: Time) {
+        let Some(entry) = self.runs.get_mut(&(task, attempt)) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done => entry.confirm(now),
+            Outcome::Refused if entry.phase == Phase::Starting => {
+                entry.phase = Phase::Rejected(Rejection::Refused);
+            }
+            Outcome::Refused => {}
+            Outcome::Unknown => {
+                entry.stop_at = now.plus_micros(self.settings.unknown_micros);
+            }
+        }
+    }
+
+    /// Takes the outcome of a stop.
+    pub fn stopped(&mut self, task: Task, attempt: u64, outcome: Outcome, now: Time) {
+        let Some(entry) = self.runs.get_mut(&(task, attempt)) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done => entry.settled_at = Some(now),
+            // The worker is another life or doesn't know the attempt; a list shows which.
+            Outcome::Refused => entry.settled_at = Some(now),
+            Outcome::Unknown => entry.stop_at = now.plus_micros(self.settings.retry_micros),
+        }
+    }
+
+    /// Takes the worker's list of attempts. Returns the paces to set.
+    pub fn listed(&mut self, listing: Listing, now: Time) -> Vec<Action> {
+        if listing.incarnation < self.life {
+            return Vec::new();
+        }
+        if listing.incarnation > self.life {
+            self.begin_life(listing.incarnation);
+        }
+        if self.listed_at.is_some_and(|last| listing.called_at < last) {
+            return Vec::new();
+        }
+        self.listed_at = Some(listing.called_at);
+        let called_at = listing.called_at;
+        for entry in self.runs.values_mut() {
+            entry.is_listed = false;
+        }
+        for row in listing.running {
+            self.adopt(row, now);
+        }
+        for end in listing.finished {
+            self.finish(end);
+        }
+        self.settle(called_at);
+        self.pace(now)
+    }
+
+    /// Returns what is due: stops of starts without an outcome, and repeated stops.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for ((task, attempt), entry) in &mut self.runs {
+            if now >= entry.stop_at {
+                entry.stop_at = Time::NEVER;
+                entry.phase = Phase::Stopping;
+                actions.push(Action::Stop(Stop {
+                    task: *task,
+                    attempt: *attempt,
+                }));
+            }
+        }
+        actions
+    }
+
+    /// Returns the next update for the owner.
+    pub fn update(&mut self, now: Time) -> Update {
+        self.updates += 1;
+        for entry in self.runs.values_mut() {
+            if matches!(entry.phase, Phase::Rejected(_)) {
+                entry.reported_in.get_or_insert(self.updates);
+            }
+        }
+        let runs = self.runs.iter().map(|((task, attempt), entry)| Run {
+            task: *task,
+            attempt: *attempt,
+            phase: entry.phase,
+            checkpoint: entry.checkpoint.clone(),
+            done_percent: entry.done_percent,
+        });
+        Update {
+            host: self.settings.host.clone(),
+            process: self.settings.process,
+            number: self.updates,
+            stamp: now,
+            epoch: self.epoch,
+            applied: self.applied,
+            is_settled: now >= self.settled_at,
+            // Before the first list it isn't known what the worker runs.
+            worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
+            runs: runs.collect(),
+            ends: self.ends.clone(),
+        }
+    }
+
+    /// Returns when the worker's lease ends, by this process's clock.
+    #[must_use]
+    pub const fn lease_until(&self) -> Time {
+        self.lease_until
+    }
+
+    /// Returns the number of the last end that is durable.
+    #[must_use]
+    pub const fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Returns the epoch of the highest owner that is known.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Tells whether ends wait for their acknowledgement.
+    #[must_use]
+    pub fn has_ends(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
+    /// Tells whether a list is needed soon: an outcome is open, or latency has to be observed.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        let mut entries = self.runs.values();
+        entries.any(|entry| entry.is_open() || entry.is_sensitive())
+    }
+
+    /// Returns a value that differs after a change of which the owner has to hear at once.
+    #[must_use]
+    pub fn digest(&self) -> (Incarnation, u64, usize, usize, bool) {
+        let rejected = |entry: &&Entry| !entry.is_on_worker();
+        (
+            self.life,
+            self.ends_seen,
+            self.runs.len(),
+            self.runs.values().filter(rejected).count(),
+            self.listed_at.is_some(),
+        )
+    }
+
+    /// Returns the worker, if it is known.
+    #[must_use]
+    pub const fn worker(&self) -> Option<&Worker> {
+        self.worker.as_ref()
+    }
+
+    /// Returns the identifier under which the worker announced itself.
+    #[must_use]
+    pub fn worker_id(&self) -> &str {
+        &self.worker_id
+    }
+
+    /// Returns what the attempts on the worker occupy.
+    #[must_use]
+    pub fn occupied(&self) -> Resources {
+        let on_worker = self.runs.values().filter(|entry| entry.is_on_worker());
+        on_worker
+            .filter_map(|entry| entry.profile)
+            .fold(Resources::ZERO, |sum, profile| sum.plus(&profile.occupied))
+    }
+
+    fn begin_life(&mut self, incarnation: Incarnation) {
+        self.life = incarnation;
+        self.worker = None;
+        self.runs.clear();
+        self.ends.clear();
+        self.forget_life();
+    }
+
+    const fn forget_life(&mut self) {
+        self.beat = 0;
+        self.ends_seen = 0;
+        self.acknowledged = 0;
+        self.listed_at = None;
+    }
+
+    fn acknowledge(&mut self, orders: &Orders) {
+        if orders.worker == self.life {
+            self.acknowledged = self.acknowledged.max(orders.acknowledged);
+            self.ends.retain(|end| end.number > self.acknowledged);
+        }
+        self.runs.retain(|_, entry| {
+            let is_known = entry
+                .reported_in
+                .is_some_and(|number| number <= orders.update);
+            !is_known
+        });
+    }
+
+    fn stop(&mut self, stop: Stop, actions: &mut Vec<Action>) {
+        let key = (stop.task, stop.attempt);
+        if self.ends.iter().any(|end| (end.task, end.attempt) == key) {
+            return;
+        }
+        let entry = self.runs.entry(key).or_insert_with(Entry::adopted);
+        match entry.phase {
+            Phase::Starting | Phase::Running => {
+                entry.phase = Phase::Stopping;
+                entry.stop_at = Time::NEVER;
+                actions.push(Action::Stop(stop));
+            }
+            Phase::Stopping | Phase::Rejected(_) => {}
+        }
+    }
+
+    fn start(&mut self, start: &Start, lease_until: Time, now: Time, actions: &mut Vec<Action>) {
+        let key = (start.task, start.attempt);
+        if self.runs.contains_key(&key) {
+            return;
+        }
+        let mut entry = Entry::starting(start.profile);
+        match self.rejection(start, lease_until, now) {
+            Some(reason) => entry.phase = Phase::Rejected(reason),
+            None => actions.push(Action::Start {
+                start: start.clone(),
+                lease_until,
+            }),
+        }
+        self.runs.insert(key, entry);
+    }
+
+    fn rejection(&self, start: &Start, lease_until: Time, now: Time) -> Option<Rejection> {
+        let Some(worker) = &self.worker else {
+            return Some(Rejection::Draining);
+        };
+        if worker.is_draining {
+            return Some(Rejection::Draining);
+        }
+        if lease_until < now.plus_micros(self.settings.lease_micros_min) {
+            return Some(Rejection::LeaseOver);
+        }
+        let mut others = self.runs.iter();
+        if others.any(|((task, _), entry)| *task == start.task && entry.is_on_worker()) {
+            return Some(Rejection::SameTask);
+        }
+        let occupied = self.occupied().plus(&start.profile.occupied);
+        (!occupied.fits(&worker.capacity)).then_some(Rejection::NoRoom)
+    }
+
+    fn adopt(&mut self, row: Listed, now: Time) {
+        let key = (row.task, row.attempt);
+        let entry = self.runs.entry(key).or_insert_with(Entry::adopted);
+        entry.is_listed = true;
+        entry.confirm(now);
+        entry.checkpoint = row.checkpoint;
+        entry.done_percent = row.done_percent;
+        entry.gauge = row.gauge;
+    }
+
+    fn finish(&mut self, end: End) {
+        if end.number <= self.ends_seen {
+            return;
+        }
+        self.ends_seen = end.number;
+        self.runs.remove(&(end.task, end.attempt));
+        if end.number > self.acknowledged {
+            self.ends.push(end);
+        }
+    }
+
+    /// Concludes from a list that was asked for at `called_at` what is not on the worker.
+    fn settle(&mut self, called_at: Time) {
+        self.runs.retain(|_, entry| {
+            let is_settled = entry.settled_at.is_some_and(|at| called_at >= at);
+            if entry.is_listed || !is_settled {
+                return true;
+            }
+            if entry.phase == Phase::Stopping {
+                entry.phase = Phase::Rejected(Rejection::Stopped);
+                return true;
+            }
+            matches!(entry.phase, Phase::Rejected(_))
+        });
+    }
+
+    fn pace(&mut self, now: Time) -> Vec<Action> {
+        let worst = self.runs.values().filter_map(Entry::pressure_percent).max();
+        let percent = self.pacer.observe(worst, now);
+        let mut actions = Vec::new();
+        for ((task, attempt), entry) in &mut self.runs {
+            let uses_idle = entry.profile.is_some_and(|profile| profile.uses_idle);
+            if uses_idle && entry.phase == Phase::Running && entry.pace != percent {
+                entry.pace = percent;
+                actions.push(Action::Pace {
+                    task: *task,
+                    attempt: *attempt,
+                    percent,
+                });
+            }
+        }
+        actions
+    }
+
+    /// Forgets the pace of an attempt whose order to change it was not carried out.
+    pub fn pace_failed(&mut self, task: Task, attempt: u64) {
+        if let Some(entry) = self.runs.get_mut(&(task, attempt)) {
+            entry.pace = u8::MAX;
+        }
+    }
+
+    /// Returns the profile of an attempt, if it is known.
+    #[must_use]
+    pub fn profile(&self, task: Task, attempt: u64) -> Option<Profile> {
+        self.runs.get(&(task, attempt))?.profile
+    }
+}
--- /dev/null
+++ b/crates/control/src/runner/listed.rs
@@ -0,0 +1,18 @@
+//! A running attempt in a worker's list.
+
+use toucanquay_model::graph::Task;
+
+/// An attempt that a worker lists as running.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// The task.
+    pub task: Task,
+    /// The attempt.
+    pub attempt: u64,
+    /// Last checkpoint.
+    pub checkpoint: Option<String>,
+    /// Share of its work that is done, in percent; 100 for a perpetual task that serves.
+    pub done_percent: u8,
+    /// Tail latency in milliseconds for a task that serves, else thousandths of a processor.
+    pub gauge: u32,
+}
--- /dev/null
+++ b/crates/control/src/runner/listing.rs
@@ -0,0 +1,18 @@
+//! A worker's list of attempts.
+
+use toucanquay_model::{Incarnation, Time, session::End};
+
+use super::Listed;
+
+/// What a worker listed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Incarnation of the worker.
+    pub incarnation: Incarnation,
+    /// When the list was asked for.
+    pub called_at: Time,
+    /// Attempts that run.
+    pub running: Vec<Listed>,
+    /// Ends that are not acknowledged, in the order of their numbers.
+    pub finished: Vec<End>,
+}
--- /dev/null
+++ b/crates/control/src/runner/outcome.rs
@@ -0,0 +1,12 @@
+//! What became of a call to the worker.
+
+/// What became of a call to the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was carried out.
+    Done,
+    /// It was refused and never takes effect.
+    Refused,
+    /// There was no answer; it may take effect later.
+    Unknown,
+}
--- /dev/null
+++ b/crates/control/src/scheduler/ending.rs
@@ -0,0 +1,179 @@
+//! Ends of attempts.
+
+use toucanquay_model::{
+    Time,
+    graph::{Place, State},
+    session::{End, Ending},
+};
+
+use super::{
+    Scheduler,
+    intake::place_of,
+    key::{HostKey, JobKey, RunKey},
+    task::Phase,
+};
+
+impl Scheduler {
+    /// Takes the end of an attempt that a worker lists.
+    pub(super) fn end(&mut self, host: HostKey, end: &End, now: Time) {
+        let Some(key) = self.ids.get(&end.task.job).copied() else {
+            return;
+        };
+        let place = place_of(end.task);
+        let run = self.current_run(key, place);
+        let is_current = run.is_some_and(|run| self.runs[run].attempt == end.attempt);
+        if is_current && let Some(run) = run {
+            self.release(run, now);
+        }
+        match end.ending {
+            Ending::Done => self.finish(key, place, host, now),
+            Ending::Failed => self.fail(key, place, host, now),
+            Ending::Stopped | Ending::Expired | Ending::Broken | Ending::Alone | Ending::Lost => {}
+        }
+        if end.checkpoint.is_some() {
+            self.save(key, place, end.checkpoint.clone());
+        }
+    }
+
+    /// Removes an attempt that is not on its worker any more; its task waits again.
+    pub(super) fn release(&mut self, key: RunKey, now: Time) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        if let Some(host) = self.hosts.get_mut(run.host) {
+            host.detach(key, &run);
+        }
+        self.is_placement_due = true;
+        let Some(job) = self.jobs.get_mut(run.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(run.place)
+            && task.phase == Phase::Running(key)
+        {
+            task.phase = Phase::Waiting;
+            task.not_before = task.not_before.max(now);
+        }
+        if !job.state.is_over() {
+            self.waiting.insert(run.job);
+        }
+    }
+
+    /// Keeps a task from being placed before `until`.
+    pub(super) fn pause(&mut self, key: JobKey, place: Place, until: Time) {
+        if let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(place)) {
+            task.not_before = until;
+            self.timers.insert((until, key));
+        }
+    }
+
+    fn current_run(&self, key: JobKey, place: Place) -> Option<RunKey> {
+        match self.jobs.get(key)?.task(place)?.phase {
+            Phase::Running(run) => Some(run),
+            Phase::Waiting | Phase::Done => None,
+        }
+    }
+
+    fn finish(&mut self, key: JobKey, place: Place, host: HostKey, now: Time) {
+        self.hosts[host].failing.clear();
+        self.hosts[host].avoid_until = Time::ZERO;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let is_perpetual = job.step(place).is_some_and(|step| step.is_perpetual);
+        if job.state.is_over() || is_perpetual {
+            return;
+        }
+        let is_gang = job.step(place).is_some_and(|step| step.is_gang);
+        let Some(stage) = job.stage_mut(place) else {
+            return;
+        };
+        // Another attempt of the task may run if its end became known late.
+        let mut others = Vec::new();
+        let indices = if is_gang {
+            0..stage.tasks.len()
+        } else {
+            place.index as usize..place.index as usize + 1
+        };
+        for index in indices {
+            if let Some(Phase::Running(run)) = stage.tasks.get(index).map(|task| task.phase) {
+                others.push(run);
+            }
+            stage.finish(u32::try_from(index).unwrap_or(u32::MAX));
+        }
+        job.begin();
+        self.changed(key);
+        for run in others {
+            self.stop(run);
+        }
+        self.open(key, place.occurrence);
+        self.complete(key, now);
+    }
+
+    fn fail(&mut self, key: JobKey, place: Place, host: HostKey, now: Time) {
+        self.blame(host, key, now);
+        let attempts_max = self.attempts_max(key);
+        let backoff_max = self.settings.backoff_micros_max;
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let is_perpetual = job.step(place).is_some_and(|step| step.is_perpetual);
+        let is_over = job.state.is_over();
+        let Some(task) = job.task_mut(place) else {
+            return;
+        };
+        if is_over || task.phase == Phase::Done {
+            return;
+        }
+        task.failures = task.failures.saturating_add(1);
+        task.avoid = Some(host);
+        let failures = task.failures;
+        if is_perpetual {
+            let pause = 50_000_u64 << failures.min(10);
+            self.pause(key, place, now.plus_micros(pause.min(backoff_max)));
+            return;
+        }
+        self.changed(key);
+        if failures >= attempts_max {
+            let reason = format!("{failures} attempts of task {}", place.index);
+            self.end_job(key, State::Failed, Some(reason), now);
+        }
+    }
+
+    fn save(&mut self, key: JobKey, place: Place, checkpoint: Option<String>) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let is_over = job.state.is_over();
+        let is_perpetual = job.step(place).is_some_and(|step| step.is_perpetual);
+        if let Some(task) = job.task_mut(place)
+            && !is_over
+            && task.phase != Phase::Done
+        {
+            task.checkpoint = checkpoint;
+            if !is_perpetual {
+                self.changed(key);
+            }
+        }
+    }
+
+    /// Counts a failure against the worker, and avoids it if other jobs fail there too.
+    fn blame(&mut self, host: HostKey, job: JobKey, now: Time) {
+        let host = &mut self.hosts[host];
+        if !host.failing.contains(&job) {
+            host.failing.push(job);
+        }
+        if host.failing.len() >= self.settings.failing_jobs_max {
+            host.avoid_until = now.plus_micros(self.settings.avoid_micros);
+            // One further failure after that time suffices to avoid the worker again.
+            host.failing.pop();
+        }
+    }
+
+    fn attempts_max(&self, key: JobKey) -> u32 {
+        let Some(job) = self.jobs.get(key) else {
+            return 1;
+        };
+        let queue = self.queues.get(&job.queue).unwrap_or(&job.policy);
+        queue.attempts_max.max(1)
+    }
+}
--- /dev/null
+++ b/crates/control/src/scheduler/job.rs
@@ -0,0 +1,220 @@
+//! One job.
+
+use std::sync::Arc;
+
+use toucanquay_model::{
+    Revision, Time,
+    graph::{self, Acceptance, Id, Place, Progress, Queue, State, Step, Tally},
+};
+
+use super::{
+    key::RunKey,
+    stage::Stage,
+    task::{Phase, Task},
+};
+
+/// State of one job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) id: Id,
+    pub(super) queue: String,
+    /// How the queue was run when the job was accepted.
+    pub(super) policy: Queue,
+    pub(super) payload: Arc<str>,
+    pub(super) spec: graph::Job,
+    pub(super) accepted_unix_ms: u64,
+    /// The job was durable when this owner took over, so a former owner may have started tasks.
+    pub(super) is_inherited: bool,
+    pub(super) stages: Vec<Stage>,
+    pub(super) state: State,
+    pub(super) reason: Option<String>,
+    pub(super) over_at: Option<Time>,
+    pub(super) over_unix_ms: Option<u64>,
+    /// Number of the last change that has to be recorded.
+    pub(super) version: u64,
+    /// Number of the last change that is recorded.
+    pub(super) recorded: u64,
+    /// Revision of the record; 0 if there is none.
+    pub(super) revision: Revision,
+}
+
+impl Job {
+    pub(super) fn new(id: Id, acceptance: Acceptance, is_inherited: bool) -> Self {
+        let mut spec = acceptance.job;
+        let payload = std::mem::take(&mut spec.payload).into();
+        let stages = (0..spec.occurrences())
+            .flat_map(|_| spec.steps.iter().map(|step| Stage::new(step.tasks)))
+            .collect();
+        Self {
+            id,
+            queue: acceptance.queue,
+            policy: acceptance.policy,
+            payload,
+            spec,
+            accepted_unix_ms: acceptance.unix_ms,
+            is_inherited,
+            stages,
+            state: State::Queued,
+            reason: None,
+            over_at: None,
+            over_unix_ms: None,
+            version: 0,
+            recorded: 0,
+            revision: 0,
+        }
+    }
+
+    /// Applies recorded progress.
+    pub(super) fn restore(&mut self, progress: Progress, revision: Revision) {
+        self.revision = revision;
+        self.state = progress.state;
+        self.reason = progress.reason;
+        self.over_unix_ms = progress.over_unix_ms;
+        for place in progress.done {
+            if let Some(stage) = self.stage_mut(place) {
+                stage.finish(place.index);
+            }
+        }
+        for tally in progress.tallies {
+            if let Some(task) = self.task_mut(tally.place) {
+                task.failures = tally.failures;
+                task.checkpoint = tally.checkpoint;
+            }
+        }
+    }
+
+    /// Returns what is to be recorded.
+    pub(super) fn progress(&self) -> Progress {
+        let mut progress = Progress {
+            state: self.state,
+            reason: self.reason.clone(),
+            over_unix_ms: self.over_unix_ms,
+            ..Progress::default()
+        };
+        if self.state.is_over() {
+            return progress;
+        }
+        for (place, task) in self.places() {
+            if task.phase == Phase::Done {
+                progress.done.push(place);
+            } else if task.failures > 0 || task.checkpoint.is_some() {
+                progress.tallies.push(Tally {
+                    place,
+                    failures: task.failures,
+                    checkpoint: task.checkpoint.clone(),
+                });
+            }
+        }
+        progress
+    }
+
+    /// Returns the state that may be shown: an end only when it is recorded.
+    pub(super) fn visible_state(&self) -> State {
+        let is_recorded = self.recorded == self.version || self.state == State::Cancelled;
+        if self.state.is_over() && !is_recorded {
+            return State::Running;
+        }
+        self.state
+    }
+
+    pub(super) fn places(&self) -> impl Iterator<Item = (Place, &Task)> {
+        let steps = self.spec.steps.len();
+        self.stages
+            .iter()
+            .enumerate()
+            .flat_map(move |(slot, stage)| {
+                (0..).zip(&stage.tasks).map(move |(index, task)| {
+                    let place = Place {
+                        occurrence: u32::try_from(slot / steps).unwrap_or(u32::MAX),
+                        step: u16::try_from(slot % steps).unwrap_or(u16::MAX),
+                        index,
+                    };
+                    (place, task)
+                })
+            })
+    }
+
+    pub(super) fn running(&self) -> Vec<RunKey> {
+        let run = |(_, task): (Place, &Task)| match task.phase {
+            Phase::Running(run) => Some(run),
+            Phase::Waiting | Phase::Done => None,
+        };
+        self.places().filter_map(run).collect()
+    }
+
+    /// A task has started.
+    pub(super) fn begin(&mut self) {
+        if self.state == State::Queued {
+            self.state = State::Running;
+        }
+    }
+
+    /// Returns the name of a task.
+    pub(super) const fn name(&self, place: Place) -> graph::Task {
+        graph::Task {
+            job: self.id,
+            occurrence: place.occurrence,
+            step: place.step,
+            index: place.index,
+        }
+    }
+
+    pub(super) fn step(&self, place: Place) -> Option<&Step> {
+        self.spec.steps.get(usize::from(place.step))
+    }
+
+    pub(super) fn task(&self, place: Place) -> Option<&Task> {
+        let stage = self.stages.get(self.slot(place)?)?;
+        stage.tasks.get(place.index as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, place: Place) -> Option<&mut Task> {
+        self.stage_mut(place)?.tasks.get_mut(place.index as usize)
+    }
+
+    pub(super) fn stage_mut(&mut self, place: Place) -> Option<&mut Stage> {
+        let slot = self.slot(place)?;
+        self.stages.get_mut(slot)
+    }
+
+    /// Returns the index of a place's stage.
+    pub(super) fn slot(&self, place: Place) -> Option<usize> {
+        let steps = self.spec.steps.len();
+        if usize::from(place.step) >= steps {
+            return None;
+        }
+        let occurrence = usize::try_from(place.occurrence).ok()?;
+        Some(occurrence * steps + usize::from(place.step))
+    }
+
+    /// Opens the stages of an occurrence whose earlier steps are complete. Returns whether any
+    /// was opened.
+    pub(super) fn open(&mut self, occurrence: u32) -> bool {
+        let steps = self.spec.steps.len();
+        let first = occurrence as usize * steps;
+        let mut is_opened = false;
+        for (index, step) in self.spec.steps.iter().enumerate() {
+            let mut before = step.after.iter();
+            let is_next = before.all(|before| {
+                let stage = self.stages.get(first + usize::from(*before));
+                stage.is_some_and(Stage::is_complete)
+            });
+            let Some(stage) = self.stages.get_mut(first + index) else {
+                continue;
+            };
+            if is_next && !stage.is_open && !stage.is_complete() {
+                stage.is_open = true;
+                is_opened = true;
+            }
+        }
+        is_opened
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        self.stages.iter().all(Stage::is_complete)
+    }
+
+    pub(super) fn has_waiting(&self) -> bool {
+        !self.state.is_over() && self.stages.iter().any(Stage::has_waiting)
+    }
+}
--- /dev/null
+++ b/crates/control/src/scheduler/orders.rs
@@ -0,0 +1,85 @@
+//! Orders to agents.
+
+use toucanquay_model::{Time, session::Orders};
+
+use super::{Scheduler, host::Host, key::HostKey};
+
+impl Scheduler {
+    /// Begins a session with a host's agent. Orders of the former session are void.
+    pub fn connect(&mut self, name: &str) {
+        let key = self.host_key(name);
+        let host = &mut self.hosts[key];
+        host.is_connected = true;
+        host.is_fresh = true;
+        host.update = 0;
+        host.sent = 0;
+        host.sent_at = Time::ZERO;
+        host.starts.clear();
+        host.stops.clear();
+        host.profiles.clear();
+        host.acknowledged_sent = 0;
+    }
+
+    /// The session with a host's agent has ended.
+    pub fn disconnect(&mut self, name: &str) {
+        if let Some(host) = self
+            .names
+            .get(name)
+            .and_then(|key| self.hosts.get_mut(*key))
+        {
+            host.is_connected = false;
+        }
+    }
+
+    /// Returns the names of hosts that have orders, or to which a message is due.
+    #[must_use]
+    pub fn due_hosts(&self, now: Time) -> Vec<String> {
+        let is_due = |host: &&Host| {
+            let next_at = host.sent_at.plus_micros(self.settings.heartbeat_micros);
+            host.is_connected && !host.is_fresh && (host.has_orders() || now >= next_at)
+        };
+        let due = self.hosts.values().filter(is_due);
+        due.map(|host| host.name.clone()).collect()
+    }
+
+    /// Returns the orders for a host, unless the owner's authority has ended.
+    pub fn orders(&mut self, name: &str, now: Time) -> Option<Orders> {
+        if !self.is_owner(now) {
+            return None;
+        }
+        let key = *self.names.get(name)?;
+        let host = self.hosts.get_mut(key)?;
+        if !host.is_connected || host.is_fresh {
+            return None;
+        }
+        host.sent += 1;
+        host.sent_at = now;
+        host.acknowledged_sent = host.acknowledged;
+        let orders = Orders {
+            epoch: self.epoch,
+            number: host.sent,
+            update: host.update,
+            stamp: host.stamp,
+            worker: host.life,
+            acknowledged: host.acknowledged,
+            starts: std::mem::take(&mut host.starts),
+            stops: std::mem::take(&mut host.stops),
+            profiles: std::mem::take(&mut host.profiles),
+        };
+        for key in &host.runs {
+            if let Some(run) = self.runs.get_mut(*key) {
+                run.ordered_in.get_or_insert(orders.number);
+            }
+        }
+        Some(orders)
+    }
+
+    pub(super) fn host_key(&mut self, name: &str) -> HostKey {
+        if let Some(key) = self.names.get(name) {
+            return *key;
+        }
+        let key = self.hosts.insert(Host::new(name.to_owned()));
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+}
--- /dev/null
+++ b/crates/control/src/scheduler/rank.rs
@@ -0,0 +1,43 @@
+//! Order of jobs.
+
+use toucanquay_model::graph::{Job, Queue};
+
+/// Factor from a job's objective to the time after which its end is worth nothing.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Order in which waiting jobs get room; the smallest goes first.
+///
+/// It answers a peak at which not all jobs can meet their objective: jobs that still can go first,
+/// then those whose end is still worth something, then the rest; within these by priority and by
+/// the time until which the job should end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    lateness: u8,
+    priority: u32,
+    objective_unix_ms: u64,
+}
+
+impl Rank {
+    pub(super) fn new(job: &Job, queue: &Queue, accepted_unix_ms: u64, unix_ms: u64) -> Self {
+        let chain_ms = job.chain_ms();
+        let objective_ms = job_objective_ms(chain_ms, queue);
+        let elapsed_ms = unix_ms.saturating_sub(accepted_unix_ms);
+        let is_past = |factor: f64| elapsed_ms as f64 > objective_ms * factor;
+        let lateness = if job.is_perpetual() {
+            0
+        } else if is_past(LATE_FACTOR) {
+            2
+        } else {
+            u8::from(is_past(1.0))
+        };
+        Self {
+            lateness,
+            priority: queue.priority,
+            objective_unix_ms: accepted_unix_ms.saturating_add(objective_ms as u64),
+        }
+    }
+}
+
+fn job_objective_ms(chain_ms: u64, queue: &Queue) -> f64 {
+    chain_ms as f64 * queue.stretch.max(1.0) + queue.slack_ms as f64
+}
--- /dev/null
+++ b/crates/control/src/scheduler/stage.rs
@@ -0,0 +1,42 @@
+//! The tasks of one step in one occurrence.
+
+use super::task::{Phase, Task};
+
+/// Tasks of one step in one occurrence of a job.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Stage {
+    pub(super) tasks: Vec<Task>,
+    pub(super) done: usize,
+    pub(super) is_open: bool,
+}
+
+impl Stage {
+    pub(super) fn new(tasks: u32) -> Self {
+        Self {
+            tasks: vec![Task::default(); tasks as usize],
+            ..Self::default()
+        }
+    }
+
+    pub(super) const fn is_complete(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+
+    pub(super) fn has_waiting(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        self.is_open && tasks.any(|task| task.phase == Phase::Waiting)
+    }
+
+    pub(super) fn finish(&mut self, index: u32) -> bool {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return false;
+        };
+        if task.phase == Phase::Done {
+            return false;
+        }
+        task.phase = Phase::Done;
+        task.checkpoint = None;
+        self.done += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/model/src/graph.rs
@@ -0,0 +1,28 @@
+//! Jobs of several steps: what clients submit, and the names of their tasks.
+//!
+//! A [`Job`] is a graph of [`Step`]s. Each step has a number of like tasks, and starts when all
+//! tasks of the steps before it are done. A job may run several times, once for each occurrence.
+
+mod acceptance;
+mod id;
+mod job;
+mod place;
+mod progress;
+mod queue;
+mod schedule;
+mod state;
+mod step;
+mod tally;
+mod task;
+
+pub use acceptance::Acceptance;
+pub use id::Id;
+pub use job::Job;
+pub use place::Place;
+pub use progress::Progress;
+pub use queue::Queue;
+pub use schedule::Schedule;
+pub use state::State;
+pub use step::Step;
+pub use tally::Tally;
+pub use task::Task;
--- /dev/null
+++ b/crates/model/src/graph/job.rs
@@ -0,0 +1,104 @@
+//! A job as its client submits it.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Schedule, Step};
+use crate::{Error, ErrorKind};
+
+/// Largest number of steps of a job.
+const STEPS_MAX: usize = 256;
+
+/// Largest number of tasks of a job, over all steps and occurrences.
+const TASKS_MAX: u64 = 100_000;
+
+/// Largest payload, in bytes.
+const PAYLOAD_BYTES_MAX: usize = 16_384;
+
+/// A graph of steps with the text that their tasks receive.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Job {
+    /// Opaque text that is handed to each task.
+    #[serde(default)]
+    pub payload: String,
+    /// Steps; each one names earlier ones only.
+    pub steps: Vec<Step>,
+    /// Occurrences in time; without it the job runs once, at once.
+    #[serde(default)]
+    pub schedule: Option<Schedule>,
+}
+
+impl Job {
+    /// Returns how many times the job runs.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule
+            .map_or(1, |schedule| schedule.occurrences.max(1))
+    }
+
+    /// Tells whether any step runs until the job is cancelled.
+    #[must_use]
+    pub fn is_perpetual(&self) -> bool {
+        self.steps.iter().any(|step| step.is_perpetual)
+    }
+
+    /// Returns the longest chain of estimated run times, in milliseconds.
+    #[must_use]
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step
+                .after
+                .iter()
+                .filter_map(|index| ends.get(usize::from(*index)));
+            ends.push(start.max().copied().unwrap_or(0) + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Checks what a client sent.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::InvalidField`] with the first faulty field.
+    pub fn check(&self) -> Result<(), Error> {
+        if self.payload.len() > PAYLOAD_BYTES_MAX {
+            return Err(Error::new(ErrorKind::InvalidField)
+                .field("payload")
+                .value(format!("{} bytes", self.payload.len()))
+                .expected(format!("at most {PAYLOAD_BYTES_MAX} bytes")));
+        }
+        if self.steps.is_empty() || self.steps.len() > STEPS_MAX {
+            return Err(Error::new(ErrorKind::InvalidField)
+                .field("steps")
+                .value(self.steps.len())
+                .expected(format!("1 to {STEPS_MAX} steps")));
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if tasks.saturating_mul(u64::from(self.occurrences())) > TASKS_MAX {
+            return Err(Error::new(ErrorKind::InvalidField)
+                .field("tasks")
+                .value(tasks)
+                .expected(format!("at most {TASKS_MAX} over all occurrences")));
+        }
+        (0..)
+            .zip(&self.steps)
+            .try_for_each(|(index, step)| check_step(index, step))
+    }
+}
+
+fn check_step(index: u16, step: &Step) -> Result<(), Error> {
+    if step.tasks == 0 {
+        return Err(Error::new(ErrorKind::InvalidField)
+            .field(format!("steps[{index}].tasks"))
+            .value(0)
+            .expected("1 or more"));
+    }
+    if let Some(later) = step.after.iter().find(|before| **before >= index) {
+        return Err(Error::new(ErrorKind::InvalidField)
+            .field(format!("steps[{index}].after"))
+            .value(later)
+            .expected("indices of earlier steps"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/model/src/graph/tally.rs
@@ -0,0 +1,17 @@
+//! Failed attempts of a task.
+
+use serde::{Deserialize, Serialize};
+
+use super::Place;
+
+/// Failed attempts and the last checkpoint of one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// The task.
+    pub place: Place,
+    /// Attempts that ended as failed.
+    pub failures: u32,
+    /// Last checkpoint that an ended attempt left.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
+}
--- /dev/null
+++ b/crates/node/src/companion.rs
@@ -0,0 +1,93 @@
+//! The companion of one worker.
+
+mod executor;
+mod hold;
+mod registration;
+mod session;
+mod settings;
+mod shared;
+
+use std::sync::Arc;
+
+use slog::{Logger, info, o};
+use tokio::time::{Duration, MissedTickBehavior, interval};
+use toucanquay_control::runner::Beat;
+use toucanquay_model::Error;
+use toucanquay_wire::Server;
+
+pub use settings::Settings;
+use shared::Shared;
+
+use crate::{Store, Worker};
+
+/// Time between two looks for stops that are due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// A running companion.
+#[derive(Debug, Clone)]
+pub struct Companion {
+    shared: Arc<Shared>,
+}
+
+impl Companion {
+    /// Starts the companion.
+    ///
+    /// # Errors
+    ///
+    /// An invalid setting or an address in use.
+    pub async fn start(
+        settings: Settings,
+        store: Store,
+        worker: Worker,
+        log: &Logger,
+    ) -> Result<Self, Error> {
+        let log = log.new(o!("host" => settings.name.clone()));
+        let server = Server::bind(settings.listen, log.clone()).await?;
+        let shared = Arc::new(Shared::new(settings, store, worker, log));
+        info!(shared.log, "companion_started"; "process" => shared.settings.process,
+            "sessions" => %server.address());
+        let serving = shared.clone();
+        let stop = shared.stop.clone();
+        tokio::spawn(server.run(stop, move |stream| session::serve(serving.clone(), stream)));
+        shared.spawn(registration::run(shared.clone()));
+        shared.spawn(hold::run(shared.clone()));
+        shared.spawn(tick(shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Takes a heartbeat of the worker.
+    pub fn announce(&self, beat: Beat) {
+        let shared = &self.shared;
+        let (id, incarnation) = (beat.id.clone(), beat.worker.incarnation);
+        let is_draining = beat.worker.is_draining;
+        if shared.runner().announce(beat) {
+            info!(shared.log, "worker_announced"; "worker" => id, "incarnation" => incarnation,
+                "is_draining" => is_draining);
+            shared.changed.notify_one();
+            shared.look.notify_one();
+        }
+    }
+
+    /// The worker says that it ends now.
+    pub fn withdraw(&self, id: &str) {
+        self.shared.runner().withdraw(id);
+        info!(self.shared.log, "worker_left"; "worker" => id);
+        self.shared.changed.notify_one();
+    }
+
+    /// Stops the companion. What its worker runs goes on until its lease ends.
+    pub fn stop(&self) {
+        info!(self.shared.log, "companion_stopped");
+        self.shared.stop.cancel();
+    }
+}
+
+async fn tick(shared: Arc<Shared>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let actions = shared.runner().tick(shared.clock.now());
+        executor::run(&shared, actions);
+    }
+}
--- /dev/null
+++ b/crates/node/src/companion/executor.rs
@@ -0,0 +1,114 @@
+//! Carries out what the table of attempts decides.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use tokio::time::{Duration, Instant};
+use toucanquay_control::runner::{Action, Outcome};
+use toucanquay_model::{
+    Time,
+    graph::Task,
+    session::{Start, Stop},
+};
+
+use super::Shared;
+use crate::worker::{Call, Reply};
+
+/// Time for one call to the worker.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Starts carrying out actions; their outcomes go back to the table.
+pub(super) fn run(shared: &Arc<Shared>, actions: Vec<Action>) {
+    for action in actions {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            match action {
+                Action::Start { start, lease_until } => begin(&shared, start, lease_until).await,
+                Action::Stop(stop) => end(&shared, stop).await,
+                Action::Pace {
+                    task,
+                    attempt,
+                    percent,
+                } => pace(&shared, task, attempt, percent).await,
+            }
+        });
+    }
+}
+
+async fn begin(shared: &Shared, start: Start, lease_until: Time) {
+    let (task, attempt) = (start.task, start.attempt);
+    let (epoch, worker) = {
+        let runner = shared.runner();
+        (runner.epoch(), runner.worker_id().to_owned())
+    };
+    let call = Call::Start {
+        epoch,
+        start,
+        worker,
+        lease_until,
+    };
+    let outcome = outcome(
+        shared
+            .worker
+            .call(call, Instant::now() + CALL_TIMEOUT)
+            .await,
+    );
+    info!(shared.log, "task_start"; "task" => %task, "attempt" => attempt, "epoch" => epoch,
+        "outcome" => ?outcome);
+    shared
+        .runner()
+        .started(task, attempt, outcome, shared.clock.now());
+    shared.changed.notify_one();
+}
+
+async fn end(shared: &Shared, stop: Stop) {
+    let epoch = shared.runner().epoch();
+    let call = Call::Stop { epoch, stop };
+    let outcome = outcome(
+        shared
+            .worker
+            .call(call, Instant::now() + CALL_TIMEOUT)
+            .await,
+    );
+    info!(shared.log, "task_stop"; "task" => %stop.task, "attempt" => stop.attempt,
+        "epoch" => epoch, "outcome" => ?outcome);
+    let now = shared.clock.now();
+    shared
+        .runner()
+        .stopped(stop.task, stop.attempt, outcome, now);
+    shared.look.notify_one();
+}
+
+async fn pace(shared: &Shared, task: Task, attempt: u64, percent: u8) {
+    let epoch = shared.runner().epoch();
+    let call = Call::Pace {
+        epoch,
+        task,
+        attempt,
+        percent,
+    };
+    let outcome = outcome(
+        shared
+            .worker
+            .call(call, Instant::now() + CALL_TIMEOUT)
+            .await,
+    );
+    info!(shared.log, "task_pace"; "task" => %task, "attempt" => attempt, "percent" => percent,
+        "outcome" => ?outcome);
+    if outcome != Outcome::Done {
+        shared.runner().pace_failed(task, attempt);
+    }
+}
+
+fn outcome(reply: Reply) -> Outcome {
+    match reply {
+        Reply::Outcome(outcome) => outcome,
+        Reply::Gone => Outcome::Refused,
+        Reply::Listing(_) => Outcome::Unknown,
+    }
+}
+
+/// Logs that the worker's process is gone.
+pub(super) fn log_gone(shared: &Shared) {
+    warn!(shared.log, "worker_gone"; "reason" => "its address refuses connections");
+}
--- /dev/null
+++ b/crates/node/src/companion/registration.rs
@@ -0,0 +1,51 @@
+//! Announces the companion's address in the store.
+
+use std::sync::Arc;
+
+use slog::{debug, info};
+use tokio::time::{Duration, Instant, sleep};
+use toucanquay_model::Error;
+
+use super::Shared;
+use crate::{entry::Address, key, store::Transaction};
+
+/// Time for one call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time between two looks whether the address is still there.
+const CHECK_INTERVAL: Duration = Duration::from_secs(15);
+
+/// Runs until the companion stops.
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        match register(&shared).await {
+            Ok(()) => sleep(CHECK_INTERVAL).await,
+            Err(error) => {
+                debug!(shared.log, "registration_failed"; "error" => %error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn register(shared: &Shared) -> Result<(), Error> {
+    let settings = &shared.settings;
+    let key = key::host(&settings.name);
+    let address = Address {
+        address: settings.listen,
+        process: settings.process,
+    };
+    let value = address.to_bytes();
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let present = shared.store.get(&key, deadline).await?;
+    if present.is_some_and(|item| item.value == value) {
+        return Ok(());
+    }
+    let transaction = Transaction::default().put(key, value);
+    shared.store.commit(transaction, deadline).await?;
+    info!(shared.log, "registered"; "address" => %settings.listen);
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/companion/settings.rs
@@ -0,0 +1,16 @@
+//! Settings of a companion.
+
+use std::net::SocketAddr;
+
+use toucanquay_model::Incarnation;
+
+/// Settings of a [`Companion`](super::Companion).
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the host.
+    pub name: String,
+    /// Incarnation of this process.
+    pub process: Incarnation,
+    /// Address on which owners open sessions.
+    pub listen: SocketAddr,
+}
--- /dev/null
+++ b/crates/node/src/companion/shared.rs
@@ -0,0 +1,60 @@
+//! What the companion's tasks share.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use slog::Logger;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use toucanquay_control::{runner, runner::Runner, scheduler};
+
+use super::Settings;
+use crate::{Clock, Store, Worker};
+
+/// State of a companion.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) settings: Settings,
+    pub(super) store: Store,
+    pub(super) worker: Worker,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) stop: CancellationToken,
+    /// The owner has to hear of a change.
+    pub(super) changed: Notify,
+    /// The worker's list is needed, or ends were acknowledged.
+    pub(super) look: Notify,
+    /// Ends the present session when another one begins.
+    pub(super) session: Mutex<CancellationToken>,
+    runner: Mutex<Runner>,
+}
+
+impl Shared {
+    pub(super) fn new(settings: Settings, store: Store, worker: Worker, log: Logger) -> Self {
+        let lease_micros = scheduler::Settings::default().lease_micros;
+        let table = runner::Settings::new(settings.name.clone(), settings.process, lease_micros);
+        let clock = Clock;
+        Self {
+            runner: Mutex::new(Runner::new(table, clock.now())),
+            settings,
+            store,
+            worker,
+            clock,
+            log,
+            stop: CancellationToken::new(),
+            changed: Notify::new(),
+            look: Notify::new(),
+            session: Mutex::new(CancellationToken::new()),
+        }
+    }
+
+    pub(super) fn runner(&self) -> MutexGuard<'_, Runner> {
+        self.runner
+            .lock()
+            .expect("no holder of this lock panics while it changes the table")
+    }
+
+    pub(super) fn spawn(self: &Arc<Self>, run: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(run).await });
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,94 @@
+//! The entry: accepts jobs, and owns the placement of their tasks while it holds that role.
+
+mod address;
+mod configuration;
+mod desk;
+mod election;
+mod intake;
+mod owner;
+mod peer;
+mod record;
+mod session;
+mod settings;
+mod shared;
+mod takeover;
+mod term;
+
+use std::sync::Arc;
+
+use slog::{Logger, info, o};
+use tokio::time::{Duration, Instant, timeout_at};
+use toucanquay_model::Error;
+use toucanquay_wire::Server;
+
+pub use address::Address;
+pub use settings::Settings;
+use shared::Shared;
+
+use crate::{Catalog, Store, catalog::Source};
+
+/// Time for handing over the owner's role at a stop.
+const HANDOVER: Duration = Duration::from_millis(800);
+
+/// A running entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    shared: Arc<Shared>,
+}
+
+impl Entry {
+    /// Starts the entry.
+    ///
+    /// # Errors
+    ///
+    /// An invalid setting or an address in use.
+    pub async fn start(
+        settings: Settings,
+        store: Store,
+        source: Source,
+        log: &Logger,
+    ) -> Result<Self, Error> {
+        let log = log.new(o!("entry" => settings.name.clone()));
+        let server = Server::bind(settings.listen, log.clone()).await?;
+        let shared = Arc::new(Shared::new(settings, store, source, log));
+        info!(shared.log, "entry_started"; "process" => shared.settings.process,
+            "peers" => %server.address());
+        let serving = shared.clone();
+        let stop = shared.stop.clone();
+        tokio::spawn(server.run(stop, move |stream| peer::serve(serving.clone(), stream)));
+        shared.spawn(configuration::run(shared.clone()));
+        tokio::spawn(election::run(shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Returns the configuration in force, if one is known.
+    #[must_use]
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.shared.catalog()
+    }
+
+    /// Tells whether the balancer should send requests here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Tells whether the entry is about to stop.
+    #[must_use]
+    pub fn is_retiring(&self) -> bool {
+        self.shared.retire.is_cancelled()
+    }
+
+    /// Hands over the owner's role and reports the entry as not ready; it serves on.
+    pub async fn retire(&self) {
+        info!(self.shared.log, "entry_retires");
+        self.shared.retire.cancel();
+        let _ = timeout_at(Instant::now() + HANDOVER, self.shared.released.cancelled()).await;
+    }
+
+    /// Stops the entry.
+    pub fn stop(&self) {
+        info!(self.shared.log, "entry_stopped");
+        self.shared.stop.cancel();
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/configuration.rs
@@ -0,0 +1,82 @@
+//! Follows the configuration in the store.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use tokio::time::{Duration, Instant, sleep};
+use toucanquay_model::{Error, Revision};
+
+use super::{Shared, owner::Event};
+use crate::store::{self, Watch};
+
+/// Time for one read.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait of a watch: a connection that has gone silent is noticed within it.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Runs until the entry stops.
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        if let Err(error) = follow(&shared).await {
+            info!(shared.log, "configuration_unreachable"; "error" => %error);
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the configuration and follows its changes until the history is gone.
+async fn follow(shared: &Shared) -> Result<(), Error> {
+    let key = shared.source.key.clone();
+    let page = shared
+        .store
+        .page(&key, "", Instant::now() + CALL_TIMEOUT)
+        .await?;
+    shared.heard_store();
+    for item in &page.items {
+        adopt(shared, &item.key, &item.value).await;
+    }
+    let mut revision: Revision = page.revision;
+    loop {
+        let deadline = Instant::now() + WATCH_WAIT;
+        match shared.store.watch(&key, revision, deadline).await? {
+            Watch::Events {
+                events,
+                revision: next,
+            } => {
+                shared.heard_store();
+                revision = next;
+                for event in events {
+                    if let store::Event::Written(item) = event {
+                        adopt(shared, &item.key, &item.value).await;
+                    }
+                }
+            }
+            Watch::Compacted => return Ok(()),
+        }
+    }
+}
+
+async fn adopt(shared: &Shared, key: &str, value: &[u8]) {
+    if key != shared.source.key {
+        return;
+    }
+    let catalog = match (shared.source.decode)(value) {
+        Ok(catalog) => catalog,
+        Err(error) => {
+            warn!(shared.log, "configuration_unreadable"; "error" => %error);
+            return;
+        }
+    };
+    let (version, queues) = (catalog.version, catalog.queues.len());
+    if shared.configure(catalog) {
+        info!(shared.log, "configuration_taken"; "version" => version, "queues" => queues);
+        if let Some(mailbox) = shared.mailbox() {
+            // An owner that ends needs no configuration.
+            let _ = mailbox.send(Event::Configured).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/desk.rs
@@ -0,0 +1,212 @@
+//! What clients ask for.
+
+use bytes::Bytes;
+use slog::{debug, info};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
+use toucanquay_model::{
+    Error, ErrorKind,
+    graph::{Acceptance, Id, Job, Progress, Queue, State},
+};
+use toucanquay_wire::{
+    Frame,
+    graph::{Query, Reply},
+};
+
+use super::{Entry, Shared, peer, takeover};
+use crate::{
+    key,
+    store::{Commit, Transaction},
+};
+
+/// Time for one question to the owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Shortest time for one call to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+impl Entry {
+    /// Accepts a job durably. A repeat with the same identifier is the same job.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] if the job was not accepted and never runs,
+    /// [`ErrorKind::OutcomeUnknown`] if that isn't known by the deadline.
+    pub async fn submit(
+        &self,
+        queue: &str,
+        policy: &Queue,
+        id: Id,
+        job: Job,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let shared = &self.shared;
+        let acceptance = Acceptance {
+            queue: queue.to_owned(),
+            policy: policy.clone(),
+            unix_ms: shared.clock.unix_ms(),
+            job,
+        };
+        let record = serde_json::to_vec(&acceptance)
+            .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
+        create(shared, key::job(id), record.clone(), deadline).await?;
+        info!(shared.log, "job_accepted"; "job" => %id, "queue" => queue,
+            "steps" => acceptance.job.steps.len());
+        let record = Bytes::from(record);
+        notify(shared.clone(), Query::Accepted { id, record });
+        Ok(())
+    }
+
+    /// Cancels a job durably. Returns `false` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// The store's error.
+    pub async fn cancel(&self, queue: &str, id: Id, deadline: Instant) -> Result<bool, Error> {
+        if self.state(queue, id, deadline).await?.is_none() {
+            return Ok(false);
+        }
+        let shared = &self.shared;
+        create(shared, key::cancel(id), Vec::new(), deadline).await?;
+        info!(shared.log, "job_cancelled"; "job" => %id, "queue" => queue);
+        notify(shared.clone(), Query::Cancelled(id));
+        Ok(true)
+    }
+
+    /// Returns the state of a job, or `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// The store's error, if neither the owner nor the store answers.
+    pub async fn state(
+        &self,
+        _queue: &str,
+        id: Id,
+        deadline: Instant,
+    ) -> Result<Option<State>, Error> {
+        let shared = &self.shared;
+        match ask(shared, Query::State(id), deadline).await {
+            Ok(Reply::State(Some(state))) => return Ok(Some(state)),
+            Ok(_) => {}
+            Err(error) => debug!(shared.log, "owner_unanswered"; "error" => %error),
+        }
+        read_state(shared, id, deadline).await
+    }
+
+    /// Returns the number of a queue's jobs of which no task has started.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoOwner`] if no owner answers.
+    pub async fn pending(&self, queue: &str, deadline: Instant) -> Result<u64, Error> {
+        loop {
+            match ask(&self.shared, Query::Pending(queue.to_owned()), deadline).await {
+                Ok(Reply::Pending(pending)) => return Ok(pending),
+                Ok(_) => return Err(Error::new(ErrorKind::Protocol)),
+                Err(error) if Instant::now() + RETRY_PAUSE >= deadline => return Err(error),
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+}
+
+/// Creates a key unless it exists.
+async fn create(
+    shared: &Shared,
+    key: String,
+    value: Vec<u8>,
+    deadline: Instant,
+) -> Result<(), Error> {
+    let mut is_unknown = false;
+    loop {
+        let transaction = Transaction::default()
+            .expect(key.clone(), 0)
+            .put(key.clone(), value.clone());
+        let call_deadline = deadline.min(Instant::now() + STORE_TIMEOUT);
+        match shared.store.commit(transaction, call_deadline).await {
+            Ok(Commit::Done(_)) => return Ok(()),
+            Ok(Commit::Conflict(_)) => return Ok(()),
+            Err(error) => {
+                is_unknown |= error.kind() != ErrorKind::StoreUnavailable;
+                debug!(shared.log, "write_failed"; "key" => &key, "error" => %error);
+                if Instant::now() + RETRY_PAUSE >= deadline {
+                    return Err(unwritten(is_unknown, &error));
+                }
+            }
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Returns the error of a write that may have been attempted several times.
+fn unwritten(is_unknown: bool, last: &Error) -> Error {
+    let kind = if is_unknown {
+        ErrorKind::OutcomeUnknown
+    } else {
+        ErrorKind::StoreUnavailable
+    };
+    Error::new(kind).context(last)
+}
+
+async fn read_state(shared: &Shared, id: Id, deadline: Instant) -> Result<Option<State>, Error> {
+    loop {
+        let call_deadline = deadline.min(Instant::now() + STORE_TIMEOUT);
+        match try_read_state(shared, id, call_deadline).await {
+            Ok(state) => return Ok(state),
+            Err(error) if Instant::now() + RETRY_PAUSE >= deadline => return Err(error),
+            Err(_) => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn try_read_state(
+    shared: &Shared,
+    id: Id,
+    deadline: Instant,
+) -> Result<Option<State>, Error> {
+    let store = &shared.store;
+    if let Some(item) = store.get(&key::progress(id), deadline).await?
+        && let Ok(progress) = serde_json::from_slice::<Progress>(&item.value)
+        && progress.state.is_over()
+    {
+        return Ok(Some(progress.state));
+    }
+    let Some(item) = store.get(&key::job(id), deadline).await? else {
+        return Ok(None);
+    };
+    if store.get(&key::cancel(id), deadline).await?.is_some() {
+        return Ok(Some(State::Cancelled));
+    }
+    Ok(takeover::job(&item).map(|_| State::Running))
+}
+
+/// Tells the owner what it would otherwise learn from the store.
+fn notify(shared: std::sync::Arc<Shared>, query: Query) {
+    tokio::spawn(async move {
+        let deadline = Instant::now() + OWNER_TIMEOUT;
+        if let Err(error) = ask(&shared, query, deadline).await {
+            debug!(shared.log, "owner_not_notified"; "error" => %error);
+        }
+    });
+}
+
+async fn ask(shared: &Shared, query: Query, deadline: Instant) -> Result<Reply, Error> {
+    let deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
+    if shared.mailbox().is_some() {
+        let asked = timeout_at(deadline, peer::ask_here(shared, query)).await;
+        return asked.map_err(|_elapsed| Error::new(ErrorKind::NoOwner))?;
+    }
+    let owner = shared
+        .owner()
+        .ok_or_else(|| Error::new(ErrorKind::NoOwner))?;
+    if owner.address == shared.settings.listen {
+        return Err(Error::new(ErrorKind::NoOwner).context("the state is being loaded"));
+    }
+    let frame = Frame::Graph(query);
+    match shared.pool.call(owner.address, &frame, deadline).await? {
+        Frame::GraphReply(reply) => Ok(reply),
+        _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/owner/driver.rs
@@ -0,0 +1,224 @@
+//! Runs the scheduler.
+
+use std::{collections::HashMap, sync::Arc};
+
+use slog::{info, warn};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+    time::{Duration, Instant, sleep_until},
+};
+use toucanquay_control::scheduler::Scheduler;
+use toucanquay_model::{Epoch, Revision, Time, graph::Acceptance, session::Orders};
+use toucanquay_wire::graph::{Query, Reply};
+
+use super::Event;
+use crate::entry::{Address, Shared, intake, record, session, takeover::Loaded};
+
+/// Longest time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The scheduler with its connections.
+#[derive(Debug)]
+pub(super) struct Driver {
+    shared: Arc<Shared>,
+    mailbox: mpsc::Sender<Event>,
+    scheduler: Scheduler,
+    epoch: Epoch,
+    fence: Revision,
+    orders: HashMap<String, mpsc::Sender<Orders>>,
+    sessions: HashMap<String, (Address, JoinHandle<()>)>,
+    tasks: Vec<JoinHandle<()>>,
+    is_deposed: bool,
+}
+
+impl Driver {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        mailbox: mpsc::Sender<Event>,
+        loaded: Loaded,
+        fence: Revision,
+        hold_until: Time,
+    ) -> Self {
+        let mut scheduler = loaded.scheduler;
+        scheduler.hold(hold_until);
+        let epoch = scheduler.epoch();
+        let mut driver = Self {
+            tasks: vec![
+                tokio::spawn(intake::run(shared.clone(), mailbox.clone(), loaded.intake)),
+                tokio::spawn(intake::run_hosts(
+                    shared.clone(),
+                    mailbox.clone(),
+                    loaded.hosts_at,
+                )),
+            ],
+            shared,
+            mailbox,
+            scheduler,
+            epoch,
+            fence,
+            orders: HashMap::new(),
+            sessions: HashMap::new(),
+            is_deposed: false,
+        };
+        driver.configure();
+        for (name, address) in loaded.hosts {
+            driver.meet(name, address);
+        }
+        driver
+    }
+
+    pub(super) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        info!(self.shared.log, "owner_started"; "epoch" => self.epoch,
+            "jobs" => self.scheduler.active(), "hosts" => self.sessions.len());
+        while !self.is_deposed {
+            tokio::select! {
+                event = events.recv() => {
+                    let Some(event) = event else {
+                        break;
+                    };
+                    self.take(event);
+                    while let Ok(event) = events.try_recv() {
+                        self.take(event);
+                    }
+                }
+                () = sleep_until(Instant::now() + TICK) => {}
+            }
+            self.advance();
+        }
+        warn!(self.shared.log, "owner_ended"; "epoch" => self.epoch);
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.shared.clock.now();
+        match event {
+            Event::Held(until) => self.scheduler.hold(until),
+            Event::Configured => self.configure(),
+            Event::Connected(name, orders) => {
+                info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
+                self.scheduler.connect(&name);
+                self.orders.insert(name, orders);
+            }
+            Event::Disconnected(name) => {
+                info!(self.shared.log, "session_lost"; "host" => &name, "epoch" => self.epoch);
+                self.scheduler.disconnect(&name);
+                self.orders.remove(&name);
+            }
+            Event::Update(update) => self.scheduler.update(&update, now),
+            Event::Query(query, reply) => self.answer(query, reply, now),
+            Event::Accepted(id, acceptance) => {
+                self.scheduler
+                    .set_wall_clock(self.shared.clock.unix_ms(), now);
+                self.scheduler.accept(id, *acceptance, now);
+            }
+            Event::Cancelled(id) => self.scheduler.cancel(id, now),
+            Event::Host(name, address) => self.meet(name, address),
+            Event::Committed(revision) => self.scheduler.committed(revision),
+            Event::Refused(revisions) => self.scheduler.refused(&revisions),
+            Event::Deposed => self.is_deposed = true,
+        }
+    }
+
+    /// Does what is due and sends what has to be sent.
+    fn advance(&mut self) {
+        let now = self.shared.clock.now();
+        self.scheduler
+            .set_wall_clock(self.shared.clock.unix_ms(), now);
+        self.scheduler.tick(now);
+        if let Some(commit) = self.scheduler.drain_commit(now) {
+            let (shared, mailbox) = (self.shared.clone(), self.mailbox.clone());
+            self.tasks.retain(|task| !task.is_finished());
+            self.tasks.push(tokio::spawn(record::run(
+                shared, mailbox, self.fence, commit,
+            )));
+        }
+        let expired = self.scheduler.drain_expired();
+        if !expired.is_empty() {
+            tokio::spawn(record::remove(self.shared.clone(), self.fence, expired));
+        }
+        for name in self.scheduler.due_hosts(now) {
+            self.send(&name, now);
+        }
+    }
+
+    fn send(&mut self, name: &str, now: Time) {
+        let Some(sender) = self.orders.get(name) else {
+            return;
+        };
+        let Ok(permit) = sender.try_reserve() else {
+            return;
+        };
+        if let Some(orders) = self.scheduler.orders(name, now) {
+            for start in &orders.starts {
+                info!(self.shared.log, "task_placed"; "task" => %start.task,
+                    "attempt" => start.attempt, "host" => name, "epoch" => self.epoch);
+            }
+            permit.send(orders);
+        }
+    }
+
+    fn answer(&mut self, query: Query, reply: Option<oneshot::Sender<Reply>>, now: Time) {
+        let answer = match query {
+            Query::State(id) => Reply::State(self.scheduler.state(id)),
+            Query::Pending(queue) => {
+                let pending = self.scheduler.pending(&queue);
+                Reply::Pending(u64::try_from(pending).unwrap_or(u64::MAX))
+            }
+            Query::Accepted { id, record } => {
+                if let Ok(acceptance) = serde_json::from_slice::<Acceptance>(&record) {
+                    self.scheduler.accept(id, acceptance, now);
+                }
+                Reply::Noted
+            }
+            Query::Cancelled(id) => {
+                self.scheduler.cancel(id, now);
+                Reply::Noted
+            }
+        };
+        if let Some(reply) = reply {
+            // The asker may have given up.
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn configure(&mut self) {
+        if let Some(catalog) = self.shared.catalog() {
+            self.scheduler.configure(catalog.queues.clone());
+        }
+    }
+
+    /// Opens a session to a companion, or replaces the one to its former address.
+    fn meet(&mut self, name: String, address: Address) {
+        if self
+            .sessions
+            .get(&name)
+            .is_some_and(|(known, _)| known.address == address.address)
+        {
+            return;
+        }
+        if let Some((_, task)) = self.sessions.remove(&name) {
+            task.abort();
+            self.scheduler.disconnect(&name);
+            self.orders.remove(&name);
+        }
+        let task = tokio::spawn(session::run(
+            self.shared.log.clone(),
+            self.mailbox.clone(),
+            name.clone(),
+            address.address,
+            self.epoch,
+        ));
+        self.sessions.insert(name, (address, task));
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        for (_, task) in self.sessions.values() {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/peer.rs
@@ -0,0 +1,35 @@
+//! Questions and notices of other entries.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use toucanquay_model::{Error, ErrorKind};
+use toucanquay_wire::{
+    Frame, Stream,
+    graph::{Query, Reply},
+};
+
+use super::{Shared, owner::Event};
+
+/// Serves one stream.
+pub(super) async fn serve(shared: Arc<Shared>, mut stream: Stream) {
+    let Ok(Some(Frame::Graph(query))) = stream.recv().await else {
+        return;
+    };
+    let frame = match ask_here(&shared, query).await {
+        Ok(reply) => Frame::GraphReply(reply),
+        Err(error) => Frame::Refused(error),
+    };
+    // An entry that has given up asks the store.
+    let _ = stream.send_last(&frame).await;
+}
+
+/// Asks the owner in this process.
+pub(super) async fn ask_here(shared: &Shared, query: Query) -> Result<Reply, Error> {
+    let no_owner = || Error::new(ErrorKind::NoOwner);
+    let mailbox = shared.mailbox().ok_or_else(no_owner)?;
+    let (sender, reply) = oneshot::channel();
+    let event = Event::Query(query, Some(sender));
+    mailbox.send(event).await.map_err(|_closed| no_owner())?;
+    reply.await.map_err(|_closed| no_owner())
+}
--- /dev/null
+++ b/crates/node/src/entry/record.rs
@@ -0,0 +1,114 @@
+//! Writes the records of jobs.
+
+use std::sync::Arc;
+
+use slog::{debug, warn};
+use tokio::{
+    sync::mpsc,
+    time::{Duration, Instant, sleep},
+};
+use toucanquay_control::scheduler::Commit as Records;
+use toucanquay_model::{
+    Error, Revision,
+    graph::{Id, Progress},
+};
+
+use super::{Shared, owner::Event};
+use crate::{
+    key,
+    store::{Commit, Item, Transaction},
+};
+
+/// Time for one call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Shortest and longest pause after a failed call.
+const PAUSE_MIN: Duration = Duration::from_millis(25);
+const PAUSE_MAX: Duration = Duration::from_millis(250);
+
+/// Jobs whose keys are removed in one transaction: three keys each, and the fence.
+const REMOVALS_MAX: usize = 10;
+
+/// Writes one commit until it is decided, and reports the outcome to the owner.
+pub(super) async fn run(
+    shared: Arc<Shared>,
+    mailbox: mpsc::Sender<Event>,
+    fence: Revision,
+    records: Records,
+) {
+    let mut pause = PAUSE_MIN;
+    loop {
+        match write(&shared, fence, &records).await {
+            Ok(event) => {
+                // An owner whose role has ended needs no outcome.
+                let _ = mailbox.send(event).await;
+                return;
+            }
+            Err(error) => {
+                debug!(shared.log, "record_failed"; "error" => %error);
+                sleep(pause).await;
+                pause = (pause * 2).min(PAUSE_MAX);
+            }
+        }
+    }
+}
+
+async fn write(shared: &Shared, fence: Revision, records: &Records) -> Result<Event, Error> {
+    let mut transaction = Transaction::default().expect(key::FENCE, fence);
+    for (id, revision, progress) in &records.records {
+        let key = key::progress(*id);
+        transaction = transaction
+            .expect(key.clone(), *revision)
+            .put(key, encode(progress));
+    }
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    match shared.store.commit(transaction, deadline).await? {
+        Commit::Done(revision) => Ok(Event::Committed(revision)),
+        Commit::Conflict(items) => Ok(judge(shared, fence, records, &items)),
+    }
+}
+
+/// Tells from the present items whether an earlier write of the same records took effect.
+fn judge(shared: &Shared, fence: Revision, records: &Records, items: &[Item]) -> Event {
+    let find = |key: &str| items.iter().find(|item| item.key == key);
+    if find(key::FENCE).is_none_or(|item| item.revision != fence) {
+        warn!(shared.log, "record_fenced"; "fence" => fence);
+        return Event::Deposed;
+    }
+    let present = |id: Id| find(&key::progress(id));
+    let mut written = records.records.iter().map(|(id, _, progress)| {
+        let item = present(*id)?;
+        (item.value == encode(progress)).then_some(item.revision)
+    });
+    if let Some(Some(revision)) = written.next()
+        && written.all(|other| other == Some(revision))
+    {
+        return Event::Committed(revision);
+    }
+    let revision = |id: Id| present(id).map_or(0, |item| item.revision);
+    let ids = records
+        .records
+        .iter()
+        .map(|(id, _, _)| (*id, revision(*id)));
+    Event::Refused(ids.collect())
+}
+
+/// Removes the keys of jobs that were over long ago.
+pub(super) async fn remove(shared: Arc<Shared>, fence: Revision, ids: Vec<Id>) {
+    for ids in ids.chunks(REMOVALS_MAX) {
+        let mut transaction = Transaction::default().expect(key::FENCE, fence);
+        for id in ids {
+            let keys = [key::job(*id), key::cancel(*id), key::progress(*id)];
+            transaction = keys.into_iter().fold(transaction, Transaction::remove);
+        }
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        if let Err(error) = shared.store.commit(transaction, deadline).await {
+            // The next owner finds the jobs in the store and forgets them again.
+            debug!(shared.log, "removal_failed"; "error" => %error);
+        }
+    }
+}
+
+fn encode(progress: &Progress) -> Vec<u8> {
+    serde_json::to_vec(progress).expect("progress is plain data")
+}
--- /dev/null
+++ b/crates/node/src/entry/settings.rs
@@ -0,0 +1,16 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+
+use toucanquay_model::Incarnation;
+
+/// Settings of an [`Entry`](super::Entry).
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the host.
+    pub name: String,
+    /// Incarnation of this process.
+    pub process: Incarnation,
+    /// Address for other entries.
+    pub listen: SocketAddr,
+}
--- /dev/null
+++ b/crates/node/src/entry/shared.rs
@@ -0,0 +1,115 @@
+//! What the entry's tasks share.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use slog::Logger;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use toucanquay_model::Time;
+use toucanquay_wire::Pool;
+
+use super::{Settings, owner::Event, term::Term};
+use crate::{Catalog, Clock, Store, catalog::Source};
+
+/// Time without an answer of the store after which the entry isn't ready.
+const STORE_SILENCE_MICROS: u64 = 4_000_000;
+
+/// State of an entry.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) settings: Settings,
+    pub(super) store: Store,
+    pub(super) source: Source,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) pool: Pool,
+    /// Ends the process's work.
+    pub(super) stop: CancellationToken,
+    /// The process takes no role any more.
+    pub(super) retire: CancellationToken,
+    /// The owner's role was handed over, or never held, after [`retire`](Self::retire).
+    pub(super) released: CancellationToken,
+    state: Mutex<State>,
+}
+
+/// What changes during the life of an entry.
+#[derive(Debug, Default)]
+struct State {
+    catalog: Option<Arc<Catalog>>,
+    owner: Option<Term>,
+    /// Reaches the owner's task while this process is the owner.
+    mailbox: Option<mpsc::Sender<Event>>,
+    store_heard_at: Option<Time>,
+}
+
+impl Shared {
+    pub(super) fn new(settings: Settings, store: Store, source: Source, log: Logger) -> Self {
+        Self {
+            settings,
+            store,
+            source,
+            clock: Clock,
+            log,
+            pool: Pool::new(),
+            stop: CancellationToken::new(),
+            retire: CancellationToken::new(),
+            released: CancellationToken::new(),
+            state: Mutex::default(),
+        }
+    }
+
+    pub(super) fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.state().catalog.clone()
+    }
+
+    /// Takes a configuration unless a later one is in force. Returns whether it was taken.
+    pub(super) fn configure(&self, catalog: Catalog) -> bool {
+        let mut state = self.state();
+        let present = state.catalog.as_ref().map(|catalog| catalog.version);
+        if present.is_some_and(|version| version >= catalog.version) {
+            return false;
+        }
+        state.catalog = Some(Arc::new(catalog));
+        true
+    }
+
+    pub(super) fn owner(&self) -> Option<Term> {
+        self.state().owner.clone()
+    }
+
+    pub(super) fn set_owner(&self, owner: Option<Term>) {
+        self.state().owner = owner;
+    }
+
+    pub(super) fn mailbox(&self) -> Option<mpsc::Sender<Event>> {
+        self.state().mailbox.clone()
+    }
+
+    pub(super) fn set_mailbox(&self, mailbox: Option<mpsc::Sender<Event>>) {
+        self.state().mailbox = mailbox;
+    }
+
+    /// The store has answered.
+    pub(super) fn heard_store(&self) {
+        self.state().store_heard_at = Some(self.clock.now());
+    }
+
+    pub(super) fn is_ready(&self) -> bool {
+        let state = self.state();
+        let is_heard = state
+            .store_heard_at
+            .is_some_and(|heard_at| self.clock.now() < heard_at.plus_micros(STORE_SILENCE_MICROS));
+        state.catalog.is_some() && is_heard && !self.retire.is_cancelled()
+    }
+
+    pub(super) fn spawn(self: &Arc<Self>, run: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(run).await });
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no holder of this lock panics while it changes the state")
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/takeover.rs
@@ -0,0 +1,106 @@
+//! Loads the state of a new owner.
+
+use std::collections::HashMap;
+
+use slog::{info, warn};
+use tokio::time::{Duration, Instant, sleep};
+use toucanquay_control::scheduler::{Restored, Scheduler, Settings};
+use toucanquay_model::{
+    Epoch, Error, Revision,
+    graph::{Acceptance, Id},
+};
+
+use super::{Address, Shared};
+use crate::{key, store::Item};
+
+/// Time for one call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// State of a new owner.
+#[derive(Debug)]
+pub(super) struct Loaded {
+    pub(super) scheduler: Scheduler,
+    pub(super) hosts: Vec<(String, Address)>,
+    /// Revision from which the watch of accepted jobs goes on.
+    pub(super) intake: Revision,
+    /// Revision from which the watch of companions goes on.
+    pub(super) hosts_at: Revision,
+}
+
+/// Loads until it succeeds.
+pub(super) async fn load(shared: &Shared, epoch: Epoch, fence: Revision) -> Loaded {
+    loop {
+        match try_load(shared, epoch, fence).await {
+            Ok(loaded) => return loaded,
+            Err(error) => {
+                warn!(shared.log, "takeover_delayed"; "epoch" => epoch, "error" => %error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_load(shared: &Shared, epoch: Epoch, fence: Revision) -> Result<Loaded, Error> {
+    let store = &shared.store;
+    let deadline = || Instant::now() + CALL_TIMEOUT;
+    let (host_items, hosts_at) = store.list(key::HOSTS, deadline()).await?;
+    let (intake_items, intake) = store.list(key::INTAKE, deadline()).await?;
+    let (progress_items, _) = store.list(key::PROGRESS, deadline()).await?;
+    let hosts: Vec<(String, Address)> = host_items.iter().filter_map(host).collect();
+    let now = shared.clock.now();
+    let names = hosts.iter().map(|(name, _)| name.clone());
+    let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
+    scheduler.set_wall_clock(shared.clock.unix_ms(), now);
+    let mut progress = progress_by_job(&progress_items);
+    for item in &intake_items {
+        if let Some(id) = id(item, key::CANCELS) {
+            scheduler.cancel(id, now);
+        }
+        let Some((id, acceptance)) = job(item) else {
+            continue;
+        };
+        if item.revision < fence {
+            let restored = progress.remove(&id).unwrap_or_default();
+            scheduler.restore(id, acceptance, restored, now);
+        } else {
+            scheduler.accept(id, acceptance, now);
+        }
+    }
+    info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active(),
+        "hosts" => hosts.len(), "revision" => intake);
+    Ok(Loaded {
+        scheduler,
+        hosts,
+        intake,
+        hosts_at,
+    })
+}
+
+fn progress_by_job(items: &[Item]) -> HashMap<Id, Restored> {
+    let restored = |item: &Item| {
+        let progress = serde_json::from_slice(&item.value).ok()?;
+        let revision = item.revision;
+        Some((id(item, key::PROGRESS)?, Restored { progress, revision }))
+    };
+    items.iter().filter_map(restored).collect()
+}
+
+/// Returns a companion's name and address, if the item is one.
+pub(super) fn host(item: &Item) -> Option<(String, Address)> {
+    let name = item.key.strip_prefix(key::HOSTS)?;
+    Some((name.to_owned(), Address::from_bytes(&item.value)?))
+}
+
+/// Returns the job of a key with this prefix.
+pub(super) fn id(item: &Item, prefix: &str) -> Option<Id> {
+    item.key.strip_prefix(prefix)?.parse().ok()
+}
+
+/// Returns an accepted job, if the item is one.
+pub(super) fn job(item: &Item) -> Option<(Id, Acceptance)> {
+    let id = id(item, key::JOBS)?;
+    Some((id, serde_json::from_slice(&item.value).ok()?))
+}
--- /dev/null
+++ b/crates/node/src/store/event.rs
@@ -0,0 +1,19 @@
+//! One change.
+
+use toucanquay_model::Revision;
+
+use super::Item;
+
+/// A change that a watch reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// An item was written.
+    Written(Item),
+    /// A key was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// Revision of the removal.
+        revision: Revision,
+    },
+}
--- /dev/null
+++ b/crates/node/src/store/item.rs
@@ -0,0 +1,14 @@
+//! One item.
+
+use toucanquay_model::Revision;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: Revision,
+}
--- /dev/null
+++ b/crates/node/src/worker.rs
@@ -0,0 +1,44 @@
+//! The worker beside a companion, as the product uses it.
+
+mod call;
+mod reply;
+
+use std::{fmt, sync::Arc};
+
+use futures_util::future::BoxFuture;
+use tokio::time::Instant;
+
+pub use call::Call;
+pub use reply::Reply;
+
+/// Carries out one call by a deadline.
+type Carry = dyn Fn(Call, Instant) -> BoxFuture<'static, Reply> + Send + Sync;
+
+/// Calls to one worker.
+#[derive(Clone)]
+pub struct Worker {
+    carry: Arc<Carry>,
+}
+
+impl fmt::Debug for Worker {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Worker").finish_non_exhaustive()
+    }
+}
+
+impl Worker {
+    /// Returns a worker whose calls are carried out by `carry`.
+    pub fn new<F>(carry: F) -> Self
+    where
+        F: Fn(Call, Instant) -> BoxFuture<'static, Reply> + Send + Sync + 'static,
+    {
+        Self {
+            carry: Arc::new(carry),
+        }
+    }
+
+    /// Carries out a call.
+    pub async fn call(&self, call: Call, deadline: Instant) -> Reply {
+        (self.carry)(call, deadline).await
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use toucanquay_model::{Error, exchange, job, request::Verdict};
+use toucanquay_model::{Epoch, Error, exchange, job, request::Verdict, session};
 
-use crate::{End, Failure, Tombstone, heartbeat, peer, request, response, section};
+use crate::{End, Failure, Tombstone, graph, heartbeat, peer, request, response, section};
 
 /// One message between the system's own processes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +43,16 @@
     Peer(peer::Status),
     /// Entry to entry: the reply with its own state.
     PeerReply(peer::Status),
+    /// Owner to agent: a session begins.
+    Session(Epoch),
+    /// Owner to agent: orders of the session.
+    Orders(session::Orders),
+    /// Agent to owner: everything that it knows.
+    Update(session::Update),
+    /// Entry to owner: a question or a notice on job graphs.
+    Graph(graph::Query),
+    /// Owner to entry.
+    GraphReply(graph::Reply),
     /// The call was refused.
     Refused(Error),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod end;
 pub mod failure;
 pub mod frame;
+pub mod graph;
 pub mod headers;
 pub mod heartbeat;
 pub mod peer;
