scheduler: gather sensitive tasks on few workers; heartbeat to agents without a worker

Cause: tasks that use idle processors ran beside latency targets on every worker and were paced to zero. Ruled out: a faulty pace call (all were answered 200).

--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -12,8 +12,11 @@
 /// Least share of its processors that a task must find idle, unless its job has nothing running.
 const IDLE_SHARE_MIN: f64 = 0.5;
 
-/// Deduction for a worker that serves users whose latency a task could harm.
-const SENSITIVE_DEDUCTION: f64 = 0.3;
+/// Largest share of idle processors that makes a worker better.
+const IDLE_SHARE_MAX: f64 = 2.0;
+
+/// Deduction for mixing tasks that use idle processors with those whose users they could harm.
+const MIX_DEDUCTION: f64 = 5.0;
 
 /// Addition for a worker on the rack that holds the data.
 const RACK_ADDITION: f64 = 10.0;
@@ -24,8 +27,9 @@
 impl Scheduler {
     /// Returns the best worker for one task of a stage, if any has room.
     ///
-    /// Among those with room, tasks go where the largest share of the processors is free: short
-    /// work spreads, and what is left over serves tasks that use idle processors.
+    /// Among those with room, tasks go where most processors are idle. Tasks whose users feel
+    /// their neighbours gather on few workers instead, and tasks that use idle processors go to
+    /// the others.
     pub(super) fn choose(
         &self,
         job: JobKey,
@@ -65,23 +69,21 @@
         if !step.requires.as_ref().is_none_or(has_label) || !step.occupied().fits(&host.free()) {
             return None;
         }
-        let free_milli = f64::from(host.free().processors_milli);
         let capacity_milli = f64::from(worker.capacity.processors_milli.max(1));
+        let free_milli = f64::from(host.free().processors_milli);
+        let left_milli = free_milli - f64::from(host.idle_milli);
         let mut score = if step.uses_idle {
-            let idle_milli = free_milli - f64::from(host.idle_milli);
-            let share = idle_milli / f64::from(step.demand.processors_milli.max(1));
+            let share = left_milli / f64::from(step.demand.processors_milli.max(1));
             if share < IDLE_SHARE_MIN && !is_first {
                 return None;
             }
-            let is_sensitive = self.has_sensitive(host);
-            let deduction = if is_sensitive {
-                SENSITIVE_DEDUCTION
-            } else {
-                0.0
-            };
-            share.min(2.0) - deduction
+            share.min(IDLE_SHARE_MAX) - if self.has_sensitive(host) { MIX_DEDUCTION } else { 0.0 }
+        } else if step.latency_target_ms.is_some() {
+            // Sensitive tasks gather on few workers, which leaves the others undisturbed.
+            let is_mixed = host.idle_milli > 0 && !self.has_sensitive(host);
+            -free_milli / capacity_milli - if is_mixed { MIX_DEDUCTION } else { 0.0 }
         } else {
-            free_milli / capacity_milli
+            left_milli / capacity_milli
         };
         if step.rack.as_ref().is_some_and(has_label) {
             score += RACK_ADDITION;
--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -36,7 +36,7 @@
     pub fn due_hosts(&self, now: Time) -> Vec<String> {
         let is_due = |host: &&Host| {
             let next_at = host.sent_at.plus_micros(self.settings.heartbeat_micros);
-            host.is_connected && !host.is_fresh && (host.has_orders() || now >= next_at)
+            host.is_connected && host.update > 0 && (host.has_orders() || now >= next_at)
         };
         let due = self.hosts.values().filter(is_due);
         due.map(|host| host.name.clone()).collect()
@@ -49,7 +49,7 @@
         }
         let key = *self.names.get(name)?;
         let host = self.hosts.get_mut(key)?;
-        if !host.is_connected || host.is_fresh {
+        if !host.is_connected || host.update == 0 {
             return None;
         }
         host.sent += 1;
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -53,7 +53,7 @@
             .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
         create(shared, key::job(id), record.clone(), deadline).await?;
         info!(shared.log, "job_accepted"; "job" => %id, "queue" => queue,
-            "steps" => acceptance.job.steps.len());
+            "steps" => acceptance.job.steps.len(), "chain_ms" => acceptance.job.chain_ms());
         let record = Bytes::from(record);
         notify(shared.clone(), Query::Accepted { id, record });
         Ok(())
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -151,7 +151,10 @@
         if let Some(orders) = self.scheduler.orders(name, now) {
             for start in &orders.starts {
                 info!(self.shared.log, "task_placed"; "task" => %start.task,
-                    "attempt" => start.attempt, "host" => name, "epoch" => self.epoch);
+                    "attempt" => start.attempt, "host" => name, "epoch" => self.epoch,
+                    "milli" => start.profile.occupied.processors_milli,
+                    "uses_idle" => start.profile.uses_idle,
+                    "latency_target_ms" => start.profile.latency_target_ms);
             }
             permit.send(orders);
         }
