runner: pace by latency near its target

Cause: tasks beside sensitive ones were paced down while latency was well under its target. Ruled out: slow reports (gauges arrive at least every 500 ms).

--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -3,19 +3,19 @@
 use toucanquay_model::Time;
 
 /// Latency above this share of its target slows the others sharply, in percent.
-const PRESSURE_HIGH_PERCENT: u32 = 95;
+const PRESSURE_HIGH_PERCENT: u32 = 100;
 
 /// Latency above this share of its target slows the others, in percent.
-const PRESSURE_MEDIUM_PERCENT: u32 = 75;
+const PRESSURE_MEDIUM_PERCENT: u32 = 90;
 
 /// Latency below this share of its target lets the others speed up, in percent.
-const PRESSURE_LOW_PERCENT: u32 = 60;
+const PRESSURE_LOW_PERCENT: u32 = 80;
 
 /// Pace below which a task is paused, in percent.
 const PACE_MIN_PERCENT: u8 = 10;
 
 /// Step by which the pace grows, in percent.
-const PACE_STEP_PERCENT: u8 = 10;
+const PACE_STEP_PERCENT: u8 = 15;
 
 /// Least time between two changes, in microseconds: reports cover the last half second.
 const CHANGE_MICROS: u64 = 450_000;
