--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -99,9 +99,7 @@
     pub(super) fn attach(&mut self, key: RunKey, step: &Step) {
         self.runs.push(key);
         self.used = self.used.plus(&step.occupied());
-        if step.uses_idle {
-            self.idle_milli = self.idle_milli.saturating_add(step.demand.processors_milli);
-        }
+        self.idle_milli = self.idle_milli.saturating_add(step.idle_milli());
     }
 
     /// Removes an attempt.
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -217,11 +217,7 @@
             attempt: row.attempt,
             host,
             occupied: step.occupied(),
-            idle_milli: if step.uses_idle {
-                step.demand.processors_milli
-            } else {
-                0
-            },
+            idle_milli: step.idle_milli(),
             is_sensitive: step.latency_target_ms.is_some(),
             started_at: now,
             ordered_in: Some(0),
@@ -318,6 +314,7 @@
 pub(super) const fn profile(step: &toucanquay_model::graph::Step) -> Profile {
     Profile {
         occupied: step.occupied(),
+        idle_milli: step.idle_milli(),
         latency_target_ms: step.latency_target_ms,
         uses_idle: step.uses_idle,
     }
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -161,11 +161,7 @@
             attempt,
             host,
             occupied: step.occupied(),
-            idle_milli: if step.uses_idle {
-                step.demand.processors_milli
-            } else {
-                0
-            },
+            idle_milli: step.idle_milli(),
             is_sensitive: step.latency_target_ms.is_some(),
             started_at: now,
             ordered_in: None,
--- a/crates/model/src/graph/step.rs
+++ b/crates/model/src/graph/step.rs
@@ -55,4 +55,14 @@
             ..self.demand
         }
     }
+
+    /// Returns the processors that a task uses if they are idle, in thousandths.
+    #[must_use]
+    pub const fn idle_milli(&self) -> u32 {
+        if self.uses_idle {
+            self.demand.processors_milli
+        } else {
+            0
+        }
+    }
 }
--- a/crates/model/src/session/profile.rs
+++ b/crates/model/src/session/profile.rs
@@ -9,6 +9,8 @@
 pub struct Profile {
     /// What the attempt occupies.
     pub occupied: Resources,
+    /// Processors that it uses if they are idle, in thousandths.
+    pub idle_milli: u32,
     /// Bound of the tail latency that its own users see, in milliseconds.
     pub latency_target_ms: Option<u32>,
     /// It uses only processors that others leave idle, and may be paced.
