scheduler, runner: learn interference by image, pace by effect, place by speed

Cause: one pace for all neighbours paused those that did no harm, and declared sizes hid idle processors (a trial printed processors in use: close to the demand beside fully booked sensitive tasks). Ruled out: too few processors (used and wanted shares agreed on every worker).

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -24,7 +24,7 @@
 pub use listed::Listed;
 pub use listing::Listing;
 pub use outcome::Outcome;
-use pacer::Pacer;
+use pacer::{Pace, Pacer};
 pub use settings::Settings;
 
 /// An attempt at a task.
@@ -244,6 +244,8 @@
             phase: entry.phase,
             checkpoint: entry.checkpoint.clone(),
             done_percent: entry.done_percent,
+            gauge: entry.gauge,
+            pace_percent: entry.pace,
         });
         Update {
             host: self.settings.host.clone(),
@@ -440,27 +442,30 @@
     }
 
     fn pace(&mut self, now: Time) -> Vec<Action> {
-        let worst = self.runs.values().filter_map(Entry::pressure_percent).max();
-        let percent = self.pacer.observe(worst, now);
-        let mut actions = Vec::new();
-        for ((task, attempt), entry) in &mut self.runs {
-            let uses_idle = entry.profile.is_some_and(|profile| profile.uses_idle);
-            if uses_idle && entry.phase == Phase::Running && entry.pace != percent {
-                entry.pace = percent;
-                actions.push(Action::Pace {
-                    task: *task,
-                    attempt: *attempt,
-                    percent,
-                });
-            }
-        }
-        actions
+        let worst = self.runs.values().filter_map(Entry::latency_percent).max();
+        let paced = self.runs.iter_mut().filter(|(_, entry)| entry.is_paced());
+        let mut paces: Vec<Pace<'_, Key>> = paced
+            .map(|(key, entry)| Pace {
+                key: *key,
+                pressure_percent: entry.profile.map_or(0, |profile| profile.pressure_percent),
+                before: entry.pace,
+                percent: &mut entry.pace,
+            })
+            .collect();
+        let changed = self.pacer.observe(worst, &mut paces, now);
+        let action = |((task, attempt), percent)| Action::Pace {
+            task,
+            attempt,
+            percent,
+        };
+        changed.into_iter().map(action).collect()
     }
 
     /// Forgets the pace of an attempt whose order to change it was not carried out.
     pub fn pace_failed(&mut self, task: Task, attempt: u64) {
         if let Some(entry) = self.runs.get_mut(&(task, attempt)) {
-            entry.pace = u8::MAX;
+            // The next look orders a pace again unless the full speed is right.
+            entry.pace = Entry::FULL_PACE;
         }
     }
 
--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -5,9 +5,6 @@
     session::{Phase, Profile},
 };
 
-/// Pace of an attempt when it starts, in percent.
-const FULL_PACE: u8 = 100;
-
 /// One attempt.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -28,6 +25,9 @@
 }
 
 impl Entry {
+    /// Pace of an attempt when it starts, in percent.
+    pub(super) const FULL_PACE: u8 = 100;
+
     pub(super) const fn starting(profile: Profile) -> Self {
         Self::new(Phase::Starting, Some(profile))
     }
@@ -44,7 +44,7 @@
             checkpoint: None,
             done_percent: 0,
             gauge: 0,
-            pace: FULL_PACE,
+            pace: Self::FULL_PACE,
             stop_at: Time::NEVER,
             settled_at: None,
             is_listed: false,
@@ -78,8 +78,14 @@
             .is_some_and(|profile| profile.latency_target_ms.is_some())
     }
 
+    /// Tells whether the attempt may be slowed down for its neighbours.
+    pub(super) fn is_paced(&self) -> bool {
+        let uses_idle = self.profile.is_some_and(|profile| profile.uses_idle);
+        uses_idle && self.phase == Phase::Running
+    }
+
     /// Returns the latency as a share of its target, in percent.
-    pub(super) fn pressure_percent(&self) -> Option<u32> {
+    pub(super) fn latency_percent(&self) -> Option<u32> {
         let target = self.profile?.latency_target_ms?;
         (self.phase == Phase::Running).then(|| self.gauge.saturating_mul(100) / target.max(1))
     }
--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 mod orders;
 mod placement;
+mod pressure;
 mod rank;
 mod restored;
 mod run;
@@ -30,6 +31,8 @@
     graph::{Acceptance, Id, Queue, State},
 };
 
+use toucanquay_policy::pressure::Model;
+
 pub use commit::Commit;
 use host::Host;
 use job::Job;
@@ -57,6 +60,7 @@
     hosts: SlotMap<HostKey, Host>,
     names: HashMap<String, HostKey>,
     runs: SlotMap<RunKey, Run>,
+    model: Model,
     waiting: BTreeSet<JobKey>,
     timers: BTreeSet<(Time, JobKey)>,
     is_placement_due: bool,
@@ -94,6 +98,7 @@
             hosts: SlotMap::with_key(),
             names: HashMap::new(),
             runs: SlotMap::with_key(),
+            model: Model::default(),
             waiting: BTreeSet::new(),
             timers: BTreeSet::new(),
             is_placement_due: true,
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of a worker for a task.
 
-use toucanquay_model::{Time, graph::Step};
+use toucanquay_model::{Time, graph::Step, session::Worker};
 
 use super::{
     Scheduler,
@@ -9,15 +9,16 @@
     task::Task,
 };
 
-/// Least share of its processors that a task must find idle, unless its job has nothing running.
-const IDLE_SHARE_MIN: f64 = 0.5;
-
-/// Largest share of idle processors that makes a worker better.
-const IDLE_SHARE_MAX: f64 = 2.0;
+/// Least speed at which a task that uses idle processors is started, unless its job has nothing
+/// running.
+const SPEED_MIN: f64 = 0.4;
 
 /// Deduction for mixing tasks that use idle processors with those whose users they could harm.
 const MIX_DEDUCTION: f64 = 5.0;
 
+/// Share of its processors that a task which serves users needs on average.
+const SENSITIVE_USE: f64 = 0.6;
+
 /// Addition for a worker on the rack that holds the data.
 const RACK_ADDITION: f64 = 10.0;
 
@@ -38,13 +39,16 @@
         task: &Task,
         now: Time,
     ) -> Option<HostKey> {
+        let image = self
+            .model
+            .known_key(step.image.as_deref().unwrap_or_default());
         let pool = &self.jobs.get(job)?.policy.pool;
         let queue = self.queues.get(&self.jobs.get(job)?.queue);
         let pool = queue.map_or(pool, |queue| &queue.pool);
         let is_first = self.jobs.get(job)?.running().is_empty();
         let mut best: Option<(f64, HostKey)> = None;
         for (key, host) in &self.hosts {
-            let Some(score) = self.score(host, pool, step, is_first) else {
+            let Some(score) = self.score(host, pool, step, image, is_first) else {
                 continue;
             };
             if !self.has_place_for(key, job, slot, step) {
@@ -63,37 +67,58 @@
         best.map(|(_, key)| key)
     }
 
-    fn score(&self, host: &Host, pool: &str, step: &Step, is_first: bool) -> Option<f64> {
-        let worker = host.open_worker().filter(|worker| worker.pool == pool)?;
-        let has_label = |label: &String| worker.labels.contains(label);
-        if !step.requires.as_ref().is_none_or(has_label) || !step.occupied().fits(&host.free()) {
-            return None;
-        }
+    fn score(
+        &self,
+        host: &Host,
+        pool: &str,
+        step: &Step,
+        image: usize,
+        is_first: bool,
+    ) -> Option<f64> {
+        let worker = self.fitting(host, pool, step)?;
         let capacity_milli = f64::from(worker.capacity.processors_milli.max(1));
-        let free_milli = f64::from(host.free().processors_milli);
-        let left_milli = free_milli - f64::from(host.idle_milli);
         let mut score = if step.uses_idle {
-            let share = left_milli / f64::from(step.demand.processors_milli.max(1));
-            if share < IDLE_SHARE_MIN && !is_first {
+            let speed = self.speed(host, pool, step, image)?;
+            if speed < SPEED_MIN && !is_first {
                 return None;
             }
-            share.min(IDLE_SHARE_MAX) - if self.has_sensitive(host) { MIX_DEDUCTION } else { 0.0 }
+            speed + self.left_milli(host) / capacity_milli
         } else if step.latency_target_ms.is_some() {
             // Sensitive tasks gather on few workers, which leaves the others undisturbed.
-            let is_mixed = host.idle_milli > 0 && !self.has_sensitive(host);
+            let is_mixed = host.idle_milli > 0 && host.sensitive_milli == 0;
+            let free_milli = f64::from(host.free().processors_milli);
             -free_milli / capacity_milli - if is_mixed { MIX_DEDUCTION } else { 0.0 }
         } else {
-            left_milli / capacity_milli
+            self.left_milli(host) / capacity_milli
         };
+        let has_label = |label: &String| worker.labels.contains(label);
         if step.rack.as_ref().is_some_and(has_label) {
             score += RACK_ADDITION;
         }
         Some(score)
     }
 
-    fn has_sensitive(&self, host: &Host) -> bool {
-        let mut runs = host.runs.iter();
-        runs.any(|key| self.runs.get(*key).is_some_and(|run| run.is_sensitive))
+    /// Returns the worker of a host if a task may be placed there and fits.
+    fn fitting<'a>(&self, host: &'a Host, pool: &str, step: &Step) -> Option<&'a Worker> {
+        let worker = host.open_worker().filter(|worker| worker.pool == pool)?;
+        let has_label = |label: &String| worker.labels.contains(label);
+        let is_allowed = step.requires.as_ref().is_none_or(has_label);
+        (is_allowed && step.occupied().fits(&host.free())).then_some(worker)
+    }
+
+    /// Returns the speed at which a task that uses idle processors would run on a host, from 0 to
+    /// 1, or `None` if it can't run there.
+    pub(super) fn speed(&self, host: &Host, pool: &str, step: &Step, image: usize) -> Option<f64> {
+        self.fitting(host, pool, step)?;
+        let demand_milli = f64::from(step.demand.processors_milli.max(1));
+        let share = (self.left_milli(host) / demand_milli).clamp(0.0, 1.0);
+        Some(share * self.allowed_speed(host, image, step.idle_milli()))
+    }
+
+    /// Returns the processors that are probably idle, in thousandths.
+    fn left_milli(&self, host: &Host) -> f64 {
+        let unused = f64::from(host.sensitive_milli) * (1.0 - SENSITIVE_USE);
+        f64::from(host.free().processors_milli) + unused - f64::from(host.idle_milli)
     }
 
     fn has_place_for(&self, host: HostKey, job: JobKey, slot: usize, step: &Step) -> bool {
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -35,6 +35,8 @@
     /// What attempts occupy that are on the worker and not in [`runs`](Self::runs).
     pub(super) foreign: Resources,
     pub(super) idle_milli: u32,
+    /// Processors of sensitive attempts, in thousandths.
+    pub(super) sensitive_milli: u32,
     pub(super) sent: u64,
     pub(super) sent_at: Time,
     pub(super) starts: Vec<Start>,
@@ -66,6 +68,7 @@
             used: Resources::ZERO,
             foreign: Resources::ZERO,
             idle_milli: 0,
+            sensitive_milli: 0,
             sent: 0,
             sent_at: Time::ZERO,
             starts: Vec::new(),
@@ -100,6 +103,10 @@
         self.runs.push(key);
         self.used = self.used.plus(&step.occupied());
         self.idle_milli = self.idle_milli.saturating_add(step.idle_milli());
+        if step.latency_target_ms.is_some() {
+            let milli = step.demand.processors_milli;
+            self.sensitive_milli = self.sensitive_milli.saturating_add(milli);
+        }
     }
 
     /// Removes an attempt.
@@ -107,6 +114,10 @@
         self.runs.retain(|other| *other != key);
         self.used = self.used.saturating_sub(&run.occupied);
         self.idle_milli = self.idle_milli.saturating_sub(run.idle_milli);
+        if run.is_sensitive() {
+            let milli = run.occupied.processors_milli;
+            self.sensitive_milli = self.sensitive_milli.saturating_sub(milli);
+        }
     }
 
     pub(super) fn has_orders(&self) -> bool {
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -31,6 +31,7 @@
             self.take_ends(key, update, now);
             self.take_runs(key, update, now);
             self.resolve_absent(key, update, is_fresh, is_successor, now);
+            self.learn_pressure(key, now);
             self.hosts[key].is_fresh = false;
             self.acknowledge_ends(key);
             if update.is_settled && self.awaited.remove(&update.host) {
@@ -179,7 +180,7 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        run.done_percent = row.done_percent;
+        run.observe(row, now);
         let (job, place) = (run.job, run.place);
         let Some(job) = self.jobs.get_mut(job) else {
             return;
@@ -211,19 +212,10 @@
             return false;
         };
         job.begin();
-        let run = self.runs.insert(Run {
-            job: job_key,
-            place,
-            attempt: row.attempt,
-            host,
-            occupied: step.occupied(),
-            idle_milli: step.idle_milli(),
-            is_sensitive: step.latency_target_ms.is_some(),
-            started_at: now,
-            ordered_in: Some(0),
-            is_stopping: false,
-            done_percent: row.done_percent,
-        });
+        let image = self.model.key(step.image.as_deref().unwrap_or_default());
+        let mut run = Run::new(job_key, place, row.attempt, host, &step, image, now);
+        run.ordered_in = Some(0);
+        let run = self.runs.insert(run);
         if let Some(task) = job.task_mut(place) {
             task.phase = Phase::Running(run);
             task.checkpoint.clone_from(&row.checkpoint);
@@ -316,6 +308,7 @@
         occupied: step.occupied(),
         idle_milli: step.idle_milli(),
         latency_target_ms: step.latency_target_ms,
+        pressure_percent: 0,
         uses_idle: step.uses_idle,
     }
 }
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -3,7 +3,7 @@
 use toucanquay_model::{
     Time,
     graph::{Place, Step},
-    session::Start,
+    session::{Profile, Start},
 };
 
 use super::{
@@ -155,19 +155,11 @@
             step: u16::try_from(slot % steps).unwrap_or(u16::MAX),
             index,
         };
-        let run = self.runs.insert(Run {
-            job: key,
-            place,
-            attempt,
-            host,
-            occupied: step.occupied(),
-            idle_milli: step.idle_milli(),
-            is_sensitive: step.latency_target_ms.is_some(),
-            started_at: now,
-            ordered_in: None,
-            is_stopping: false,
-            done_percent: 0,
-        });
+        let image = self.image(step);
+        let run = Run::new(key, place, attempt, host, step, image, now);
+        let run = self.runs.insert(run);
+        let pressure_percent = self.pressure_percent(run);
+        self.runs[run].pressure_sent = pressure_percent;
         let job = &mut self.jobs[key];
         let task = job.name(place);
         let payload = job.payload.clone();
@@ -183,7 +175,10 @@
             attempt,
             payload,
             checkpoint,
-            profile: profile(step),
+            profile: Profile {
+                pressure_percent,
+                ..profile(step)
+            },
         });
         run
     }
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -1,9 +1,19 @@
 //! One attempt.
 
-use toucanquay_model::{Resources, Time, graph::Place};
+use toucanquay_model::{
+    Resources, Time,
+    graph::{Place, Step},
+    session,
+};
 
 use super::key::{HostKey, JobKey};
 
+/// Latency of a task without neighbours that is assumed at first: a quarter of its target.
+const ALONE_UNKNOWN: f64 = -1.4;
+
+/// Pace below which an attempt would better run elsewhere, in percent.
+const SLOW_PERCENT: u8 = 35;
+
 /// An attempt that is on a worker or may be.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -14,15 +24,76 @@
     pub(super) occupied: Resources,
     /// Processors that it uses if they are idle, in thousandths.
     pub(super) idle_milli: u32,
-    pub(super) is_sensitive: bool,
+    pub(super) latency_target_ms: Option<u32>,
     pub(super) started_at: Time,
     /// Number of the orders that contained the start or the resolving stop; `None` until sent.
     pub(super) ordered_in: Option<u64>,
     pub(super) is_stopping: bool,
     pub(super) done_percent: u8,
+    /// Latency or processors in use, as the worker reports them.
+    pub(super) gauge: u32,
+    /// Key of its image in the model of interference.
+    pub(super) image: usize,
+    /// Logarithm of a sensitive task's latency, as a share of its target, without neighbours.
+    pub(super) alone: f64,
+    /// Processors in use, in thousandths; the demand until it is reported.
+    pub(super) used_milli: u32,
+    /// Effect on its neighbours that the agent knows, in hundredths.
+    pub(super) pressure_sent: u16,
+    /// Since when the pace has been low.
+    pub(super) slow_since: Option<Time>,
 }
 
 impl Run {
+    pub(super) fn new(
+        job: JobKey,
+        place: Place,
+        attempt: u64,
+        host: HostKey,
+        step: &Step,
+        image: usize,
+        now: Time,
+    ) -> Self {
+        Self {
+            job,
+            place,
+            attempt,
+            host,
+            occupied: step.occupied(),
+            idle_milli: step.idle_milli(),
+            latency_target_ms: step.latency_target_ms,
+            started_at: now,
+            ordered_in: None,
+            is_stopping: false,
+            done_percent: 0,
+            gauge: 0,
+            image,
+            alone: ALONE_UNKNOWN,
+            used_milli: step.idle_milli(),
+            pressure_sent: 0,
+            slow_since: None,
+        }
+    }
+
+    /// Takes what the worker reports.
+    pub(super) fn observe(&mut self, row: &session::Run, now: Time) {
+        self.done_percent = row.done_percent;
+        self.gauge = row.gauge;
+        if self.idle_milli > 0 && row.gauge > 0 {
+            self.used_milli = row.gauge;
+        }
+        if row.pace_percent >= SLOW_PERCENT {
+            self.slow_since = None;
+        } else {
+            self.slow_since.get_or_insert(now);
+        }
+    }
+
+    /// Tells whether the attempt's own users feel its neighbours.
+    pub(super) const fn is_sensitive(&self) -> bool {
+        self.latency_target_ms.is_some()
+    }
+
     /// Tells whether the attempt ends within a time, if it goes on as before.
     pub(super) const fn is_done_within(&self, micros: u64, now: Time) -> bool {
         let elapsed = now.micros_since(self.started_at);
--- a/crates/model/src/session/profile.rs
+++ b/crates/model/src/session/profile.rs
@@ -13,6 +13,8 @@
     pub idle_milli: u32,
     /// Bound of the tail latency that its own users see, in milliseconds.
     pub latency_target_ms: Option<u32>,
+    /// Effect on the latency of the most disturbed neighbour, in hundredths of its logarithm.
+    pub pressure_percent: u16,
     /// It uses only processors that others leave idle, and may be paced.
     pub uses_idle: bool,
 }
--- a/crates/model/src/session/run.rs
+++ b/crates/model/src/session/run.rs
@@ -18,6 +18,10 @@
     pub checkpoint: Option<String>,
     /// Share of its work that is done, in percent; 100 for a perpetual task that serves.
     pub done_percent: u8,
+    /// Tail latency in milliseconds for a sensitive task, else thousandths of a processor in use.
+    pub gauge: u32,
+    /// Share of its speed that the agent allows, in percent.
+    pub pace_percent: u8,
 }
 
 /// Where an attempt stands.
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -41,13 +41,16 @@
     }
 }
 
+/// Decodes a configuration.
+type Decode = dyn Fn(&[u8]) -> Result<Catalog, Error> + Send + Sync;
+
 /// Where the configuration stands in the store, and how it is decoded.
 #[derive(Clone)]
 pub struct Source {
     /// Key of the newest configuration.
     pub key: String,
     /// Decodes its value.
-    pub decode: Arc<dyn Fn(&[u8]) -> Result<Catalog, Error> + Send + Sync>,
+    pub decode: Arc<Decode>,
 }
 
 impl std::fmt::Debug for Source {
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -48,7 +48,7 @@
         lease_until,
     };
     let outcome = outcome(
-        shared
+        &shared
             .worker
             .call(call, Instant::now() + CALL_TIMEOUT)
             .await,
@@ -65,7 +65,7 @@
     let epoch = shared.runner().epoch();
     let call = Call::Stop { epoch, stop };
     let outcome = outcome(
-        shared
+        &shared
             .worker
             .call(call, Instant::now() + CALL_TIMEOUT)
             .await,
@@ -88,7 +88,7 @@
         percent,
     };
     let outcome = outcome(
-        shared
+        &shared
             .worker
             .call(call, Instant::now() + CALL_TIMEOUT)
             .await,
@@ -100,9 +100,9 @@
     }
 }
 
-fn outcome(reply: Reply) -> Outcome {
+fn outcome(reply: &Reply) -> Outcome {
     match reply {
-        Reply::Outcome(outcome) => outcome,
+        Reply::Outcome(outcome) => *outcome,
         Reply::Gone => Outcome::Refused,
         Reply::Listing(_) => Outcome::Unknown,
     }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -14,7 +14,6 @@
 /// Returns a log that writes one line of key=value pairs for each event to standard output.
 ///
 /// A process that can't write goes on: lines are dropped, and their number is logged later.
-#[must_use]
 pub fn stdout(level: Level) -> Logger {
     let lines = slog_logfmt::Logfmt::new(std::io::stdout())
         .set_prefix(prefix)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod eject;
 pub mod interfere;
 pub mod limit;
+pub mod pressure;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
