--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -158,13 +158,25 @@
         actions
     }
 
-    /// Takes the outcome of a start.
-    pub fn started(&mut self, task: Task, attempt: u64, outcome: Outcome, now: Time) {
-        let Some(entry) = self.runs.get_mut(&(task, attempt)) else {
-            return;
-        };
+    /// Takes the outcome of a start. Returns the pace to set.
+    pub fn started(
+        &mut self,
+        task: Task,
+        attempt: u64,
+        outcome: Outcome,
+        now: Time,
+    ) -> Option<Action> {
+        let worst = self.runs.values().filter_map(Entry::latency_percent).max();
+        let entry = self.runs.get_mut(&(task, attempt))?;
         match outcome {
-            Outcome::Done => entry.confirm(now),
+            Outcome::Done => {
+                entry.confirm(now);
+                return entry.begin_pace(worst).map(|percent| Action::Pace {
+                    task,
+                    attempt,
+                    percent,
+                });
+            }
             Outcome::Refused if entry.phase == Phase::Starting => {
                 entry.phase = Phase::Rejected(Rejection::Refused);
             }
@@ -173,6 +185,7 @@
                 entry.stop_at = now.plus_micros(self.settings.unknown_micros);
             }
         }
+        None
     }
 
     /// Takes the outcome of a stop.
--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -5,6 +5,8 @@
     session::{Phase, Profile},
 };
 
+use super::pacer::Pacer;
+
 /// One attempt.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -78,6 +80,15 @@
             .is_some_and(|profile| profile.latency_target_ms.is_some())
     }
 
+    /// Returns the pace at which the attempt begins, unless it is the full one.
+    pub(super) fn begin_pace(&mut self, worst: Option<u32>) -> Option<u8> {
+        if !self.is_paced() {
+            return None;
+        }
+        self.pace = Pacer::first(worst, self.profile?.pressure_percent);
+        (self.pace != Self::FULL_PACE).then_some(self.pace)
+    }
+
     /// Tells whether the attempt may be slowed down for its neighbours.
     pub(super) fn is_paced(&self) -> bool {
         let uses_idle = self.profile.is_some_and(|profile| profile.uses_idle);
--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -3,13 +3,13 @@
 use toucanquay_model::Time;
 
 /// Latency that is aimed at, as a share of its target in percent.
-const AIM_PERCENT: f64 = 85.0;
+const AIM_PERCENT: f64 = 78.0;
 
 /// Latency above this share of its target slows neighbours down, in percent.
-const SLOW_ABOVE_PERCENT: u32 = 92;
+const SLOW_ABOVE_PERCENT: u32 = 86;
 
 /// Latency below this share of its target lets neighbours speed up, in percent.
-const RAISE_BELOW_PERCENT: u32 = 78;
+const RAISE_BELOW_PERCENT: u32 = 70;
 
 /// Part of the room below the aim that one step up may use.
 const RAISE_PART: f64 = 0.6;
@@ -43,6 +43,17 @@
 }
 
 impl Pacer {
+    /// Returns the pace at which an attempt begins beside a latency, as a share of its target in
+    /// percent. The first report that shows its effect comes later.
+    pub(super) fn first(worst: Option<u32>, pressure_percent: u16) -> u8 {
+        let Some(worst) = worst else {
+            return 100;
+        };
+        let room = (AIM_PERCENT / f64::from(worst.max(1))).ln() * 100.0;
+        let share = room * RAISE_PART / f64::from(pressure_percent).max(PRESSURE_MIN);
+        (share.clamp(0.0, 1.0) * 100.0) as u8
+    }
+
     /// Takes the highest latency as a share of its target, in percent. Sets the paces and returns
     /// those that have changed.
     pub(super) fn observe<K: Copy + Ord>(
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -35,7 +35,7 @@
     }
 }
 
-async fn begin(shared: &Shared, start: Start, lease_until: Time) {
+async fn begin(shared: &Arc<Shared>, start: Start, lease_until: Time) {
     let (task, attempt) = (start.task, start.attempt);
     let (epoch, worker) = {
         let runner = shared.runner();
@@ -55,9 +55,9 @@
     );
     info!(shared.log, "task_start"; "task" => %task, "attempt" => attempt, "epoch" => epoch,
         "outcome" => ?outcome);
-    shared
-        .runner()
-        .started(task, attempt, outcome, shared.clock.now());
+    let now = shared.clock.now();
+    let paced = shared.runner().started(task, attempt, outcome, now);
+    run(shared, paced.into_iter().collect());
     shared.changed.notify_one();
 }
 
