--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -5,6 +5,9 @@
 /// Latency that is aimed at, as a share of its target in percent.
 const AIM_PERCENT: f64 = 78.0;
 
+/// The target itself, in percent.
+const TARGET_PERCENT: u32 = 100;
+
 /// Latency above this share of its target slows neighbours down, in percent.
 const SLOW_ABOVE_PERCENT: u32 = 86;
 
@@ -17,6 +20,9 @@
 /// Effect of a neighbour that is assumed at least, in hundredths of the logarithm of latency.
 const PRESSURE_MIN: f64 = 4.0;
 
+/// Effect below which a neighbour is slowed down only when the target is missed, in hundredths.
+const PRESSURE_LIGHT: u16 = 8;
+
 /// Pace below which a task is paused, in percent.
 const PACE_MIN_PERCENT: f64 = 8.0;
 
@@ -66,7 +72,8 @@
             None => paces.iter_mut().for_each(|pace| *pace.percent = 100),
             Some(_) if now < self.step_at => {}
             Some(worst) if worst > SLOW_ABOVE_PERCENT => {
-                slow(paces, (f64::from(worst) / AIM_PERCENT).ln() * 100.0);
+                let lightest = if worst > TARGET_PERCENT { 0 } else { PRESSURE_LIGHT };
+                slow(paces, (f64::from(worst) / AIM_PERCENT).ln() * 100.0, lightest);
             }
             Some(worst) if worst < RAISE_BELOW_PERCENT => {
                 let room = (AIM_PERCENT / f64::from(worst.max(1))).ln() * 100.0;
@@ -84,10 +91,10 @@
 }
 
 /// Takes an effect back, in hundredths of the logarithm of latency.
-fn slow<K: Copy + Ord>(paces: &mut [Pace<'_, K>], mut excess: f64) {
+fn slow<K: Copy + Ord>(paces: &mut [Pace<'_, K>], mut excess: f64, lightest: u16) {
     paces.sort_by_key(|pace| (std::cmp::Reverse(pace.pressure_percent), pace.key));
     for pace in paces {
-        if excess <= 0.0 {
+        if excess <= 0.0 || pace.pressure_percent < lightest {
             break;
         }
         let pressure = pressure(pace);
