scheduler: learn interference from paused attempts too; runner: narrower band of paces

Cause: an attempt that was paused kept its last measured use, so latency that fell after a pause was taken as proof of a small effect, and paces swung between 0 and 100 (seen in the log of paces). Ruled out: the period of the reports (550 ms between steps against 500 ms of the gauge).

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -293,6 +293,12 @@
         self.epoch
     }
 
+    /// Returns the number of the last end that was listed.
+    #[must_use]
+    pub const fn ends_seen(&self) -> u64 {
+        self.ends_seen
+    }
+
     /// Tells whether ends wait for their acknowledgement.
     #[must_use]
     pub fn has_ends(&self) -> bool {
--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -3,16 +3,16 @@
 use toucanquay_model::Time;
 
 /// Latency that is aimed at, as a share of its target in percent.
-const AIM_PERCENT: f64 = 78.0;
+const AIM_PERCENT: f64 = 82.0;
 
 /// The target itself, in percent.
 const TARGET_PERCENT: u32 = 100;
 
 /// Latency above this share of its target slows neighbours down, in percent.
-const SLOW_ABOVE_PERCENT: u32 = 86;
+const SLOW_ABOVE_PERCENT: u32 = 90;
 
 /// Latency below this share of its target lets neighbours speed up, in percent.
-const RAISE_BELOW_PERCENT: u32 = 70;
+const RAISE_BELOW_PERCENT: u32 = 78;
 
 /// Part of the room below the aim that one step up may use.
 const RAISE_PART: f64 = 0.6;
@@ -72,8 +72,16 @@
             None => paces.iter_mut().for_each(|pace| *pace.percent = 100),
             Some(_) if now < self.step_at => {}
             Some(worst) if worst > SLOW_ABOVE_PERCENT => {
-                let lightest = if worst > TARGET_PERCENT { 0 } else { PRESSURE_LIGHT };
-                slow(paces, (f64::from(worst) / AIM_PERCENT).ln() * 100.0, lightest);
+                let lightest = if worst > TARGET_PERCENT {
+                    0
+                } else {
+                    PRESSURE_LIGHT
+                };
+                slow(
+                    paces,
+                    (f64::from(worst) / AIM_PERCENT).ln() * 100.0,
+                    lightest,
+                );
             }
             Some(worst) if worst < RAISE_BELOW_PERCENT => {
                 let room = (AIM_PERCENT / f64::from(worst.max(1))).ln() * 100.0;
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -34,7 +34,7 @@
     /// that hardly advances there.
     pub(super) fn learn_pressure(&mut self, key: HostKey, now: Time) {
         let host = &self.hosts[key];
-        let neighbours = self.neighbours(host, None);
+        let neighbours = self.neighbours(host, |run| run.used_milli);
         let runs = host.runs.clone();
         for run in &runs {
             let Some(run) = self.runs.get_mut(*run) else {
@@ -71,7 +71,8 @@
     /// Returns the speed at which a task that uses idle processors would run on a host, from 0 to
     /// 1, as far as its neighbours allow.
     pub(super) fn allowed_speed(&self, host: &Host, image: usize, idle_milli: u32) -> f64 {
-        let neighbours = self.neighbours(host, None);
+        // Attempts that are paused want their processors back.
+        let neighbours = self.neighbours(host, |run| run.idle_milli);
         let share = f64::from(idle_milli) / capacity_milli(host);
         let speed = |other: &Run| {
             let room = AIM - other.alone - self.model.sum(other.image, &neighbours);
@@ -90,14 +91,13 @@
         runs.filter(|run| run.is_sensitive())
     }
 
-    fn neighbours(&self, host: &Host, except: Option<RunKey>) -> Vec<Neighbour> {
-        let runs = host.runs.iter().filter(|key| Some(**key) != except);
-        let runs = runs.filter_map(|key| self.runs.get(*key));
+    fn neighbours(&self, host: &Host, milli: impl Fn(&Run) -> u32) -> Vec<Neighbour> {
+        let runs = host.runs.iter().filter_map(|key| self.runs.get(*key));
         let capacity_milli = capacity_milli(host);
         runs.filter(|run| run.idle_milli > 0)
             .map(|run| Neighbour {
                 image: run.image,
-                share: f64::from(run.used_milli) / capacity_milli,
+                share: f64::from(milli(run)) / capacity_milli,
             })
             .collect()
     }
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -11,6 +11,9 @@
 /// Latency of a task without neighbours that is assumed at first: a quarter of its target.
 const ALONE_UNKNOWN: f64 = -1.4;
 
+/// Time from a start until a report covers the attempt's use of processors.
+const MEASURED_MICROS: u64 = 700_000;
+
 /// Pace below which an attempt would better run elsewhere, in percent.
 const SLOW_PERCENT: u8 = 35;
 
@@ -79,7 +82,8 @@
     pub(super) fn observe(&mut self, row: &session::Run, now: Time) {
         self.done_percent = row.done_percent;
         self.gauge = row.gauge;
-        if self.idle_milli > 0 && row.gauge > 0 {
+        // The first report comes before anything was measured.
+        if self.idle_milli > 0 && now >= self.started_at.plus_micros(MEASURED_MICROS) {
             self.used_milli = row.gauge;
         }
         if row.pace_percent >= SLOW_PERCENT {
--- a/crates/node/src/companion/hold.rs
+++ b/crates/node/src/companion/hold.rs
@@ -71,6 +71,12 @@
     let (actions, is_urgent) = {
         let mut runner = shared.runner();
         let before = runner.digest();
+        for end in &listing.finished {
+            if end.number > runner.ends_seen() {
+                info!(shared.log, "task_ended"; "task" => %end.task, "attempt" => end.attempt,
+                    "ending" => ?end.ending, "number" => end.number);
+            }
+        }
         let actions = runner.listed(listing, shared.clock.now());
         (actions, runner.digest() != before)
     };
