--- /dev/null
+++ b/crates/control/tests/runner.rs
@@ -0,0 +1,330 @@
+//! The companion's runner: what it starts, refuses, resolves and repeats.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use graph::{LIFE, at, beat, cores, end, fresh_orders, listed, listing, runner, start, task};
+use rstest::rstest;
+use toucanquay_control::runner::{Action, Beat, Listed, Outcome, Runner};
+use toucanquay_model::{
+    Time,
+    session::{Ending, Orders, Phase, Profile, Rejection, Start, Stop, Worker},
+};
+
+/// Returns orders with starts.
+fn starts(epoch: u64, number: u64, stamp: Time, starts: Vec<Start>) -> Orders {
+    Orders {
+        starts,
+        ..fresh_orders(epoch, number, stamp)
+    }
+}
+
+/// Returns the phases that the next update shows.
+fn phases(runner: &mut Runner, now: Time) -> Vec<Phase> {
+    let update = runner.update(now);
+    update.runs.iter().map(|run| run.phase).collect()
+}
+
+/// Returns a start of a task that uses idle processors.
+fn idle_start(index: u32, pressure_percent: u16) -> Start {
+    Start {
+        profile: Profile {
+            idle_milli: 2_000,
+            pressure_percent,
+            uses_idle: true,
+            ..Profile::default()
+        },
+        ..start(task(1, 0, index), 1)
+    }
+}
+
+/// Returns a start of a task whose users feel its neighbours.
+fn sensitive_start() -> Start {
+    Start {
+        profile: Profile {
+            latency_target_ms: Some(50),
+            occupied: cores(2),
+            ..Profile::default()
+        },
+        ..start(task(2, 0, 0), 1)
+    }
+}
+
+/// Returns a running row with a gauge.
+fn gauged(task: toucanquay_model::graph::Task, gauge: u32) -> Listed {
+    Listed {
+        gauge,
+        ..listed(task, 1)
+    }
+}
+
+/// Guards against orders of a former owner or of a former session.
+#[test]
+fn orders_of_a_former_owner_are_ignored() {
+    let mut runner = runner(2);
+
+    let refused = runner.begin_session(1);
+    let actions = runner.apply(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+
+    assert!(!refused);
+    assert!(actions.is_empty());
+}
+
+/// Guards against starts that a companion must refuse itself, whoever ordered them.
+#[rstest]
+#[case::draining(Worker { is_draining: true, ..graph::worker() }, at(0), Rejection::Draining)]
+#[case::too_small(Worker { capacity: cores(1), ..graph::worker() }, at(0), Rejection::NoRoom)]
+#[case::lease_over(graph::worker(), at(5_500), Rejection::LeaseOver)]
+fn start_is_rejected(#[case] worker: Worker, #[case] now: Time, #[case] reason: Rejection) {
+    let mut runner = runner(1);
+    runner.announce(Beat { worker, ..beat(2) });
+
+    let actions = runner.apply(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), now);
+
+    assert!(actions.is_empty());
+    assert_eq!(phases(&mut runner, now), [Phase::Rejected(reason)]);
+}
+
+/// Guards against two attempts of a task on one worker.
+#[test]
+fn second_attempt_of_a_task_is_rejected() {
+    let mut runner = runner(1);
+    let both = vec![start(task(1, 0, 0), 1), start(task(1, 0, 0), 2)];
+
+    let actions = runner.apply(&starts(1, 1, at(0), both), at(1));
+
+    assert_eq!(actions.len(), 1);
+    let rejected = Phase::Rejected(Rejection::SameTask);
+    assert_eq!(phases(&mut runner, at(1)), [Phase::Starting, rejected]);
+}
+
+/// Guards against a worker that is filled beyond its capacity while attempts stop.
+#[test]
+fn stopping_attempts_keep_their_room() {
+    let mut runner = runner(1);
+    let all = (0..8).map(|index| start(task(1, 0, index), 1)).collect();
+    runner.apply(&starts(1, 1, at(0), all), at(1));
+    let mut orders = starts(1, 2, at(0), vec![start(task(2, 0, 0), 1)]);
+    orders.stops.push(Stop {
+        task: task(1, 0, 0),
+        attempt: 1,
+    });
+
+    let actions = runner.apply(&orders, at(2));
+
+    assert!(matches!(actions.as_slice(), [Action::Stop(_)]));
+}
+
+/// Guards against a start without an answer that counts as absent although it may take effect.
+#[test]
+fn unanswered_start_is_resolved_by_a_stop_and_a_later_list() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.started(task, 1, Outcome::Unknown, at(1_000));
+    let early = runner.tick(at(2_000));
+    let late = runner.tick(at(2_300));
+    runner.listed(listing(at(2_301)), at(2_310));
+    let before = phases(&mut runner, at(2_311));
+    runner.stopped(task, 1, Outcome::Done, at(2_400));
+    runner.listed(listing(at(2_399)), at(2_410));
+    let older_list = phases(&mut runner, at(2_411));
+    runner.listed(listing(at(2_401)), at(2_420));
+
+    let after = phases(&mut runner, at(2_421));
+
+    assert!(early.is_empty());
+    assert!(matches!(late.as_slice(), [Action::Stop(_)]));
+    assert_eq!(before, [Phase::Stopping]);
+    assert_eq!(older_list, [Phase::Stopping]);
+    assert_eq!(after, [Phase::Rejected(Rejection::Stopped)]);
+}
+
+/// Guards against a stop of an attempt that took effect although its answer was lost.
+#[test]
+fn unanswered_start_that_is_listed_runs() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.started(task, 1, Outcome::Unknown, at(1_000));
+    let mut list = listing(at(1_100));
+    list.running.push(listed(task, 1));
+    runner.listed(list, at(1_110));
+
+    let actions = runner.tick(at(3_000));
+
+    assert!(actions.is_empty());
+    assert_eq!(phases(&mut runner, at(3_000)), [Phase::Running]);
+}
+
+/// Guards against an end that is forgotten before the owner has recorded it.
+#[test]
+fn end_is_repeated_until_it_is_acknowledged() {
+    let mut runner = runner(1);
+    let mut list = listing(at(10));
+    list.finished.push(end(1, task(1, 0, 0), 1, Ending::Done));
+    runner.listed(list.clone(), at(11));
+    list.called_at = at(20);
+    runner.listed(list, at(21));
+    let before = runner.update(at(22)).ends.len();
+    let mut orders = fresh_orders(1, 1, at(0));
+    orders.acknowledged = 1;
+    runner.apply(&orders, at(30));
+
+    let after = runner.update(at(31)).ends.len();
+
+    assert_eq!((before, after), (1, 0));
+    assert_eq!(runner.acknowledged(), 1);
+}
+
+/// Guards against acknowledgements that belong to a former life of the worker.
+#[test]
+fn acknowledgement_of_a_former_life_is_ignored() {
+    let mut runner = runner(1);
+    let mut orders = fresh_orders(1, 1, at(0));
+    orders.worker = LIFE - 1;
+    orders.acknowledged = 9;
+
+    runner.apply(&orders, at(1));
+
+    assert_eq!(runner.acknowledged(), 0);
+}
+
+/// Guards against a heartbeat of a former life that arrives late, and one that was overtaken.
+#[rstest]
+#[case::former_life(LIFE - 1, 9, false)]
+#[case::overtaken(LIFE, 1, false)]
+#[case::next(LIFE, 2, true)]
+#[case::later_life(LIFE + 1, 1, true)]
+fn heartbeats_count_in_their_order(
+    #[case] incarnation: u64,
+    #[case] sequence: u64,
+    #[case] is_taken: bool,
+) {
+    let mut runner = runner(1);
+    let worker = Worker {
+        incarnation,
+        capacity: cores(4),
+        ..graph::worker()
+    };
+
+    let is_changed = runner.announce(Beat {
+        worker,
+        ..beat(sequence)
+    });
+
+    assert_eq!(is_changed, is_taken);
+}
+
+/// Guards against a worker that returns to service after it has said that it drains.
+#[test]
+fn draining_worker_stays_draining() {
+    let mut runner = runner(1);
+    let draining = Worker {
+        is_draining: true,
+        ..graph::worker()
+    };
+    runner.announce(Beat {
+        worker: draining,
+        ..beat(2)
+    });
+    runner.announce(beat(3));
+
+    let worker = runner.update(at(1)).worker.expect("the worker is known");
+
+    assert!(worker.is_draining);
+}
+
+/// Guards against attempts of a worker whose process is gone.
+#[test]
+fn attempts_end_with_the_worker() {
+    let mut runner = runner(1);
+    runner.apply(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    runner.lose_worker();
+
+    let update = runner.update(at(2));
+
+    assert!(update.runs.is_empty());
+    assert_eq!(update.worker, None);
+}
+
+/// Guards against a companion that reports before it knows what its worker runs.
+#[test]
+fn worker_is_reported_when_it_was_listed() {
+    let settings = toucanquay_control::runner::Settings::new("h".to_owned(), 1, 6_000_000);
+    let mut runner = Runner::new(settings, at(0));
+    runner.announce(beat(1));
+    let before = runner.update(at(1)).worker;
+    runner.listed(listing(at(2)), at(3));
+
+    let after = runner.update(at(4)).worker;
+
+    assert_eq!(before, None);
+    assert!(after.is_some());
+}
+
+/// Guards against a lease that counts from the arrival of orders that were delayed.
+#[test]
+fn lease_counts_from_the_update_that_the_orders_answer() {
+    let mut runner = runner(1);
+
+    runner.apply(&fresh_orders(1, 1, at(0)), at(4_000));
+
+    assert_eq!(runner.lease_until(), at(6_000));
+}
+
+/// Guards against users of a sensitive task who wait because of its neighbours: the one with the
+/// larger effect is slowed down within one report, the other one goes on.
+#[test]
+fn neighbour_with_the_largest_effect_is_slowed_down_first() {
+    let mut runner = runner(1);
+    let all = vec![sensitive_start(), idle_start(0, 60), idle_start(1, 10)];
+    runner.apply(&starts(1, 1, at(0), all), at(1));
+    for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1)] {
+        runner.started(task, 1, Outcome::Done, at(2));
+    }
+    let mut list = listing(at(10));
+    list.running.push(gauged(task(2, 0, 0), 60));
+    list.running.push(gauged(task(1, 0, 0), 2_000));
+    list.running.push(gauged(task(1, 0, 1), 2_000));
+
+    let actions = runner.listed(list, at(1_000));
+
+    let [
+        Action::Pace {
+            task: paced,
+            percent,
+            ..
+        },
+    ] = actions.as_slice()
+    else {
+        panic!("one pace: {actions:?}");
+    };
+    assert_eq!(*paced, task(1, 0, 0));
+    assert!(*percent < 50);
+}
+
+/// Guards against neighbours that stay paused when latency is low again.
+#[test]
+fn paused_neighbour_goes_on_when_latency_is_low() {
+    let mut runner = runner(1);
+    let all = vec![sensitive_start(), idle_start(0, 60)];
+    runner.apply(&starts(1, 1, at(0), all), at(1));
+    for task in [task(2, 0, 0), task(1, 0, 0)] {
+        runner.started(task, 1, Outcome::Done, at(2));
+    }
+    let mut last = None;
+    for (millis, latency) in [(1_000, 200), (2_000, 10), (3_000, 10), (4_000, 10)] {
+        let mut list = listing(at(millis));
+        list.running.push(gauged(task(2, 0, 0), latency));
+        list.running.push(gauged(task(1, 0, 0), 100));
+        for action in runner.listed(list, at(millis)) {
+            let Action::Pace { percent, .. } = action else {
+                panic!("a pace: {action:?}");
+            };
+            last = Some(percent);
+        }
+    }
+
+    assert_eq!(last, Some(100));
+}
