--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -152,8 +152,9 @@
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
+        let is_other_life = orders.worker != self.life;
         for start in &orders.starts {
-            self.start(start, lease_until, now, &mut actions);
+            self.start(start, is_other_life, lease_until, now, &mut actions);
         }
         actions
     }
@@ -390,13 +391,25 @@
         }
     }
 
-    fn start(&mut self, start: &Start, lease_until: Time, now: Time, actions: &mut Vec<Action>) {
+    fn start(
+        &mut self,
+        start: &Start,
+        is_other_life: bool,
+        lease_until: Time,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
         let key = (start.task, start.attempt);
         if self.runs.contains_key(&key) {
             return;
         }
         let mut entry = Entry::starting(start.profile);
-        match self.rejection(start, lease_until, now) {
+        let rejection = if is_other_life {
+            Some(Rejection::OtherLife)
+        } else {
+            self.rejection(start, lease_until, now)
+        };
+        match rejection {
             Some(reason) => entry.phase = Phase::Rejected(reason),
             None => actions.push(Action::Start {
                 start: start.clone(),
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -26,6 +26,8 @@
     pub(super) is_connected: bool,
     /// No update of the present session has been processed yet.
     pub(super) is_fresh: bool,
+    /// The agent's process has changed since its attempts were last compared.
+    pub(super) is_successor: bool,
     pub(super) update: u64,
     pub(super) stamp: Time,
     /// After this time nothing that the host was told to run can still run.
@@ -61,6 +63,7 @@
             worker: None,
             is_connected: false,
             is_fresh: true,
+            is_successor: false,
             update: 0,
             stamp: Time::ZERO,
             bound: Time::ZERO,
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -22,6 +22,7 @@
             return;
         }
         let is_fresh = host.is_fresh;
+        host.is_successor |= is_successor;
         host.process = update.process;
         host.update = update.number;
         host.stamp = update.stamp;
@@ -30,7 +31,7 @@
         if update.worker.is_some() {
             self.take_ends(key, update, now);
             self.take_runs(key, update, now);
-            self.resolve_absent(key, update, is_fresh, is_successor, now);
+            self.resolve_absent(key, update, is_fresh, now);
             self.learn_pressure(key, now);
             self.hosts[key].is_fresh = false;
             self.acknowledge_ends(key);
@@ -232,14 +233,8 @@
     }
 
     /// Gives up attempts that the agent doesn't have.
-    fn resolve_absent(
-        &mut self,
-        key: HostKey,
-        update: &Update,
-        is_fresh: bool,
-        is_successor: bool,
-        now: Time,
-    ) {
+    fn resolve_absent(&mut self, key: HostKey, update: &Update, is_fresh: bool, now: Time) {
+        let is_successor = std::mem::take(&mut self.hosts[key].is_successor);
         for run_key in self.hosts[key].runs.clone() {
             let Some(run) = self.runs.get(run_key) else {
                 continue;
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -1,5 +1,8 @@
 //! Fixtures for tests of the scheduler and the runner.
 
+pub mod worker;
+pub mod world;
+
 use std::sync::Arc;
 
 use smallvec::smallvec;
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -61,7 +61,10 @@
         random: u64,
         now: Time,
     ) -> Outcome {
-        let is_barred = self.barred.get(&task).is_some_and(|barred| attempt <= *barred);
+        let is_barred = self
+            .barred
+            .get(&task)
+            .is_some_and(|barred| attempt <= *barred);
         if epoch < self.epoch || is_barred || now >= lease_until {
             return Outcome::Refused;
         }
@@ -140,7 +143,11 @@
         if now >= work.stop_at {
             return Some(Ending::Stopped);
         }
-        let ending = if work.is_failing { Ending::Failed } else { Ending::Done };
+        let ending = if work.is_failing {
+            Ending::Failed
+        } else {
+            Ending::Done
+        };
         (now >= work.done_at).then_some(ending)
     }
 }
--- a/crates/control/tests/graph/world.rs
+++ b/crates/control/tests/graph/world.rs
@@ -112,7 +112,9 @@
             starts: 0,
         };
         for number in 0..hosts {
-            world.hosts.push(world.host(format!("h{number}"), 1, Worker::new(1_000)));
+            world
+                .hosts
+                .push(world.host(format!("h{number}"), 1, Worker::new(1_000)));
         }
         world
     }
@@ -133,7 +135,11 @@
         self.is_calm = true;
         let give_up = self.now + 60_000;
         while !self.all_over() {
-            assert!(self.now < give_up, "a job does not end: {}", self.unfinished());
+            assert!(
+                self.now < give_up,
+                "a job does not end: {}",
+                self.unfinished()
+            );
             self.step();
         }
         self.check_records();
@@ -203,13 +209,19 @@
     }
 
     fn restart_agent(&mut self, index: usize) {
-        let (name, process) = (self.hosts[index].name.clone(), self.hosts[index].process + 1);
+        let (name, process) = (
+            self.hosts[index].name.clone(),
+            self.hosts[index].process + 1,
+        );
         let worker = self.hosts[index].worker.clone();
         let mut host = self.host(name, process, worker);
         // Orders that are on their way to the worker still arrive; answers find nobody.
         let is_order = |call: &Call| matches!(call, Call::Start(..) | Call::Stop(_));
         let calls = std::mem::take(&mut self.hosts[index].calls);
-        host.calls = calls.into_iter().filter(|(_, _, call)| is_order(call)).collect();
+        host.calls = calls
+            .into_iter()
+            .filter(|(_, _, call)| is_order(call))
+            .collect();
         self.hosts[index] = host;
     }
 
@@ -301,10 +313,14 @@
                 self.later(index, Call::Stopped(stop.task, stop.attempt, outcome));
             }
             Call::Started(task, attempt, outcome) => {
-                self.hosts[index].runner.started(task, attempt, outcome, now);
+                self.hosts[index]
+                    .runner
+                    .started(task, attempt, outcome, now);
             }
             Call::Stopped(task, attempt, outcome) => {
-                self.hosts[index].runner.stopped(task, attempt, outcome, now);
+                self.hosts[index]
+                    .runner
+                    .stopped(task, attempt, outcome, now);
             }
             Call::Listed(listing) => {
                 self.hosts[index].runner.listed(listing, now);
@@ -349,7 +365,11 @@
         let epoch = self.hosts[index].runner.epoch();
         for action in actions {
             let is_late = !self.is_calm && self.random.random_range(0..30) == 0;
-            let millis = if is_late { self.random.random_range(2_000..12_000) } else { 3 };
+            let millis = if is_late {
+                self.random.random_range(2_000..12_000)
+            } else {
+                3
+            };
             match action {
                 Action::Start { start, lease_until } => {
                     if is_late {
@@ -398,7 +418,8 @@
         if now >= host.update_at {
             host.update_at = now.plus_millis(100);
             let update = Box::new(host.runner.update(now));
-            host.messages.push_back((at(self.now + 10), Message::Update(update)));
+            host.messages
+                .push_back((at(self.now + 10), Message::Update(update)));
         }
         while let Some((due, _)) = self.hosts[index].messages.front() {
             if *due > now || is_paused {
@@ -433,7 +454,8 @@
         for name in owner.due_hosts(now) {
             let host = self.hosts.iter_mut().find(|host| host.name == name);
             if let (Some(host), Some(orders)) = (host, owner.orders(&name, now)) {
-                host.messages.push_back((at(self.now + 10), Message::Orders(orders)));
+                host.messages
+                    .push_back((at(self.now + 10), Message::Orders(orders)));
             }
         }
         if self.commit.is_none()
@@ -486,7 +508,11 @@
                 index,
                 ..start.task
             };
-            assert!(self.done.contains(&before), "{} starts before {before}", start.task);
+            assert!(
+                self.done.contains(&before),
+                "{} starts before {before}",
+                start.task
+            );
         }
     }
 
@@ -503,20 +529,34 @@
                         step: number,
                         index,
                     };
-                    assert!(self.done.contains(&task), "{task} counts as done and is not");
+                    assert!(
+                        self.done.contains(&task),
+                        "{task} counts as done and is not"
+                    );
                 }
             }
         }
         let attempts_max = queue().attempts_max;
-        assert!(self.failed.values().all(|failures| *failures <= attempts_max));
+        assert!(
+            self.failed
+                .values()
+                .all(|failures| *failures <= attempts_max)
+        );
     }
 
     fn all_over(&self) -> bool {
-        self.jobs.values().all(|record| record.progress.state.is_over())
+        self.jobs
+            .values()
+            .all(|record| record.progress.state.is_over())
     }
 
     fn unfinished(&self) -> String {
-        let open = self.jobs.iter().filter(|(_, record)| !record.progress.state.is_over());
-        open.map(|(id, _)| id.to_string()).collect::<Vec<_>>().join(", ")
+        let open = self
+            .jobs
+            .iter()
+            .filter(|(_, record)| !record.progress.state.is_over());
+        open.map(|(id, _)| id.to_string())
+            .collect::<Vec<_>>()
+            .join(", ")
     }
 }
--- /dev/null
+++ b/crates/control/tests/graphs.rs
@@ -0,0 +1,53 @@
+//! Randomised runs of the scheduler and the runners with all faults at once.
+//!
+//! `TOUCANQUAY_GRAPH_SEED` replays one seed; `TOUCANQUAY_GRAPH_RUNS` sets the number of seeds.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use std::env;
+
+use graph::world::World;
+use rstest::rstest;
+
+/// Seeds of the short set.
+const RUNS: u64 = 40;
+
+/// Time with faults, in milliseconds.
+const FAULTS_MS: u64 = 20_000;
+
+fn setting(name: &str) -> Option<u64> {
+    env::var(name).ok()?.parse().ok()
+}
+
+fn play(seed: u64) -> World {
+    println!("TOUCANQUAY_GRAPH_SEED={seed}");
+    let mut world = World::new(seed, 3 + seed % 4);
+    world.play(FAULTS_MS);
+    world
+}
+
+/// Guards against tasks that run twice, overfilled workers, steps out of order, and jobs that are
+/// lost or shown as done too early, while owners, companions and workers die, pause and are cut
+/// off, and orders are carried out late.
+#[test]
+fn invariants_hold_under_faults() {
+    let first = setting("TOUCANQUAY_GRAPH_SEED");
+    let seeds = match first {
+        Some(seed) => seed..seed + 1,
+        None => 0..setting("TOUCANQUAY_GRAPH_RUNS").unwrap_or(RUNS),
+    };
+
+    let worlds: Vec<World> = seeds.map(play).collect();
+
+    let faults: u64 = worlds.iter().map(|world| world.faults).sum();
+    let starts: u64 = worlds.iter().map(|world| world.starts).sum();
+    println!("{faults} faults, {starts} starts");
+    assert!(faults > 0 && starts > faults, "the runs must do something");
+}
+
+/// Guards against the return of faults that were found by a seed.
+#[rstest]
+fn regression(#[values(1)] seed: u64) {
+    play(seed);
+}
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -85,6 +85,21 @@
     assert_eq!(phases(&mut runner, now), [Phase::Rejected(reason)]);
 }
 
+/// Guards against a start on a worker that was started anew while the order was on its way: the
+/// owner has given the attempt up and may start another one elsewhere.
+#[test]
+fn start_for_a_former_life_of_the_worker_is_rejected() {
+    let mut runner = runner(1);
+    let mut orders = starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]);
+    orders.worker = LIFE - 1;
+
+    let actions = runner.apply(&orders, at(1));
+
+    assert!(actions.is_empty());
+    let rejected = Phase::Rejected(Rejection::OtherLife);
+    assert_eq!(phases(&mut runner, at(1)), [rejected]);
+}
+
 /// Guards against two attempts of a task on one worker.
 #[test]
 fn second_attempt_of_a_task_is_rejected() {
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -180,11 +180,16 @@
     let attempt = begun[placed].starts[0].attempt;
     scheduler.disconnect(name);
     scheduler.connect(name);
+    // A new process reports before it has heard of its worker.
     let mut successor = update(name, 1);
     successor.process = 2;
+    successor.worker = None;
+    scheduler.update(&successor, at(400));
+    successor.number = 2;
+    successor.worker = Some(worker());
     scheduler.update(&successor, at(500));
     let resolving = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(501)));
-    let mut resolved = update(name, 2);
+    let mut resolved = update(name, 3);
     resolved.process = 2;
     resolved.applied = resolving[placed].number;
     let row = run(task(1, 0, 0), attempt, Phase::Rejected(Rejection::Stopped));
--- a/crates/model/src/session/orders.rs
+++ b/crates/model/src/session/orders.rs
@@ -16,7 +16,7 @@
     pub update: u64,
     /// The agent's own time when it sent that update; the lease counts from it.
     pub stamp: Time,
-    /// Incarnation of the worker to which [`acknowledged`](Self::acknowledged) belongs.
+    /// Incarnation of the worker for which the orders are meant.
     pub worker: Incarnation,
     /// Ends up to this number are durable.
     pub acknowledged: u64,
--- a/crates/model/src/session/rejection.rs
+++ b/crates/model/src/session/rejection.rs
@@ -7,6 +7,8 @@
 pub enum Rejection {
     /// The worker drains or is gone.
     Draining,
+    /// The order was meant for a former life of the worker, whose attempts the owner has given up.
+    OtherLife,
     /// It would exceed the worker's capacity.
     NoRoom,
     /// Another attempt of the task is on the worker.
