--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -73,7 +73,7 @@
         self.running.entry((task, attempt)).or_insert(Work {
             done_at: now.plus_millis(50 + random % WORK_MS_MAX),
             stop_at: Time::NEVER,
-            is_failing: random % 29 == 0,
+            is_failing: random.is_multiple_of(29),
         });
         Outcome::Done
     }
