--- a/crates/node/src/companion.rs
+++ b/crates/node/src/companion.rs
@@ -3,6 +3,7 @@
 mod executor;
 mod hold;
 mod registration;
+mod relay;
 mod session;
 mod settings;
 mod shared;
--- a/crates/node/src/companion/session.rs
+++ b/crates/node/src/companion/session.rs
@@ -9,7 +9,7 @@
 use toucanquay_model::{Epoch, Error, ErrorKind, session::Orders};
 use toucanquay_wire::{Frame, Sender, Stream};
 
-use super::{Shared, executor};
+use super::{Shared, executor, relay};
 
 /// Longest time between two updates.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -24,6 +24,7 @@
 pub(super) async fn serve(shared: Arc<Shared>, mut stream: Stream) {
     let epoch = match stream.recv().await {
         Ok(Some(Frame::Session(epoch))) => epoch,
+        Ok(Some(Frame::Relay(address))) => return relay::run(&shared, stream, address).await,
         _ => return,
     };
     let Some(token) = begin(&shared, epoch) else {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod configuration;
+mod create;
 mod desk;
 mod election;
 mod intake;
--- /dev/null
+++ b/crates/node/src/entry/create.rs
@@ -0,0 +1,123 @@
+//! Creates keys in the store, directly or through the owner.
+
+use bytes::Bytes;
+use slog::info;
+use tokio::time::{Duration, Instant, sleep};
+use toucanquay_model::{Error, ErrorKind};
+use toucanquay_wire::{
+    Frame,
+    graph::{Query, Reply},
+};
+
+use super::Shared;
+use crate::store::{Commit, Transaction};
+
+/// Time for one attempt at the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for one attempt through the owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time that the owner leaves for the answer's way, in milliseconds.
+const WAY_MS: u64 = 50;
+
+/// Pause after a round of attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Creates a key unless it exists, through the owner if the store can't be reached from here.
+///
+/// # Errors
+///
+/// [`ErrorKind::StoreUnavailable`] if nothing was done, [`ErrorKind::OutcomeUnknown`] if that
+/// isn't known by the deadline.
+pub(super) async fn anywhere(
+    shared: &Shared,
+    key: &str,
+    value: &[u8],
+    deadline: Instant,
+) -> Result<(), Error> {
+    let mut is_unknown = false;
+    let mut round = 0;
+    loop {
+        round += 1;
+        let direct = in_store(
+            shared,
+            key,
+            value,
+            deadline.min(Instant::now() + STORE_TIMEOUT),
+        );
+        let Err(error) = direct.await else {
+            return Ok(());
+        };
+        is_unknown |= error.kind() != ErrorKind::StoreUnavailable;
+        let Err(through_owner) = through_owner(shared, key, value, deadline).await else {
+            info!(shared.log, "written_by_owner"; "key" => key, "cause" => %error);
+            return Ok(());
+        };
+        is_unknown |= is_possible(&through_owner);
+        info!(shared.log, "write_failed"; "key" => key, "round" => round, "store" => %error,
+            "owner" => %through_owner);
+        if Instant::now() + RETRY_PAUSE >= deadline {
+            let kind = if is_unknown {
+                ErrorKind::OutcomeUnknown
+            } else {
+                ErrorKind::StoreUnavailable
+            };
+            return Err(Error::new(kind).context(error));
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Creates a key unless it exists, in one attempt at the store.
+///
+/// # Errors
+///
+/// The store's error.
+pub(super) async fn in_store(
+    shared: &Shared,
+    key: &str,
+    value: &[u8],
+    deadline: Instant,
+) -> Result<(), Error> {
+    let transaction = Transaction::default().expect(key, 0).put(key, value);
+    match shared.store.commit(transaction, deadline).await? {
+        // A key that exists was created by an earlier attempt.
+        Commit::Done(_) | Commit::Conflict(_) => Ok(()),
+    }
+}
+
+async fn through_owner(
+    shared: &Shared,
+    key: &str,
+    value: &[u8],
+    deadline: Instant,
+) -> Result<(), Error> {
+    let owner = shared
+        .owner()
+        .ok_or_else(|| Error::new(ErrorKind::NoOwner))?;
+    if owner.address == shared.settings.listen {
+        return Err(Error::new(ErrorKind::NoOwner).context("this process is the owner"));
+    }
+    let deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
+    let left = deadline.saturating_duration_since(Instant::now());
+    let within_ms = u64::try_from(left.as_millis()).unwrap_or(0);
+    let query = Query::Create {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(value),
+        within_ms: within_ms.saturating_sub(WAY_MS),
+    };
+    let frame = Frame::Graph(query);
+    match shared.pool.call(owner.address, &frame, deadline).await? {
+        Frame::GraphReply(Reply::Created) => Ok(()),
+        _ => Err(Error::new(ErrorKind::Protocol).context("unexpected frame")),
+    }
+}
+
+/// Tells whether an attempt through the owner may have been carried out.
+fn is_possible(error: &Error) -> bool {
+    !matches!(
+        error.kind(),
+        ErrorKind::StoreUnavailable | ErrorKind::NoOwner | ErrorKind::PeerUnavailable
+    )
+}
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -12,11 +12,8 @@
     graph::{Query, Reply},
 };
 
-use super::{Entry, Shared, peer, takeover};
-use crate::{
-    key,
-    store::{Commit, Transaction},
-};
+use super::{Entry, Shared, create, peer, takeover};
+use crate::key;
 
 /// Time for one question to the owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -51,7 +48,7 @@
         };
         let record = serde_json::to_vec(&acceptance)
             .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
-        create(shared, key::job(id), record.clone(), deadline).await?;
+        create::anywhere(shared, &key::job(id), &record, deadline).await?;
         info!(shared.log, "job_accepted"; "job" => %id, "queue" => queue,
             "steps" => acceptance.job.steps.len(), "chain_ms" => acceptance.job.chain_ms());
         let record = Bytes::from(record);
@@ -69,7 +66,7 @@
             return Ok(false);
         }
         let shared = &self.shared;
-        create(shared, key::cancel(id), Vec::new(), deadline).await?;
+        create::anywhere(shared, &key::cancel(id), &[], deadline).await?;
         info!(shared.log, "job_cancelled"; "job" => %id, "queue" => queue);
         notify(shared.clone(), Query::Cancelled(id));
         Ok(true)
@@ -112,44 +109,6 @@
     }
 }
 
-/// Creates a key unless it exists.
-async fn create(
-    shared: &Shared,
-    key: String,
-    value: Vec<u8>,
-    deadline: Instant,
-) -> Result<(), Error> {
-    let mut is_unknown = false;
-    loop {
-        let transaction = Transaction::default()
-            .expect(key.clone(), 0)
-            .put(key.clone(), value.clone());
-        let call_deadline = deadline.min(Instant::now() + STORE_TIMEOUT);
-        match shared.store.commit(transaction, call_deadline).await {
-            Ok(Commit::Done(_)) => return Ok(()),
-            Ok(Commit::Conflict(_)) => return Ok(()),
-            Err(error) => {
-                is_unknown |= error.kind() != ErrorKind::StoreUnavailable;
-                debug!(shared.log, "write_failed"; "key" => &key, "error" => %error);
-                if Instant::now() + RETRY_PAUSE >= deadline {
-                    return Err(unwritten(is_unknown, &error));
-                }
-            }
-        }
-        sleep(RETRY_PAUSE).await;
-    }
-}
-
-/// Returns the error of a write that may have been attempted several times.
-fn unwritten(is_unknown: bool, last: &Error) -> Error {
-    let kind = if is_unknown {
-        ErrorKind::OutcomeUnknown
-    } else {
-        ErrorKind::StoreUnavailable
-    };
-    Error::new(kind).context(last)
-}
-
 async fn read_state(shared: &Shared, id: Id, deadline: Instant) -> Result<Option<State>, Error> {
     loop {
         let call_deadline = deadline.min(Instant::now() + STORE_TIMEOUT);
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -27,6 +27,7 @@
     epoch: Epoch,
     fence: Revision,
     orders: HashMap<String, mpsc::Sender<Orders>>,
+    addresses: session::Addresses,
     sessions: HashMap<String, (Address, JoinHandle<()>)>,
     tasks: Vec<JoinHandle<()>>,
     is_deposed: bool,
@@ -58,6 +59,7 @@
             epoch,
             fence,
             orders: HashMap::new(),
+            addresses: session::Addresses::default(),
             sessions: HashMap::new(),
             is_deposed: false,
         };
@@ -177,6 +179,8 @@
                 self.scheduler.cancel(id, now);
                 Reply::Noted
             }
+            // Written by the process that hosts the owner, before it gets here.
+            Query::Create { .. } => Reply::Noted,
         };
         if let Some(reply) = reply {
             // The asker may have given up.
@@ -204,11 +208,15 @@
             self.scheduler.disconnect(&name);
             self.orders.remove(&name);
         }
+        self.addresses
+            .lock()
+            .expect("no holder of this lock panics")
+            .insert(name.clone(), address.address);
         let task = tokio::spawn(session::run(
             self.shared.log.clone(),
             self.mailbox.clone(),
             name.clone(),
-            address.address,
+            self.addresses.clone(),
             self.epoch,
         ));
         self.sessions.insert(name, (address, task));
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -2,21 +2,36 @@
 
 use std::sync::Arc;
 
-use tokio::sync::oneshot;
+use tokio::{
+    sync::oneshot,
+    time::{Duration, Instant},
+};
 use toucanquay_model::{Error, ErrorKind};
 use toucanquay_wire::{
     Frame, Stream,
     graph::{Query, Reply},
 };
 
-use super::{Shared, owner::Event};
+use super::{Shared, create, owner::Event};
 
 /// Serves one stream.
 pub(super) async fn serve(shared: Arc<Shared>, mut stream: Stream) {
     let Ok(Some(Frame::Graph(query))) = stream.recv().await else {
         return;
     };
-    let frame = match ask_here(&shared, query).await {
+    let reply = match query {
+        Query::Create {
+            key,
+            value,
+            within_ms,
+        } => {
+            let deadline = Instant::now() + Duration::from_millis(within_ms);
+            let created = create::in_store(&shared, &key, &value, deadline).await;
+            created.map(|()| Reply::Created)
+        }
+        query => ask_here(&shared, query).await,
+    };
+    let frame = match reply {
         Ok(reply) => Frame::GraphReply(reply),
         Err(error) => Frame::Refused(error),
     };
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -1,8 +1,12 @@
 //! The owner's session with one companion.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::{
     sync::mpsc,
     time::{Duration, sleep, timeout},
@@ -22,26 +26,48 @@
 const PAUSE_MIN: Duration = Duration::from_millis(50);
 const PAUSE_MAX: Duration = Duration::from_millis(400);
 
+/// Marks errors of sessions in which an update had arrived.
+const BEGUN: &str = "session";
+
 /// Orders that may wait to be sent.
 const ORDERS_MAX: usize = 64;
 
+/// Direct attempts that fail before a relay is tried.
+const DIRECT_ATTEMPTS: u32 = 2;
+
+/// Addresses of all companions by host, for relays.
+pub(super) type Addresses = Arc<Mutex<BTreeMap<String, SocketAddr>>>;
+
 /// Runs until the owner's role ends.
+///
+/// A companion that can't be reached directly is reached through another one, by turns.
 pub(super) async fn run(
     log: Logger,
     mailbox: mpsc::Sender<Event>,
     name: String,
-    address: SocketAddr,
+    addresses: Addresses,
     epoch: Epoch,
 ) {
     let mut pause = PAUSE_MIN;
+    let mut failures = 0;
     loop {
-        match timeout(OPEN_TIMEOUT, open(address, epoch)).await {
+        let Some(path) = path(&addresses, &name, failures) else {
+            return;
+        };
+        match timeout(OPEN_TIMEOUT, open(path, epoch)).await {
             Ok(Ok(stream)) => {
-                pause = PAUSE_MIN;
-                let Err(error) = follow(&mailbox, &name, stream).await else {
+                let ended = follow(&mailbox, &name, stream).await;
+                let Err(error) = ended else {
                     return;
                 };
-                debug!(log, "session_broken"; "host" => &name, "error" => %error);
+                info!(log, "session_broken"; "host" => &name, "relay" => ?path.relay,
+                    "error" => %error);
+                if is_served(&error) {
+                    pause = PAUSE_MIN;
+                    failures = 0;
+                } else {
+                    failures += 1;
+                }
                 if mailbox
                     .send(Event::Disconnected(name.clone()))
                     .await
@@ -50,34 +76,83 @@
                     return;
                 }
             }
-            Ok(Err(error)) => debug!(log, "session_refused"; "host" => &name, "error" => %error),
-            Err(_elapsed) => debug!(log, "session_unanswered"; "host" => &name),
+            Ok(Err(error)) => {
+                failures += 1;
+                debug!(log, "session_refused"; "host" => &name, "error" => %error);
+            }
+            Err(_elapsed) => {
+                failures += 1;
+                debug!(log, "session_unanswered"; "host" => &name, "relay" => ?path.relay);
+            }
         }
         sleep(pause).await;
         pause = (pause * 2).min(PAUSE_MAX);
     }
 }
 
-async fn open(address: SocketAddr, epoch: Epoch) -> Result<Stream, Error> {
-    let client = Client::connect(address).await?;
+/// How a companion is reached.
+#[derive(Debug, Clone, Copy)]
+struct Path {
+    address: SocketAddr,
+    relay: Option<SocketAddr>,
+}
+
+/// Returns the direct path at first and in each second further attempt, else one with a relay.
+fn path(addresses: &Addresses, name: &str, failures: u32) -> Option<Path> {
+    let addresses = addresses.lock().expect("no holder of this lock panics");
+    let address = *addresses.get(name)?;
+    let is_direct = failures < DIRECT_ATTEMPTS || failures.is_multiple_of(2);
+    let others: Vec<SocketAddr> = addresses
+        .iter()
+        .filter(|(other, _)| other.as_str() != name)
+        .map(|(_, address)| *address)
+        .collect();
+    let relay = match others.len() {
+        0 => None,
+        count => Some(others[(failures / 2) as usize % count]),
+    };
+    Some(Path {
+        address,
+        relay: relay.filter(|_| !is_direct),
+    })
+}
+
+async fn open(path: Path, epoch: Epoch) -> Result<Stream, Error> {
+    let client = Client::connect(path.relay.unwrap_or(path.address)).await?;
     let mut stream = client.open().await?;
+    if path.relay.is_some() {
+        stream.send(&Frame::Relay(path.address)).await?;
+    }
     stream.send(&Frame::Session(epoch)).await?;
     Ok(stream)
 }
 
+/// Tells whether a session had begun before it broke.
+fn is_served(error: &Error) -> bool {
+    error.wrong_field() == Some(BEGUN)
+}
+
 /// Returns without an error when the owner's role has ended.
 async fn follow(mailbox: &mpsc::Sender<Event>, name: &str, stream: Stream) -> Result<(), Error> {
     let (mut sender, mut receiver) = stream.split();
     let (orders_sender, mut orders) = mpsc::channel(ORDERS_MAX);
     let mut orders_sender = Some(orders_sender);
+    let broken = |error: Error, has_begun: bool| {
+        if has_begun { error.field(BEGUN) } else { error }
+    };
     loop {
+        let has_begun = orders_sender.is_none();
         tokio::select! {
             frame = timeout(SILENCE, receiver.recv()) => {
                 let silent = |_elapsed| Error::new(ErrorKind::PeerUnavailable).context("silent");
-                let update = match frame.map_err(silent)?? {
+                let frame = frame.map_err(silent).and_then(|frame| frame);
+                let update = match frame.map_err(|error| broken(error, has_begun))? {
                     Some(Frame::Update(update)) => update,
                     Some(Frame::Refused(error)) => return Err(error),
-                    _ => return Err(Error::new(ErrorKind::PeerUnavailable).context("closed")),
+                    _ => {
+                        let error = Error::new(ErrorKind::PeerUnavailable).context("closed");
+                        return Err(broken(error, has_begun));
+                    }
                 };
                 if let Some(orders) = orders_sender.take() {
                     let connected = Event::Connected(name.to_owned(), orders);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,7 @@
 //! One message between processes.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use toucanquay_model::{Epoch, Error, exchange, job, request::Verdict, session};
@@ -45,6 +47,8 @@
     PeerReply(peer::Status),
     /// Owner to agent: a session begins.
     Session(Epoch),
+    /// Owner to agent: pass the frames of this stream on to the agent at an address, and back.
+    Relay(SocketAddr),
     /// Owner to agent: orders of the session.
     Orders(session::Orders),
     /// Agent to owner: everything that it knows.
--- a/crates/wire/src/graph/query.rs
+++ b/crates/wire/src/graph/query.rs
@@ -20,4 +20,13 @@
     },
     /// A job's cancellation is durable.
     Cancelled(Id),
+    /// Create a key in the store on behalf of an entry that can't reach it.
+    Create {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: Bytes,
+        /// Time that is left for it, in milliseconds.
+        within_ms: u64,
+    },
 }
--- a/crates/wire/src/graph/reply.rs
+++ b/crates/wire/src/graph/reply.rs
@@ -12,4 +12,6 @@
     Pending(u64),
     /// The notice was taken.
     Noted,
+    /// The key exists.
+    Created,
 }
