--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod commit;
 mod ending;
+mod health;
 mod host;
 mod intake;
 mod job;
