--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -7,7 +7,6 @@
 mod choice;
 mod commit;
 mod ending;
-mod health;
 mod host;
 mod intake;
 mod job;
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -54,7 +54,7 @@
             if !self.has_place_for(key, job, slot, step) {
                 continue;
             }
-            let is_avoided = task.avoid == Some(key) || now < host.avoid_until || self.is_slow(key);
+            let is_avoided = task.avoid == Some(key) || now < host.avoid_until;
             let score = if is_avoided {
                 score - AVOID_DEDUCTION
             } else {
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -14,9 +14,6 @@
     key::{JobKey, RunKey},
 };
 
-/// Time for which a worker is first avoided when its tasks stand still.
-pub(super) const STALL_MICROS_MIN: u64 = 1_500_000;
-
 /// What the owner knows of one host.
 #[derive(Debug)]
 pub(super) struct Host {
@@ -55,11 +52,6 @@
     /// Distinct jobs that failed in a row.
     pub(super) failing: SmallVec<[JobKey; 4]>,
     pub(super) avoid_until: Time,
-    /// Speed of tasks relative to their estimates, as a moving average.
-    pub(super) speed: f64,
-    pub(super) measured_at: Time,
-    /// How long the worker is avoided when its tasks stand still again, in microseconds.
-    pub(super) stall_micros: u64,
 }
 
 impl Host {
@@ -91,9 +83,6 @@
             ends: VecDeque::new(),
             failing: SmallVec::new(),
             avoid_until: Time::ZERO,
-            speed: 1.0,
-            measured_at: Time::ZERO,
-            stall_micros: STALL_MICROS_MIN,
         }
     }
 
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -33,7 +33,6 @@
             self.take_runs(key, update, now);
             self.resolve_absent(key, update, is_fresh, now);
             self.learn_pressure(key, now);
-            self.check_health(key, now);
             self.hosts[key].is_fresh = false;
             self.acknowledge_ends(key);
             if update.is_settled && self.awaited.remove(&update.host) {
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -11,9 +11,6 @@
 /// Latency of a task without neighbours that is assumed at first: a quarter of its target.
 const ALONE_UNKNOWN: f64 = -1.4;
 
-/// Factor on the estimated run time above which the rest of an attempt is worth a restart.
-const RESTART_FACTOR: u64 = 2;
-
 /// Time from a start until a report covers the attempt's use of processors.
 const MEASURED_MICROS: u64 = 700_000;
 
@@ -36,14 +33,6 @@
     pub(super) ordered_in: Option<u64>,
     pub(super) is_stopping: bool,
     pub(super) done_percent: u8,
-    /// Growth of the above since the report before the last one.
-    pub(super) advance_percent: u8,
-    /// When the share of its work that is done last changed.
-    pub(super) advanced_at: Time,
-    /// Estimated run time, in milliseconds.
-    pub(super) estimate_ms: u64,
-    pub(super) is_perpetual: bool,
-    pub(super) has_checkpoints: bool,
     /// Latency or processors in use, as the worker reports them.
     pub(super) gauge: u32,
     /// Key of its image in the model of interference.
@@ -80,11 +69,6 @@
             ordered_in: None,
             is_stopping: false,
             done_percent: 0,
-            advance_percent: 0,
-            advanced_at: now,
-            estimate_ms: step.estimate_ms,
-            is_perpetual: step.is_perpetual,
-            has_checkpoints: step.has_checkpoints,
             gauge: 0,
             image,
             alone: ALONE_UNKNOWN,
@@ -94,25 +78,8 @@
         }
     }
 
-    /// Tells whether the attempt should advance: it is no perpetual task, and it isn't paused.
-    pub(super) const fn is_working(&self) -> bool {
-        !self.is_perpetual && !self.is_stopping && self.slow_since.is_none()
-    }
-
-    /// Tells whether a new attempt elsewhere would end much earlier, at the speed so far.
-    pub(super) fn is_hopeless(&self, now: Time) -> bool {
-        let elapsed_ms = now.micros_since(self.started_at) / 1_000;
-        let done = u64::from(self.done_percent.max(1));
-        let remaining_ms = elapsed_ms * (100 - done.min(100)) / done;
-        remaining_ms > self.estimate_ms.saturating_mul(RESTART_FACTOR)
-    }
-
     /// Takes what the worker reports.
     pub(super) fn observe(&mut self, row: &session::Run, now: Time) {
-        if row.done_percent != self.done_percent {
-            self.advanced_at = now;
-        }
-        self.advance_percent = row.done_percent.saturating_sub(self.done_percent);
         self.done_percent = row.done_percent;
         self.gauge = row.gauge;
         // The first report comes before anything was measured.
