--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -12,7 +12,10 @@
 };
 
 use super::Shared;
-use crate::worker::{Call, Reply};
+use crate::{
+    meters,
+    worker::{Call, Reply},
+};
 
 /// Time for one call to the worker.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -47,12 +50,9 @@
         worker,
         lease_until,
     };
-    let outcome = outcome(
-        &shared
-            .worker
-            .call(call, Instant::now() + CALL_TIMEOUT)
-            .await,
-    );
+    let called_at = Instant::now();
+    let outcome = outcome(&shared.worker.call(call, called_at + CALL_TIMEOUT).await);
+    meters::started(word(outcome), called_at);
     info!(shared.log, "task_start"; "task" => %task, "attempt" => attempt, "epoch" => epoch,
         "outcome" => ?outcome);
     let now = shared.clock.now();
@@ -112,3 +112,11 @@
 pub(super) fn log_gone(shared: &Shared) {
     warn!(shared.log, "worker_gone"; "reason" => "its address refuses connections");
 }
+
+const fn word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Refused => "refused",
+        Outcome::Unknown => "unknown",
+    }
+}
--- a/crates/node/src/companion/hold.rs
+++ b/crates/node/src/companion/hold.rs
@@ -7,7 +7,10 @@
 use toucanquay_control::runner::Listing;
 
 use super::{Shared, executor};
-use crate::worker::{Call, Reply};
+use crate::{
+    meters,
+    worker::{Call, Reply},
+};
 
 /// Longest wait of a list for an end. It bounds the time until a start or a stop without an
 /// outcome is resolved, and the age of the latency that a pace follows.
@@ -73,6 +76,7 @@
         let before = runner.digest();
         for end in &listing.finished {
             if end.number > runner.ends_seen() {
+                meters::ended(end.ending);
                 info!(shared.log, "task_ended"; "task" => %end.task, "attempt" => end.attempt,
                     "ending" => ?end.ending, "number" => end.number);
             }
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -12,7 +12,7 @@
 
 use super::{Shared, owner, term::Term};
 use crate::{
-    key,
+    key, meters,
     store::{Commit, Event, Item, Transaction, Watch},
 };
 
@@ -162,6 +162,7 @@
         .await
     {
         Ok(Commit::Done(revision)) => {
+            meters::took_over();
             info!(shared.log, "ownership_taken"; "epoch" => term.epoch, "revision" => revision);
             shared.set_owner(Some(term.clone()));
             serve(shared, term, revision, sent_at).await;
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -13,11 +13,17 @@
 use toucanquay_wire::graph::{Query, Reply};
 
 use super::Event;
-use crate::entry::{Address, Shared, intake, record, session, takeover::Loaded};
+use crate::{
+    entry::{Address, Shared, intake, record, session, takeover::Loaded},
+    meters,
+};
 
 /// Longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two updates of the gauges, in milliseconds.
+const METER_INTERVAL_MS: u64 = 1_000;
+
 /// The scheduler with its connections.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -31,6 +37,7 @@
     sessions: HashMap<String, (Address, JoinHandle<()>)>,
     tasks: Vec<JoinHandle<()>>,
     is_deposed: bool,
+    meter_at: Time,
 }
 
 impl Driver {
@@ -62,6 +69,7 @@
             addresses: session::Addresses::default(),
             sessions: HashMap::new(),
             is_deposed: false,
+            meter_at: Time::ZERO,
         };
         driver.configure();
         for (name, address) in loaded.hosts {
@@ -103,6 +111,7 @@
             }
             Event::Disconnected(name) => {
                 info!(self.shared.log, "session_lost"; "host" => &name, "epoch" => self.epoch);
+                meters::session_lost();
                 self.scheduler.disconnect(&name);
                 self.orders.remove(&name);
             }
@@ -138,6 +147,12 @@
         if !expired.is_empty() {
             tokio::spawn(record::remove(self.shared.clone(), self.fence, expired));
         }
+        if now >= self.meter_at {
+            self.meter_at = now.plus_millis(METER_INTERVAL_MS);
+            let scheduler = &self.scheduler;
+            let (jobs, attempts) = (scheduler.active(), scheduler.running());
+            meters::owned(jobs, attempts, scheduler.unrecorded());
+        }
         for name in self.scheduler.due_hosts(now) {
             self.send(&name, now);
         }
@@ -152,6 +167,7 @@
         };
         if let Some(orders) = self.scheduler.orders(name, now) {
             for start in &orders.starts {
+                meters::placed();
                 info!(self.shared.log, "task_placed"; "task" => %start.task,
                     "attempt" => start.attempt, "host" => name, "epoch" => self.epoch,
                     "milli" => start.profile.occupied.processors_milli,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod key;
 pub mod log;
+pub mod meters;
 pub mod store;
 pub mod worker;
 
--- /dev/null
+++ b/crates/node/src/meters.rs
@@ -0,0 +1,58 @@
+//! Counters and histograms.
+//!
+//! Names are listed in docs/OPERATIONS.md. Without a recorder they cost nothing.
+
+use metrics::{counter, gauge, histogram};
+use tokio::time::Instant;
+use toucanquay_model::session::Ending;
+
+/// Counts a call to the store by kind and outcome, and its duration.
+pub fn store_call(call: &'static str, outcome: &'static str, started_at: Instant) {
+    counter!("toucanquay_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
+    if call != "watch" {
+        let seconds = started_at.elapsed().as_secs_f64();
+        histogram!("toucanquay_store_call_seconds", "call" => call).record(seconds);
+    }
+}
+
+/// Counts a client's request by method and status, and its duration.
+pub fn request(method: &'static str, status: u16, started_at: Instant) {
+    let status = status.to_string();
+    counter!("toucanquay_requests_total", "method" => method, "status" => status).increment(1);
+    let seconds = started_at.elapsed().as_secs_f64();
+    histogram!("toucanquay_request_seconds", "method" => method).record(seconds);
+}
+
+/// Counts a task that the owner placed.
+pub fn placed() {
+    counter!("toucanquay_tasks_placed_total").increment(1);
+}
+
+/// Counts a start at the worker by outcome, and its duration.
+pub fn started(outcome: &'static str, started_at: Instant) {
+    counter!("toucanquay_task_starts_total", "outcome" => outcome).increment(1);
+    histogram!("toucanquay_task_start_seconds").record(started_at.elapsed().as_secs_f64());
+}
+
+/// Counts the end of an attempt.
+pub fn ended(ending: Ending) {
+    let ending = format!("{ending:?}").to_lowercase();
+    counter!("toucanquay_task_ends_total", "ending" => ending).increment(1);
+}
+
+/// Counts a takeover of the owner's role.
+pub fn took_over() {
+    counter!("toucanquay_takeovers_total").increment(1);
+}
+
+/// Counts a session that was lost.
+pub fn session_lost() {
+    counter!("toucanquay_sessions_lost_total").increment(1);
+}
+
+/// Sets what the owner has to do.
+pub fn owned(jobs: usize, attempts: usize, unrecorded: usize) {
+    gauge!("toucanquay_jobs_active").set(jobs as f64);
+    gauge!("toucanquay_attempts").set(attempts as f64);
+    gauge!("toucanquay_jobs_unrecorded").set(unrecorded as f64);
+}
