--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -3,16 +3,16 @@
 use toucanquay_model::Time;
 
 /// Latency that is aimed at, as a share of its target in percent.
-const AIM_PERCENT: f64 = 82.0;
+const AIM_PERCENT: f64 = 86.0;
 
 /// The target itself, in percent.
 const TARGET_PERCENT: u32 = 100;
 
 /// Latency above this share of its target slows neighbours down, in percent.
-const SLOW_ABOVE_PERCENT: u32 = 90;
+const SLOW_ABOVE_PERCENT: u32 = 94;
 
 /// Latency below this share of its target lets neighbours speed up, in percent.
-const RAISE_BELOW_PERCENT: u32 = 78;
+const RAISE_BELOW_PERCENT: u32 = 82;
 
 /// Part of the room below the aim that one step up may use.
 const RAISE_PART: f64 = 0.6;
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -11,7 +11,7 @@
 };
 
 /// Logarithm of the latency that is aimed at, as a share of its target.
-const AIM: f64 = -0.3;
+const AIM: f64 = -0.22;
 
 /// Time from the start of a sensitive task until its latency is learned from.
 const WARM_MICROS: u64 = 1_500_000;
