--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod job;
 mod key;
 mod lifecycle;
+mod note;
 mod orders;
 mod placement;
 mod pressure;
@@ -37,6 +38,7 @@
 use host::Host;
 use job::Job;
 use key::{HostKey, JobKey, RunKey};
+pub use note::Note;
 pub use restored::Restored;
 use run::Run;
 pub use settings::Settings;
@@ -72,6 +74,7 @@
     record_at: Time,
     sweep_at: Time,
     expired: Vec<Id>,
+    notes: Vec<Note>,
 }
 
 impl Scheduler {
@@ -109,6 +112,7 @@
             record_at: Time::ZERO,
             sweep_at: Time::ZERO,
             expired: Vec::new(),
+            notes: Vec::new(),
         }
     }
 
@@ -165,6 +169,11 @@
         }
     }
 
+    /// Returns what was concluded since the last call.
+    pub fn drain_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Returns the state of a job as far as it is durable.
     #[must_use]
     pub fn state(&self, id: Id) -> Option<State> {
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Scheduler,
+    Note, Scheduler,
     intake::place_of,
     key::{HostKey, JobKey, RunKey},
     task::Phase,
@@ -118,6 +118,7 @@
         };
         let is_perpetual = job.step(place).is_some_and(|step| step.is_perpetual);
         let is_over = job.state.is_over();
+        let name = job.name(place);
         let Some(task) = job.task_mut(place) else {
             return;
         };
@@ -127,6 +128,11 @@
         task.failures = task.failures.saturating_add(1);
         task.avoid = Some(host);
         let failures = task.failures;
+        self.notes.push(Note::Failed {
+            task: name,
+            failures,
+            host: self.hosts[host].name.clone(),
+        });
         if is_perpetual {
             let pause = 50_000_u64 << failures.min(10);
             self.pause(key, place, now.plus_micros(pause.min(backoff_max)));
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Run, Scheduler,
+    Note, Run, Scheduler,
     key::{HostKey, JobKey, RunKey},
     task::Phase,
 };
@@ -93,6 +93,10 @@
     /// The worker's process has ended, and with it all that it ran.
     fn lose_worker(&mut self, key: HostKey, now: Time) {
         let host = &mut self.hosts[key];
+        self.notes.push(Note::WorkerLost {
+            host: host.name.clone(),
+            attempts: host.runs.len(),
+        });
         host.worker = None;
         host.life = 0;
         host.ends.clear();
@@ -112,8 +116,10 @@
         let host = &self.hosts[key];
         let remaining_ms = host.worker.as_ref().and_then(|worker| worker.remaining_ms);
         let remaining_micros = remaining_ms.unwrap_or(0) * 1_000;
-        for key in host.runs.clone() {
-            let Some(run) = self.runs.get(key) else {
+        let name = host.name.clone();
+        let stops = host.stops.len();
+        for run_key in host.runs.clone() {
+            let Some(run) = self.runs.get(run_key) else {
                 continue;
             };
             let Some(step) = self.jobs.get(run.job).and_then(|job| job.step(run.place)) else {
@@ -121,9 +127,13 @@
             };
             let is_in_time = run.is_done_within(remaining_micros, now);
             if step.is_perpetual || (step.has_checkpoints && !is_in_time) {
-                self.stop(key);
+                self.stop(run_key);
             }
         }
+        self.notes.push(Note::Draining {
+            host: name,
+            moved: self.hosts[key].stops.len() - stops,
+        });
     }
 
     fn take_ends(&mut self, key: HostKey, update: &Update, now: Time) {
@@ -227,6 +237,11 @@
             attempt: row.attempt,
         };
         let host = &mut self.hosts[host];
+        self.notes.push(Note::Adopted {
+            task: row.task,
+            attempt: row.attempt,
+            host: host.name.clone(),
+        });
         host.profiles.push((stop, profile(&step)));
         host.attach(run, &step);
         true
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Job, Restored, Scheduler,
+    Job, Note, Restored, Scheduler,
     key::{JobKey, RunKey},
 };
 
@@ -107,6 +107,11 @@
         if job.state.is_over() {
             return;
         }
+        self.notes.push(Note::JobOver {
+            job: job.id,
+            state,
+            reason: reason.clone(),
+        });
         job.state = state;
         job.reason = reason;
         job.over_at = Some(now);
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -4,7 +4,7 @@
 use toucanquay_policy::pressure::Neighbour;
 
 use super::{
-    Run, Scheduler,
+    Note, Run, Scheduler,
     host::Host,
     intake::profile,
     key::{HostKey, RunKey},
@@ -156,6 +156,14 @@
             other != key && self.speed(host, pool, step, image) >= Some(MOVE_SPEED_MIN)
         });
         if has_better {
+            let run = &self.runs[slow];
+            if let Some(job) = self.jobs.get(run.job) {
+                self.notes.push(Note::Moved {
+                    task: job.name(run.place),
+                    attempt: run.attempt,
+                    host: self.hosts[key].name.clone(),
+                });
+            }
             self.stop(slow);
         }
     }
--- a/crates/node/src/entry/intake.rs
+++ b/crates/node/src/entry/intake.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use slog::info;
+use slog::{info, warn};
 use tokio::{
     sync::mpsc,
     time::{Duration, Instant, sleep},
@@ -57,7 +57,12 @@
         match next(shared, prefix, revision).await {
             Ok((items, at)) => {
                 revision = at;
-                for event in items.iter().filter_map(&event) {
+                for item in &items {
+                    let Some(event) = event(item) else {
+                        warn!(shared.log, "item_unreadable"; "key" => &item.key,
+                            "revision" => item.revision);
+                        continue;
+                    };
                     if mailbox.send(event).await.is_err() {
                         return;
                     }
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -8,7 +8,7 @@
     task::JoinHandle,
     time::{Duration, Instant, sleep_until},
 };
-use toucanquay_control::scheduler::Scheduler;
+use toucanquay_control::scheduler::{Note, Scheduler};
 use toucanquay_model::{Epoch, Revision, Time, graph::Acceptance, session::Orders};
 use toucanquay_wire::graph::{Query, Reply};
 
@@ -147,6 +147,9 @@
         if !expired.is_empty() {
             tokio::spawn(record::remove(self.shared.clone(), self.fence, expired));
         }
+        for note in self.scheduler.drain_notes() {
+            self.log_note(note);
+        }
         if now >= self.meter_at {
             self.meter_at = now.plus_millis(METER_INTERVAL_MS);
             let scheduler = &self.scheduler;
@@ -158,6 +161,46 @@
         }
     }
 
+    fn log_note(&self, note: Note) {
+        let (log, epoch) = (&self.shared.log, self.epoch);
+        match note {
+            Note::JobOver { job, state, reason } => {
+                info!(log, "job_over"; "job" => %job, "state" => ?state, "reason" => reason,
+                    "epoch" => epoch);
+            }
+            Note::Adopted {
+                task,
+                attempt,
+                host,
+            } => {
+                info!(log, "task_adopted"; "task" => %task, "attempt" => attempt, "host" => host,
+                    "epoch" => epoch);
+            }
+            Note::Failed {
+                task,
+                failures,
+                host,
+            } => {
+                info!(log, "task_failed"; "task" => %task, "failures" => failures, "host" => host,
+                    "epoch" => epoch);
+            }
+            Note::WorkerLost { host, attempts } => {
+                warn!(log, "worker_lost"; "host" => host, "attempts" => attempts, "epoch" => epoch);
+            }
+            Note::Draining { host, moved } => {
+                info!(log, "worker_draining"; "host" => host, "moved" => moved, "epoch" => epoch);
+            }
+            Note::Moved {
+                task,
+                attempt,
+                host,
+            } => {
+                info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
+                    "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
+            }
+        }
+    }
+
     fn send(&mut self, name: &str, now: Time) {
         let Some(sender) = self.orders.get(name) else {
             return;
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -60,6 +60,9 @@
             scheduler.cancel(id, now);
         }
         let Some((id, acceptance)) = job(item) else {
+            if !item.key.starts_with(key::CANCELS) {
+                warn!(shared.log, "item_unreadable"; "key" => &item.key, "epoch" => epoch);
+            }
             continue;
         };
         if item.revision < fence {
--- a/crates/toucanquay/src/cli.rs
+++ b/crates/toucanquay/src/cli.rs
@@ -5,7 +5,7 @@
 use toucanquay_model::Error;
 
 use crate::{
-    command::{Document, Jobs, Upstreams, entry},
+    command::{Document, Jobs, Timeline, Upstreams, entry},
     demo::Demo,
 };
 
@@ -32,6 +32,8 @@
     Jobs(Jobs),
     /// List upstreams with their availability zone, load and state
     Upstreams(Upstreams),
+    /// Order the log lines of many processes that concern one job, task, request or worker
+    Timeline(Timeline),
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -52,6 +54,7 @@
             Command::Document(document) => document.run().await,
             Command::Jobs(jobs) => jobs.run().await,
             Command::Upstreams(upstreams) => upstreams.run().await,
+            Command::Timeline(timeline) => timeline.run(),
             Command::Completions { shell } => {
                 let mut command = Self::command();
                 clap_complete::generate(shell, &mut command, "toucanquay", &mut std::io::stdout());
--- a/crates/toucanquay/src/command.rs
+++ b/crates/toucanquay/src/command.rs
@@ -4,9 +4,11 @@
 pub mod entry;
 mod jobs;
 mod output;
+mod timeline;
 mod upstreams;
 
 pub use document::Document;
 pub use jobs::Jobs;
 pub use output::Output;
+pub use timeline::Timeline;
 pub use upstreams::Upstreams;
--- /dev/null
+++ b/crates/toucanquay/tests/timeline.rs
@@ -0,0 +1,81 @@
+//! The command that orders log lines.
+
+use std::{path::PathBuf, process::Command};
+
+use rstest::rstest;
+
+/// Writes a log and returns its path.
+fn log(name: &str, text: &[u8]) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("toucanquay-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a file is written");
+    path
+}
+
+/// Runs the command. Returns the exit code and both outputs.
+fn timeline(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_toucanquay"))
+        .arg("timeline")
+        .args(arguments)
+        .output()
+        .expect("the program runs");
+    let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+    (
+        output.status.code(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+/// Guards against lines of other jobs, a wrong order, and a job whose tasks are left out.
+#[test]
+fn lines_of_a_job_are_ordered_over_processes() {
+    let entry = log(
+        "entry",
+        b"event=task_placed unix_ms=1010 level=info entry=e1 host=h1 task=00000000000000a1.0.0.0\n\
+          event=job_accepted unix_ms=1000 level=info entry=e1 job=00000000000000a1\n\
+          event=job_accepted unix_ms=1001 level=info entry=e1 job=00000000000000a2\n",
+    );
+    let companion = log(
+        "companion",
+        b"  5.26 side-1 event=task_start unix_ms=1015 level=info host=h1 outcome=\"not \\\"done\" task=00000000000000a1.0.0.0\n\
+          event=cut off in the mid",
+    );
+    let files = [
+        entry.to_str().expect("a path"),
+        companion.to_str().expect("a path"),
+    ];
+
+    let (code, table, _) = timeline(&["00000000000000a1", files[0], files[1]]);
+
+    let lines: Vec<&str> = table.lines().collect();
+    assert_eq!(code, Some(0));
+    assert_eq!(lines.len(), 4, "{table}");
+    assert!(lines[1].starts_with("+0") && lines[1].contains("job_accepted"));
+    assert!(lines[2].starts_with("+10") && lines[2].contains("task_placed"));
+    assert!(lines[3].starts_with("+15") && lines[3].contains("outcome=not \"done"));
+}
+
+/// Guards against an error that doesn't name what is wrong.
+#[rstest]
+#[case::missing_file(&["a1", "/nowhere/at/all.log"], 2, "/nowhere/at/all.log")]
+#[case::no_file(&["a1"], 2, "FILES")]
+fn faulty_call_names_the_fault(#[case] arguments: &[&str], #[case] code: i32, #[case] named: &str) {
+    let (found, _, error) = timeline(arguments);
+
+    assert_eq!(found, Some(code));
+    assert!(error.contains(named), "{error}");
+}
+
+/// Guards against an empty table where the identifier is wrong.
+#[test]
+fn unknown_identifier_is_an_error() {
+    let path = log(
+        "other",
+        b"event=job_accepted unix_ms=1000 level=info job=b\n",
+    );
+
+    let (code, _, error) = timeline(&["a", path.to_str().expect("a path")]);
+
+    assert_eq!(code, Some(3));
+    assert!(error.contains("\"a\""), "{error}");
+}
