scheduler: order a stop again in the next session

Cause, from the logs by toucanquay timeline: the owner told a companion to move an attempt while the session was silent; the session was opened anew, which voids its orders, but the attempt stayed marked as stopping, so the stop at the job's cancellation was not ordered either. Ruled out: a lost cancellation (the owner logged it 1 ms after its acknowledgement), a lost stop at the worker. Test: stop_is_ordered_again_in_the_next_session failed before.

--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -260,9 +260,9 @@
             let task = job.name(run.place);
             let attempt = run.attempt;
             let is_listed = |row: &Row| row.task == task && row.attempt == attempt;
-            if update.runs.iter().any(is_listed) {
-                if is_fresh && let Some(run) = self.runs.get_mut(run_key) {
-                    run.ordered_in = Some(0);
+            if let Some(row) = update.runs.iter().find(|row| is_listed(row)) {
+                if is_fresh {
+                    self.resume(run_key, row.phase);
                 }
                 continue;
             }
@@ -280,6 +280,18 @@
         }
     }
 
+    /// Takes an attempt into a new session. A stop may have been lost with the former one.
+    fn resume(&mut self, key: RunKey, phase: RunPhase) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.ordered_in = Some(0);
+        if run.is_stopping && phase != RunPhase::Stopping {
+            run.is_stopping = false;
+            self.stop(key);
+        }
+    }
+
     fn resolve(&mut self, key: RunKey, stop: Stop) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -12,6 +12,9 @@
 /// Longest time for which an attempt works, in milliseconds.
 const WORK_MS_MAX: u64 = 1_500;
 
+/// Time for which a few attempts work, in milliseconds.
+const WORK_MS_ENDLESS: u64 = 12_000;
+
 /// An attempt that runs.
 #[derive(Debug, Clone)]
 pub struct Work {
@@ -71,7 +74,11 @@
         self.epoch = epoch;
         self.lease_until = self.lease_until.max(lease_until);
         self.running.entry((task, attempt)).or_insert(Work {
-            done_at: now.plus_millis(50 + random % WORK_MS_MAX),
+            // A few tasks would never end by themselves within a run.
+            done_at: now.plus_millis(match random % 97 {
+                0 => WORK_MS_ENDLESS,
+                _ => 50 + random % WORK_MS_MAX,
+            }),
             stop_at: Time::NEVER,
             is_failing: random.is_multiple_of(29),
         });
--- a/crates/control/tests/graph/world.rs
+++ b/crates/control/tests/graph/world.rs
@@ -18,6 +18,9 @@
 /// Time between two steps, in milliseconds.
 const STEP_MS: u64 = 10;
 
+/// Time after which nothing of a job that is over runs any more in calm, in milliseconds.
+const STOP_MS_MAX: u64 = 3_000;
+
 /// Time without a renewal in which an owner may act, in milliseconds.
 const AUTHORITY_MS: u64 = 1_600;
 
@@ -129,6 +132,9 @@
             if self.random.random_range(0..20) == 0 {
                 self.submit();
             }
+            if self.random.random_range(0..40) == 0 {
+                self.cancel();
+            }
             self.disturb();
             self.step();
         }
@@ -142,6 +148,11 @@
             );
             self.step();
         }
+        let settled = self.now + STOP_MS_MAX;
+        while self.now < settled {
+            self.step();
+        }
+        self.check_stopped();
         self.check_records();
     }
 
@@ -181,11 +192,23 @@
         if let Some(owner) = &mut self.owner {
             owner.accept(id, acceptance(steps), now);
         }
-        if self.random.random_range(0..12) == 0 {
-            self.jobs.get_mut(&id).expect("just inserted").is_cancelled = true;
-            if let Some(owner) = &mut self.owner {
-                owner.cancel(id, now);
-            }
+    }
+
+    /// Cancels a job that is not over, at any point of its life.
+    fn cancel(&mut self) {
+        let open = self
+            .jobs
+            .iter()
+            .filter(|(_, record)| !record.progress.state.is_over());
+        let open: Vec<Id> = open.map(|(id, _)| *id).collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.random.random_range(0..open.len())];
+        self.jobs.get_mut(&id).expect("an open job").is_cancelled = true;
+        let now = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.cancel(id, now);
         }
     }
 
@@ -516,6 +539,18 @@
         }
     }
 
+    /// Nothing runs of a job that is over.
+    fn check_stopped(&self) {
+        for host in &self.hosts {
+            for (task, attempt) in host.worker.running.keys() {
+                panic!(
+                    "{task} attempt {attempt} runs on at {} after its job",
+                    host.name
+                );
+            }
+        }
+    }
+
     fn check_records(&mut self) {
         for (id, record) in &self.jobs {
             if record.progress.state != toucanquay_model::graph::State::Done {
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -470,3 +470,26 @@
 
     assert_eq!(counts, [0, 3]);
 }
+
+/// Guards against a stop that is lost with the session in which it was ordered: the task of a
+/// cancelled job would run on.
+#[test]
+fn stop_is_ordered_again_in_the_next_session() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), acceptance(vec![step(1)]), at(0));
+    let begun = orders(&mut scheduler, "h1", at(1));
+    scheduler.cancel(Id::new(1), at(2));
+    let lost = orders(&mut scheduler, "h1", at(3));
+    scheduler.disconnect("h1");
+    scheduler.connect("h1");
+    let mut running = update("h1", 2);
+    running
+        .runs
+        .push(run(task(1, 0, 0), begun.starts[0].attempt, Phase::Running));
+    scheduler.update(&running, at(500));
+
+    let again = orders(&mut scheduler, "h1", at(501));
+
+    assert_eq!(lost.stops.len(), 1);
+    assert_eq!(again.stops, lost.stops);
+}
