--- a/crates/node/src/entry/create.rs
+++ b/crates/node/src/entry/create.rs
@@ -21,8 +21,13 @@
 /// Time that the owner leaves for the answer's way, in milliseconds.
 const WAY_MS: u64 = 50;
 
-/// Pause after a round of attempts.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Least time for one attempt. A shorter one would end without an answer, and a write that was
+/// refused each time before would count as unknown.
+const ATTEMPT_MIN: Duration = Duration::from_millis(200);
+
+/// Shortest and longest pause after a round of attempts.
+const PAUSE_MIN: Duration = Duration::from_millis(60);
+const PAUSE_MAX: Duration = Duration::from_millis(240);
 
 /// Creates a key unless it exists, through the owner if the store can't be reached from here.
 ///
@@ -37,9 +42,8 @@
     deadline: Instant,
 ) -> Result<(), Error> {
     let mut is_unknown = false;
-    let mut round = 0;
-    loop {
-        round += 1;
+    let mut pause = PAUSE_MIN;
+    for round in 1.. {
         let direct = in_store(
             shared,
             key,
@@ -55,9 +59,12 @@
             return Ok(());
         };
         is_unknown |= is_possible(&through_owner);
-        info!(shared.log, "write_failed"; "key" => key, "round" => round, "store" => %error,
-            "owner" => %through_owner);
-        if Instant::now() + RETRY_PAUSE >= deadline {
+        let is_last = Instant::now() + pause + ATTEMPT_MIN >= deadline;
+        if round == 1 || is_last {
+            info!(shared.log, "write_failed"; "key" => key, "round" => round, "store" => %error,
+                "owner" => %through_owner, "is_unknown" => is_unknown, "is_last" => is_last);
+        }
+        if is_last {
             let kind = if is_unknown {
                 ErrorKind::OutcomeUnknown
             } else {
@@ -65,8 +72,10 @@
             };
             return Err(Error::new(kind).context(error));
         }
-        sleep(RETRY_PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
     }
+    unreachable!("the rounds end with an answer")
 }
 
 /// Creates a key unless it exists, in one attempt at the store.
--- a/crates/toucanquay/src/command/timeline.rs
+++ b/crates/toucanquay/src/command/timeline.rs
@@ -85,10 +85,11 @@
         })
     }
 
-    /// Tells whether a field is the identifier, or the name of a part of it.
+    /// Tells whether a field is the identifier, the name of a part of it, or its key in the store.
     fn concerns(&self, id: &str) -> bool {
         let is_part = |value: &String| {
-            let rest = value.strip_prefix(id);
+            let name = value.rsplit('/').next().unwrap_or(value);
+            let rest = name.strip_prefix(id);
             rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
         };
         self.process == id || self.fields.values().any(is_part)
--- a/crates/toucanquay/tests/timeline.rs
+++ b/crates/toucanquay/tests/timeline.rs
@@ -33,7 +33,8 @@
         "entry",
         b"event=task_placed unix_ms=1010 level=info entry=e1 host=h1 task=00000000000000a1.0.0.0\n\
           event=job_accepted unix_ms=1000 level=info entry=e1 job=00000000000000a1\n\
-          event=job_accepted unix_ms=1001 level=info entry=e1 job=00000000000000a2\n",
+          event=job_accepted unix_ms=1001 level=info entry=e1 job=00000000000000a2\n\
+          event=write_failed unix_ms=999 level=info entry=e1 key=tq/in/job/00000000000000a1\n",
     );
     let companion = log(
         "companion",
@@ -49,10 +50,11 @@
 
     let lines: Vec<&str> = table.lines().collect();
     assert_eq!(code, Some(0));
-    assert_eq!(lines.len(), 4, "{table}");
-    assert!(lines[1].starts_with("+0") && lines[1].contains("job_accepted"));
-    assert!(lines[2].starts_with("+10") && lines[2].contains("task_placed"));
-    assert!(lines[3].starts_with("+15") && lines[3].contains("outcome=not \"done"));
+    assert_eq!(lines.len(), 5, "{table}");
+    assert!(lines[1].starts_with("+0") && lines[1].contains("write_failed"));
+    assert!(lines[2].starts_with("+1") && lines[2].contains("job_accepted"));
+    assert!(lines[3].starts_with("+11") && lines[3].contains("task_placed"));
+    assert!(lines[4].starts_with("+16") && lines[4].contains("outcome=not \"done"));
 }
 
 /// Guards against an error that doesn't name what is wrong.
