--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -15,7 +15,7 @@
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
-    session::{End, Orders, Phase, Profile, Rejection, Run, Start, Stop, Update, Worker},
+    session::{End, Orders, Phase, Rejection, Run, Start, Stop, Update, Worker},
 };
 
 pub use action::Action;
@@ -306,13 +306,6 @@
         !self.ends.is_empty()
     }
 
-    /// Tells whether a list is needed soon: an outcome is open, or latency has to be observed.
-    #[must_use]
-    pub fn is_watching(&self) -> bool {
-        let mut entries = self.runs.values();
-        entries.any(|entry| entry.is_open() || entry.is_sensitive())
-    }
-
     /// Returns a value that differs after a change of which the owner has to hear at once.
     #[must_use]
     pub fn digest(&self) -> (Incarnation, u64, usize, usize, bool) {
@@ -500,10 +493,4 @@
             entry.pace = Entry::FULL_PACE;
         }
     }
-
-    /// Returns the profile of an attempt, if it is known.
-    #[must_use]
-    pub fn profile(&self, task: Task, attempt: u64) -> Option<Profile> {
-        self.runs.get(&(task, attempt))?.profile
-    }
 }
--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -69,17 +69,6 @@
         !matches!(self.phase, Phase::Rejected(_))
     }
 
-    /// Tells whether a list is needed to learn the outcome of a call.
-    pub(super) const fn is_open(&self) -> bool {
-        matches!(self.phase, Phase::Starting | Phase::Stopping)
-    }
-
-    /// Tells whether the latency of the attempt's own users is watched.
-    pub(super) fn is_sensitive(&self) -> bool {
-        self.profile
-            .is_some_and(|profile| profile.latency_target_ms.is_some())
-    }
-
     /// Returns the pace at which the attempt begins, unless it is the full one.
     pub(super) fn begin_pace(&mut self, worst: Option<u32>) -> Option<u8> {
         if !self.is_paced() {
--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -28,7 +28,7 @@
 use foldhash::{HashMap, HashMapExt};
 use slotmap::SlotMap;
 use toucanquay_model::{
-    Epoch, Revision, Time,
+    Epoch, Time,
     graph::{Acceptance, Id, Queue, State},
 };
 
@@ -180,12 +180,6 @@
         Some(self.jobs.get(*self.ids.get(&id)?)?.visible_state())
     }
 
-    /// Returns the name of a job's queue.
-    #[must_use]
-    pub fn queue_of(&self, id: Id) -> Option<&str> {
-        Some(&self.jobs.get(*self.ids.get(&id)?)?.queue)
-    }
-
     /// Returns the number of a queue's jobs of which no task has started.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
@@ -214,12 +208,6 @@
             .count()
     }
 
-    /// Returns the highest revision of a job's record, for tests and for the log.
-    #[must_use]
-    pub fn record_revision(&self, id: Id) -> Option<Revision> {
-        Some(self.jobs.get(*self.ids.get(&id)?)?.revision)
-    }
-
     /// Returns the time of day in milliseconds since 1970.
     fn unix_ms(&self, now: Time) -> u64 {
         let micros = i128::from(now.as_micros()) + self.unix_offset_micros;
--- a/crates/control/src/scheduler/commit.rs
+++ b/crates/control/src/scheduler/commit.rs
@@ -40,15 +40,6 @@
         (!records.is_empty()).then_some(Commit { records })
     }
 
-    /// Returns when a commit is due, or [`Time::NEVER`].
-    #[must_use]
-    pub fn commit_at(&self) -> Time {
-        if self.recording.is_empty() && !self.unrecorded.is_empty() {
-            return self.record_at;
-        }
-        Time::NEVER
-    }
-
     /// The records of the last commit are durable, with this revision.
     pub fn committed(&mut self, revision: Revision) {
         for (key, version) in std::mem::take(&mut self.recording) {
--- a/crates/control/tests/graph/world.rs
+++ b/crates/control/tests/graph/world.rs
@@ -542,12 +542,12 @@
     /// Nothing runs of a job that is over.
     fn check_stopped(&self) {
         for host in &self.hosts {
-            for (task, attempt) in host.worker.running.keys() {
-                panic!(
-                    "{task} attempt {attempt} runs on at {} after its job",
-                    host.name
-                );
-            }
+            let running: Vec<_> = host.worker.running.keys().collect();
+            assert!(
+                running.is_empty(),
+                "{} runs {running:?} after their jobs",
+                host.name
+            );
         }
     }
 
--- a/crates/node/src/entry/create.rs
+++ b/crates/node/src/entry/create.rs
@@ -43,7 +43,9 @@
 ) -> Result<(), Error> {
     let mut is_unknown = false;
     let mut pause = PAUSE_MIN;
-    for round in 1.. {
+    let mut round = 0;
+    loop {
+        round += 1;
         let direct = in_store(
             shared,
             key,
@@ -75,7 +77,6 @@
         sleep(pause).await;
         pause = (pause * 2).min(PAUSE_MAX);
     }
-    unreachable!("the rounds end with an answer")
 }
 
 /// Creates a key unless it exists, in one attempt at the store.
--- a/crates/node/src/entry/desk.rs
+++ b/crates/node/src/entry/desk.rs
@@ -62,7 +62,7 @@
     ///
     /// The store's error.
     pub async fn cancel(&self, queue: &str, id: Id, deadline: Instant) -> Result<bool, Error> {
-        if self.state(queue, id, deadline).await?.is_none() {
+        if self.state(id, deadline).await?.is_none() {
             return Ok(false);
         }
         let shared = &self.shared;
@@ -77,12 +77,7 @@
     /// # Errors
     ///
     /// The store's error, if neither the owner nor the store answers.
-    pub async fn state(
-        &self,
-        _queue: &str,
-        id: Id,
-        deadline: Instant,
-    ) -> Result<Option<State>, Error> {
+    pub async fn state(&self, id: Id, deadline: Instant) -> Result<Option<State>, Error> {
         let shared = &self.shared;
         match ask(shared, Query::State(id), deadline).await {
             Ok(Reply::State(Some(state))) => return Ok(Some(state)),
