--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -268,7 +268,7 @@
             stamp: now,
             epoch: self.epoch,
             applied: self.applied,
-            is_settled: now >= self.settled_at,
+            is_settled: self.is_settled(now),
             // Before the first list it isn't known what the worker runs.
             worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
             runs: runs.collect(),
@@ -340,6 +340,13 @@
             .fold(Resources::ZERO, |sum, profile| sum.plus(&profile.occupied))
     }
 
+    /// Tells whether no start that an earlier process sent can still take effect.
+    ///
+    /// A worker that began its life after this process runs nothing of what was sent before.
+    const fn is_settled(&self, now: Time) -> bool {
+        now.as_micros() >= self.settled_at.as_micros() || self.life >= self.settings.process
+    }
+
     fn begin_life(&mut self, incarnation: Incarnation) {
         self.life = incarnation;
         self.worker = None;
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -143,7 +143,8 @@
         let Some(step) = self.jobs.get(run.job).and_then(|job| job.step(run.place)) else {
             return;
         };
-        if !step.has_checkpoints {
+        // A perpetual task would be away for a while, which its users would notice.
+        if !step.has_checkpoints || step.is_perpetual {
             return;
         }
         let pool = self.hosts[key]
--- a/crates/control/tests/graph/world.rs
+++ b/crates/control/tests/graph/world.rs
@@ -117,7 +117,7 @@
         for number in 0..hosts {
             world
                 .hosts
-                .push(world.host(format!("h{number}"), 1, Worker::new(1_000)));
+                .push(world.host(format!("h{number}"), 2, Worker::new(1)));
         }
         world
     }
@@ -232,10 +232,7 @@
     }
 
     fn restart_agent(&mut self, index: usize) {
-        let (name, process) = (
-            self.hosts[index].name.clone(),
-            self.hosts[index].process + 1,
-        );
+        let (name, process) = (self.hosts[index].name.clone(), self.incarnation());
         let worker = self.hosts[index].worker.clone();
         let mut host = self.host(name, process, worker);
         // Orders that are on their way to the worker still arrive; answers find nobody.
@@ -248,9 +245,15 @@
         self.hosts[index] = host;
     }
 
+    /// Returns the incarnation of a process that starts now.
+    const fn incarnation(&self) -> u64 {
+        1_000 + self.now
+    }
+
     fn restart_worker(&mut self, index: usize) {
+        let life = self.incarnation();
         let host = &mut self.hosts[index];
-        host.worker = Worker::new(host.worker.life + 10_000);
+        host.worker = Worker::new(life);
         host.calls.clear();
         host.runner.lose_worker();
     }
