scheduler: a failed attempt counts once

A recorded end that was not acknowledged before a takeover was counted again by the next owner, and the job failed after one failed attempt. Ruled out: a second failed attempt, another task. Test: failed_attempt_counts_once failed before.

--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -25,9 +25,12 @@
         if is_current && let Some(run) = run {
             self.release(run, now);
         }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.begin();
+        }
         match end.ending {
             Ending::Done => self.finish(key, place, host, now),
-            Ending::Failed => self.fail(key, place, host, now),
+            Ending::Failed => self.fail(key, place, end.attempt, host, now),
             Ending::Stopped | Ending::Expired | Ending::Broken | Ending::Alone | Ending::Lost => {}
         }
         if end.checkpoint.is_some() {
@@ -109,7 +112,7 @@
         self.complete(key, now);
     }
 
-    fn fail(&mut self, key: JobKey, place: Place, host: HostKey, now: Time) {
+    fn fail(&mut self, key: JobKey, place: Place, attempt: u64, host: HostKey, now: Time) {
         self.blame(host, key, now);
         let attempts_max = self.attempts_max(key);
         let backoff_max = self.settings.backoff_micros_max;
@@ -125,9 +128,11 @@
         if is_over || task.phase == Phase::Done {
             return;
         }
-        task.failures = task.failures.saturating_add(1);
+        if !task.count_failure(attempt) {
+            return;
+        }
         task.avoid = Some(host);
-        let failures = task.failures;
+        let failures = u32::try_from(task.failed.len()).unwrap_or(u32::MAX);
         self.notes.push(Note::Failed {
             task: name,
             failures,
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -77,7 +77,7 @@
         }
         for tally in progress.tallies {
             if let Some(task) = self.task_mut(tally.place) {
-                task.failures = tally.failures;
+                task.failed = tally.failed;
                 task.checkpoint = tally.checkpoint;
             }
         }
@@ -97,10 +97,10 @@
         for (place, task) in self.places() {
             if task.phase == Phase::Done {
                 progress.done.push(place);
-            } else if task.failures > 0 || task.checkpoint.is_some() {
+            } else if !task.failed.is_empty() || task.checkpoint.is_some() {
                 progress.tallies.push(Tally {
                     place,
-                    failures: task.failures,
+                    failed: task.failed.clone(),
                     checkpoint: task.checkpoint.clone(),
                 });
             }
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -493,3 +493,34 @@
     assert_eq!(lost.stops.len(), 1);
     assert_eq!(again.stops, lost.stops);
 }
+
+/// Guards against a failed attempt that counts twice: its end is listed again to a new owner if it
+/// was recorded and not yet acknowledged.
+#[test]
+fn failed_attempt_counts_once() {
+    let mut first = owner(1, &["h1"]);
+    first.accept(Id::new(1), acceptance(vec![step(1)]), at(0));
+    let begun = orders(&mut first, "h1", at(1));
+    let mut failed = update("h1", 2);
+    failed.applied = begun.number;
+    let attempt = begun.starts[0].attempt;
+    failed
+        .ends
+        .push(end(1, task(1, 0, 0), attempt, Ending::Failed));
+    first.update(&failed, at(100));
+    let commit = first.drain_commit(at(200)).expect("a change to record");
+    let text = serde_json::to_string(&commit.records[0].2).expect("plain data");
+    let restored = Restored {
+        progress: serde_json::from_str(&text).expect("what was written"),
+        revision: 9,
+    };
+    let mut second = owner(2, &["h1"]);
+    second.restore(Id::new(1), acceptance(vec![step(1)]), restored, at(300));
+    failed.number = 3;
+    second.update(&failed, at(301));
+
+    let again = orders(&mut second, "h1", at(302));
+
+    assert_eq!(second.state(Id::new(1)), Some(State::Running));
+    assert_eq!(again.starts.len(), 1);
+}
--- a/crates/model/src/graph/tally.rs
+++ b/crates/model/src/graph/tally.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use smallvec::SmallVec;
+
 use super::Place;
 
 /// Failed attempts and the last checkpoint of one task.
@@ -9,8 +11,9 @@
 pub struct Tally {
     /// The task.
     pub place: Place,
-    /// Attempts that ended as failed.
-    pub failures: u32,
+    /// Attempts that ended as failed. An end may be listed again after it was recorded, so each
+    /// attempt counts once.
+    pub failed: SmallVec<[u64; 2]>,
     /// Last checkpoint that an ended attempt left.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
