--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -27,6 +27,9 @@
 use pacer::{Pace, Pacer};
 pub use settings::Settings;
 
+/// Least time between the end of a process and the start of its successor, in milliseconds.
+const RESTART_MS: u64 = 300;
+
 /// An attempt at a task.
 type Key = (Task, u64);
 
@@ -342,9 +345,11 @@
 
     /// Tells whether no start that an earlier process sent can still take effect.
     ///
-    /// A worker that began its life after this process runs nothing of what was sent before.
+    /// A worker that began its life after the former process had ended runs nothing of what that
+    /// process sent.
     const fn is_settled(&self, now: Time) -> bool {
-        now.as_micros() >= self.settled_at.as_micros() || self.life >= self.settings.process
+        let former_end = self.settings.process.saturating_sub(RESTART_MS);
+        now.as_micros() >= self.settled_at.as_micros() || self.life >= former_end
     }
 
     fn begin_life(&mut self, incarnation: Incarnation) {
--- a/crates/node/src/companion.rs
+++ b/crates/node/src/companion.rs
@@ -46,6 +46,7 @@
         let server = Server::bind(settings.listen, log.clone()).await?;
         let shared = Arc::new(Shared::new(settings, store, worker, log));
         info!(shared.log, "companion_started"; "process" => shared.settings.process,
+            "host_uptime_ms" => shared.clock.now().as_millis(),
             "sessions" => %server.address());
         let serving = shared.clone();
         let stop = shared.stop.clone();
