runner: a companion is settled when its worker knows the owner's epoch

A worker does nothing for a lower epoch, so one answered call of the new epoch rules out late starts of all former owners; no wait for a lease and no comparison of clocks is needed. The call is made when a session begins.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -27,9 +27,6 @@
 use pacer::{Pace, Pacer};
 pub use settings::Settings;
 
-/// Least time between the end of a process and the start of its successor, in milliseconds.
-const RESTART_MS: u64 = 300;
-
 /// An attempt at a task.
 type Key = (Task, u64);
 
@@ -44,7 +41,8 @@
     applied: u64,
     updates: u64,
     lease_until: Time,
-    settled_at: Time,
+    /// Highest epoch of a call that the worker has answered in this life.
+    fenced: Epoch,
     worker: Option<Worker>,
     worker_id: String,
     beat: u64,
@@ -59,18 +57,15 @@
 
 impl Runner {
     /// Returns the table of a process that starts now.
-    ///
-    /// Starts that its predecessor sent may take effect until the longest lease has passed.
     #[must_use]
-    pub fn new(settings: Settings, now: Time) -> Self {
-        let settled_at = now.plus_micros(settings.lease_micros);
+    pub const fn new(settings: Settings) -> Self {
         Self {
             settings,
             epoch: 0,
             applied: 0,
             updates: 0,
             lease_until: Time::ZERO,
-            settled_at,
+            fenced: 0,
             worker: None,
             worker_id: String::new(),
             beat: 0,
@@ -80,7 +75,7 @@
             ends: Vec::new(),
             ends_seen: 0,
             acknowledged: 0,
-            pacer: Pacer::default(),
+            pacer: Pacer::new(),
         }
     }
 
@@ -217,6 +212,7 @@
             return Vec::new();
         }
         self.listed_at = Some(listing.called_at);
+        self.fenced = self.fenced.max(listing.epoch);
         let called_at = listing.called_at;
         for entry in self.runs.values_mut() {
             entry.is_listed = false;
@@ -271,7 +267,7 @@
             stamp: now,
             epoch: self.epoch,
             applied: self.applied,
-            is_settled: self.is_settled(now),
+            is_settled: self.is_settled(),
             // Before the first list it isn't known what the worker runs.
             worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
             runs: runs.collect(),
@@ -343,13 +339,10 @@
             .fold(Resources::ZERO, |sum, profile| sum.plus(&profile.occupied))
     }
 
-    /// Tells whether no start that an earlier process sent can still take effect.
-    ///
-    /// A worker that began its life after the former process had ended runs nothing of what that
-    /// process sent.
-    const fn is_settled(&self, now: Time) -> bool {
-        let former_end = self.settings.process.saturating_sub(RESTART_MS);
-        now.as_micros() >= self.settled_at.as_micros() || self.life >= former_end
+    /// Tells whether no start of an earlier owner that this table doesn't hold can take effect: the
+    /// worker has answered a call of the present epoch, and does nothing for a lower one.
+    const fn is_settled(&self) -> bool {
+        self.epoch > 0 && self.fenced >= self.epoch
     }
 
     fn begin_life(&mut self, incarnation: Incarnation) {
@@ -365,6 +358,7 @@
         self.ends_seen = 0;
         self.acknowledged = 0;
         self.listed_at = None;
+        self.fenced = 0;
     }
 
     fn acknowledge(&mut self, orders: &Orders) {
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -1,6 +1,6 @@
 //! A worker's list of attempts.
 
-use toucanquay_model::{Incarnation, Time, session::End};
+use toucanquay_model::{Epoch, Incarnation, Time, session::End};
 
 use super::Listed;
 
@@ -9,6 +9,8 @@
 pub struct Listing {
     /// Incarnation of the worker.
     pub incarnation: Incarnation,
+    /// Epoch of the call, below which the worker does nothing from now on.
+    pub epoch: Epoch,
     /// When the list was asked for.
     pub called_at: Time,
     /// Attempts that run.
--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -43,12 +43,18 @@
 /// The effect of each attempt is known roughly, so one step cuts as much as the excess needs,
 /// beginning with the largest effect, and gives back part of the room, beginning with the
 /// smallest. It answers interference that changes within seconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Pacer {
     step_at: Time,
 }
 
 impl Pacer {
+    pub(super) const fn new() -> Self {
+        Self {
+            step_at: Time::ZERO,
+        }
+    }
+
     /// Returns the pace at which an attempt begins beside a latency, as a share of its target in
     /// percent. The first report that shows its effect comes later.
     pub(super) fn first(worst: Option<u32>, pressure_percent: u16) -> u8 {
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -7,7 +7,7 @@
 pub struct Settings {
     /// Name of the host.
     pub host: String,
-    /// Incarnation of this process: its start in milliseconds since 1970, like a worker's.
+    /// Incarnation of this process.
     pub process: Incarnation,
     /// Length of the worker's lease from the sending of an update, in microseconds.
     pub lease_micros: u64,
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -161,7 +161,7 @@
 /// Returns a runner whose worker has announced itself and was listed, in a session of `epoch`.
 pub fn runner(epoch: u64) -> Runner {
     let settings = toucanquay_control::runner::Settings::new("h".to_owned(), 1, 6_000_000);
-    let mut runner = Runner::new(settings, at(0));
+    let mut runner = Runner::new(settings);
     runner.announce(beat(1));
     runner.listed(listing(at(0)), at(0));
     runner.begin_session(epoch);
@@ -181,6 +181,7 @@
 pub const fn listing(called_at: Time) -> Listing {
     Listing {
         incarnation: LIFE,
+        epoch: 0,
         called_at,
         running: Vec::new(),
         finished: Vec::new(),
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -98,7 +98,14 @@
     }
 
     /// Renews the lease, forgets acknowledged ends and lists.
-    pub fn hold(&mut self, lease_until: Time, acknowledged: u64, called_at: Time) -> Listing {
+    pub fn hold(
+        &mut self,
+        epoch: u64,
+        lease_until: Time,
+        acknowledged: u64,
+        called_at: Time,
+    ) -> Listing {
+        self.epoch = self.epoch.max(epoch);
         self.lease_until = self.lease_until.max(lease_until);
         self.finished.retain(|end| end.number > acknowledged);
         let running = self.running.keys().map(|(task, attempt)| Listed {
@@ -110,6 +117,7 @@
         });
         Listing {
             incarnation: self.life,
+            epoch,
             called_at,
             running: running.collect(),
             finished: self.finished.clone(),
--- a/crates/control/tests/graph/world.rs
+++ b/crates/control/tests/graph/world.rs
@@ -21,9 +21,6 @@
 /// Time after which nothing of a job that is over runs any more in calm, in milliseconds.
 const STOP_MS_MAX: u64 = 3_000;
 
-/// Time between the end of a process and the start of its successor, in milliseconds.
-const RESTART_MS: u64 = 300;
-
 /// Time without a renewal in which an owner may act, in milliseconds.
 const AUTHORITY_MS: u64 = 1_600;
 
@@ -167,7 +164,7 @@
     fn host(&self, name: String, process: u64, worker: Worker) -> Host {
         let settings = runner::Settings::new(name.clone(), process, 6_000_000);
         Host {
-            runner: Runner::new(settings, self.time()),
+            runner: Runner::new(settings),
             name,
             process,
             worker,
@@ -236,9 +233,7 @@
     }
 
     fn restart_agent(&mut self, index: usize) {
-        // A successor starts some time after the end of a process; here it takes no time.
-        let process = self.incarnation() + RESTART_MS;
-        let name = self.hosts[index].name.clone();
+        let (name, process) = (self.hosts[index].name.clone(), self.incarnation());
         let worker = self.hosts[index].worker.clone();
         let mut host = self.host(name, process, worker);
         // Orders that are on their way to the worker still arrive; answers find nobody.
@@ -390,7 +385,9 @@
         if now >= host.list_at {
             host.list_at = now.plus_millis(100);
             let (lease, acknowledged) = (host.runner.lease_until(), host.runner.acknowledged());
-            let listing = host.worker.hold(lease, acknowledged, now);
+            let listing = host
+                .worker
+                .hold(host.runner.epoch(), lease, acknowledged, now);
             self.later(index, Call::Listed(listing));
         }
         let actions = self.hosts[index].runner.tick(now);
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -267,7 +267,7 @@
 #[test]
 fn worker_is_reported_when_it_was_listed() {
     let settings = toucanquay_control::runner::Settings::new("h".to_owned(), 1, 6_000_000);
-    let mut runner = Runner::new(settings, at(0));
+    let mut runner = Runner::new(settings);
     runner.announce(beat(1));
     let before = runner.update(at(1)).worker;
     runner.listed(listing(at(2)), at(3));
@@ -344,20 +344,49 @@
     assert_eq!(last, Some(100));
 }
 
-/// Guards against a new owner that waits for a lease although its hosts lost power, and against
-/// one that doesn't wait for a companion that restarted beside its worker.
+/// Guards against a new owner that restarts a task whose start a former owner's companion sent and
+/// that takes effect late: the worker must have heard of the new epoch first.
 #[rstest]
-#[case::worker_lives_on(LIFE + 301, at(100), false)]
-#[case::worker_began_with_it(LIFE + 200, at(100), true)]
-#[case::worker_began_later(LIFE - 1, at(100), true)]
-#[case::after_the_longest_lease(LIFE + 301, at(6_000), true)]
-fn companion_is_settled(#[case] process: u64, #[case] now: Time, #[case] is_settled: bool) {
-    let settings = toucanquay_control::runner::Settings::new("h".to_owned(), process, 6_000_000);
-    let mut runner = Runner::new(settings, at(0));
-    runner.announce(beat(1));
-    runner.listed(listing(at(10)), at(11));
+#[case::former_epoch(1, false)]
+#[case::present_epoch(2, true)]
+fn companion_is_settled_when_its_worker_knows_the_epoch(
+    #[case] epoch: u64,
+    #[case] is_settled: bool,
+) {
+    let mut runner = runner(2);
+    runner.listed(
+        toucanquay_control::runner::Listing {
+            epoch,
+            ..listing(at(10))
+        },
+        at(11),
+    );
 
-    let update = runner.update(now);
+    let update = runner.update(at(12));
 
     assert_eq!(update.is_settled, is_settled);
 }
+
+/// Guards against a companion that counts as settled by what a former life of its worker knew.
+#[test]
+fn companion_is_not_settled_in_a_new_life_of_its_worker() {
+    let mut runner = runner(2);
+    runner.listed(
+        toucanquay_control::runner::Listing {
+            epoch: 2,
+            ..listing(at(10))
+        },
+        at(11),
+    );
+    runner.announce(Beat {
+        worker: Worker {
+            incarnation: LIFE + 1,
+            ..graph::worker()
+        },
+        ..beat(1)
+    });
+
+    let update = runner.update(at(12));
+
+    assert!(!update.is_settled);
+}
--- a/crates/model/src/session/update.rs
+++ b/crates/model/src/session/update.rs
@@ -23,7 +23,7 @@
     pub epoch: Epoch,
     /// Number of the last orders of this session that were applied.
     pub applied: u64,
-    /// No start that an earlier process of this agent sent can still take effect.
+    /// No start of an earlier owner that isn't listed here can still take effect.
     pub is_settled: bool,
     /// The worker, unless it has not announced itself or is gone.
     pub worker: Option<Worker>,
--- a/crates/node/src/companion/hold.rs
+++ b/crates/node/src/companion/hold.rs
@@ -37,7 +37,7 @@
             // The wait ends early when the owner's acknowledgement arrives.
             let _ = timeout(ACKNOWLEDGEMENT_WAIT, shared.look.notified()).await;
         }
-        match list(&shared).await {
+        match list(&shared, WAIT_MS).await {
             Reply::Listing(listing) => {
                 refusals = 0;
                 apply(&shared, listing);
@@ -54,10 +54,18 @@
     }
 }
 
-async fn list(shared: &Shared) -> Reply {
+/// Calls the worker with the present epoch, so that it does nothing for an earlier owner.
+pub(super) async fn fence(shared: Arc<Shared>) {
+    if let Reply::Listing(listing) = list(&shared, 0).await {
+        apply(&shared, listing);
+        shared.changed.notify_one();
+    }
+}
+
+async fn list(shared: &Shared, wait_ms_max: u64) -> Reply {
     let (call, wait_ms) = {
         let runner = shared.runner();
-        let wait_ms = if runner.has_ends() { 0 } else { WAIT_MS };
+        let wait_ms = if runner.has_ends() { 0 } else { wait_ms_max };
         let call = Call::Hold {
             epoch: runner.epoch(),
             lease_until: runner.lease_until(),
--- a/crates/node/src/companion/session.rs
+++ b/crates/node/src/companion/session.rs
@@ -9,7 +9,7 @@
 use toucanquay_model::{Epoch, Error, ErrorKind, session::Orders};
 use toucanquay_wire::{Frame, Sender, Stream};
 
-use super::{Shared, executor, relay};
+use super::{Shared, executor, hold, relay};
 
 /// Longest time between two updates.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -34,6 +34,7 @@
         return;
     };
     info!(shared.log, "session_began"; "epoch" => epoch);
+    shared.spawn(hold::fence(shared.clone()));
     let ended = token
         .run_until_cancelled(follow(&shared, &token, stream))
         .await;
--- a/crates/node/src/companion/shared.rs
+++ b/crates/node/src/companion/shared.rs
@@ -34,7 +34,7 @@
         let table = runner::Settings::new(settings.name.clone(), settings.process, lease_micros);
         let clock = Clock;
         Self {
-            runner: Mutex::new(Runner::new(table, clock.now())),
+            runner: Mutex::new(Runner::new(table)),
             settings,
             store,
             worker,
