--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -9,9 +9,6 @@
 use super::{Shared, owner::Event};
 use crate::store::{self, Watch};
 
-/// Time for one read.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Longest wait of a watch: a connection that has gone silent is noticed within it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 
@@ -33,7 +30,7 @@
     let key = shared.source.key.clone();
     let page = shared
         .store
-        .page(&key, "", Instant::now() + CALL_TIMEOUT)
+        .page(&key, "", Instant::now() + store::PAGE_TIMEOUT)
         .await?;
     shared.heard_store();
     for item in &page.items {
--- a/crates/node/src/entry/intake.rs
+++ b/crates/node/src/entry/intake.rs
@@ -15,9 +15,6 @@
     store::{self, Item, Watch},
 };
 
-/// Time for one read.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Longest wait of a watch.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 
@@ -83,10 +80,7 @@
     revision: Option<Revision>,
 ) -> Result<(Vec<Item>, Option<Revision>), Error> {
     let Some(revision) = revision else {
-        let (items, at) = shared
-            .store
-            .list(prefix, Instant::now() + CALL_TIMEOUT)
-            .await?;
+        let (items, at) = shared.store.list(prefix).await?;
         return Ok((items, Some(at)));
     };
     let deadline = Instant::now() + WATCH_WAIT;
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use slog::{info, warn};
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, sleep};
 use toucanquay_control::scheduler::{Restored, Scheduler, Settings};
 use toucanquay_model::{
     Epoch, Error, Revision,
@@ -13,9 +13,6 @@
 use super::{Address, Shared};
 use crate::{key, store::Item};
 
-/// Time for one call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,10 +42,9 @@
 
 async fn try_load(shared: &Shared, epoch: Epoch, fence: Revision) -> Result<Loaded, Error> {
     let store = &shared.store;
-    let deadline = || Instant::now() + CALL_TIMEOUT;
-    let (host_items, hosts_at) = store.list(key::HOSTS, deadline()).await?;
-    let (intake_items, intake) = store.list(key::INTAKE, deadline()).await?;
-    let (progress_items, _) = store.list(key::PROGRESS, deadline()).await?;
+    let (host_items, hosts_at) = store.list(key::HOSTS).await?;
+    let (intake_items, intake) = store.list(key::INTAKE).await?;
+    let (progress_items, _) = store.list(key::PROGRESS).await?;
     let hosts: Vec<(String, Address)> = host_items.iter().filter_map(host).collect();
     let now = shared.clock.now();
     let names = hosts.iter().map(|(name, _)| name.clone());
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -9,7 +9,7 @@
 use std::{fmt, sync::Arc};
 
 use futures_util::future::BoxFuture;
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 use toucanquay_model::{Error, ErrorKind, Revision};
 
 pub use call::Call;
@@ -18,6 +18,10 @@
 pub use reply::{Commit, Page, Reply, Watch};
 pub use transaction::Transaction;
 
+/// Time for one page. A page of 1 MB takes more than a second over a link of 10 Mbit/s, and twice
+/// that when the link is shared.
+pub const PAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Carries out one call by a deadline.
 type Carry = dyn Fn(Call, Instant) -> BoxFuture<'static, Result<Reply, Error>> + Send + Sync;
 
@@ -80,15 +84,13 @@
 
     /// Returns all items with a prefix, and a revision from which a watch misses no change.
     ///
+    /// Each page has [`PAGE_TIMEOUT`]; the whole may take longer.
+    ///
     /// # Errors
     ///
     /// The store's error.
-    pub async fn list(
-        &self,
-        prefix: &str,
-        deadline: Instant,
-    ) -> Result<(Vec<Item>, Revision), Error> {
-        let first = self.page(prefix, "", deadline).await?;
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
+        let first = self.page(prefix, "", Instant::now() + PAGE_TIMEOUT).await?;
         // Pages are not a snapshot; changes after the first one come through the watch.
         let revision = first.revision;
         let mut items = first.items;
@@ -98,7 +100,9 @@
                 .last()
                 .map(|item| item.key.clone())
                 .unwrap_or_default();
-            let page = self.page(prefix, &after, deadline).await?;
+            let page = self
+                .page(prefix, &after, Instant::now() + PAGE_TIMEOUT)
+                .await?;
             has_more = page.has_more && !page.items.is_empty();
             items.extend(page.items);
         }
