store: reservations of an outage are void after it

Cause of the red test returning_client_sends_no_burst: a call takes a time from the budget, and asks the breaker when that time has come. A call that had reserved its time while the breaker let a probe through, and came to the breaker only after the probe had succeeded, was sent on top of the spaced calls. The end of an outage now voids the times that were reserved during it; budget and breaker are joined in Throttle, which is tested without a network. Ruled out: jitter of the spaced calls, which is the same in both binaries.

--- a/crates/store/src/client/gate.rs
+++ b/crates/store/src/client/gate.rs
@@ -12,15 +12,16 @@
 
 use super::{Call, Failure, millis};
 use crate::{
-    Breaker, Budget,
+    Breaker, Budget, Throttle,
     breaker::{Permit, State},
+    throttle::{Admission, Reservation},
 };
 
-/// The budget and the breaker of a client, on the clock of the process.
+/// The throttle of a client, on the clock of the process.
 #[derive(Debug)]
 pub(super) struct Gate {
     zero: Instant,
-    limits: Mutex<(Budget, Breaker)>,
+    throttle: Mutex<Throttle>,
     log: Logger,
 }
 
@@ -30,40 +31,45 @@
         let breaker = Breaker::new(1_000 * millis(probe_limit));
         Self {
             zero: Instant::now(),
-            limits: Mutex::new((budget, breaker)),
+            throttle: Mutex::new(Throttle::new(budget, breaker)),
             log,
         }
     }
 
     /// Tells whether the breaker lets calls through.
     pub(super) fn is_available(&self) -> bool {
-        !self.lock().1.refuses(self.now())
+        !self.lock().refuses(self.now())
     }
 
     /// Tells whether the breaker has let every call through since the last success.
     pub(super) fn is_closed(&self) -> bool {
-        self.lock().1.state() == State::Closed
+        self.lock().state() == State::Closed
     }
 
     /// Waits for the budget, at most until `latest`, then asks the breaker.
     pub(super) async fn pass(&self, call: Call, latest: Instant) -> Result<Permit, Failure> {
-        let send_at = self.reserve(call, latest)?;
-        tokio::time::sleep_until(send_at).await;
-        let admitted = self.lock().1.admit(self.now());
-        let permit = admitted.ok_or_else(|| refuse("breaker"))?;
-        if permit.is_probe {
-            self.show_state();
+        loop {
+            let reservation = self.reserve(call, latest)?;
+            tokio::time::sleep_until(self.to_instant(reservation.send_at)).await;
+            let admission = self.lock().admit(reservation, self.now());
+            match admission {
+                Admission::Admitted(permit) => {
+                    if permit.is_probe {
+                        self.show_state();
+                    }
+                    return Ok(permit);
+                }
+                Admission::Refused => return Err(refuse("breaker")),
+                Admission::Void => {}
+            }
         }
-        Ok(permit)
     }
 
     /// Notes that the store answered.
     pub(super) fn succeed(&self, permit: Permit) {
         let now = self.now();
-        let mut limits = self.lock();
-        if limits.1.succeed(permit) {
-            limits.0.drain(now);
-            drop(limits);
+        let is_back = self.lock().succeed(permit, now);
+        if is_back {
             info!(self.log, "store_available");
             self.show_state();
         }
@@ -72,26 +78,28 @@
     /// Notes that the store did not answer.
     pub(super) fn fail(&self, permit: Permit, cause: &Error) {
         let now = self.now();
-        if self.lock().1.fail(permit, now, rand::random()) {
+        if self.lock().fail(permit, now, rand::random()) {
             warn!(self.log, "store_unavailable"; "cause" => %cause);
             self.show_state();
         }
     }
 
-    fn reserve(&self, call: Call, latest: Instant) -> Result<Instant, Failure> {
+    fn reserve(&self, call: Call, latest: Instant) -> Result<Reservation, Failure> {
         let now = self.now();
-        let mut limits = self.lock();
-        let (budget, breaker) = &mut *limits;
-        if breaker.refuses(now) {
+        let mut throttle = self.lock();
+        if throttle.refuses(now) {
             return Err(refuse("breaker"));
         }
-        let send_at = if call.is_urgent() {
-            budget.take_urgent(now).then_some(now)
+        let reservation = if call.is_urgent() {
+            throttle.reserve_urgent(now)
         } else {
-            budget.take(now, self.to_time(latest))
+            throttle.reserve(now, self.to_time(latest))
         };
-        let send_at = send_at.ok_or_else(|| refuse("budget"))?;
-        Ok(self.zero + Duration::from_micros(send_at.as_micros()))
+        reservation.ok_or_else(|| refuse("budget"))
+    }
+
+    fn to_instant(&self, at: Time) -> Instant {
+        self.zero + Duration::from_micros(at.as_micros())
     }
 
     fn now(&self) -> Time {
@@ -104,7 +112,7 @@
     }
 
     fn show_state(&self) {
-        let state = match self.lock().1.state() {
+        let state = match self.lock().state() {
             State::Closed => 0.0,
             State::HalfOpen { .. } => 1.0,
             State::Open { .. } => 2.0,
@@ -112,10 +120,10 @@
         gauge!("store_breaker_state").set(state);
     }
 
-    fn lock(&self) -> MutexGuard<'_, (Budget, Breaker)> {
-        self.limits
+    fn lock(&self) -> MutexGuard<'_, Throttle> {
+        self.throttle
             .lock()
-            .expect("no holder of this lock panics while it changes the limits")
+            .expect("no holder of this lock panics while it changes the throttle")
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,7 +1,8 @@
 //! Client for the platform's key-value service with a call budget, backoff and a circuit breaker.
 //!
-//! [`Client`] makes calls and opens a [`Watch`]. [`Budget`], [`Breaker`] and [`Backoff`] decide
-//! when a call may be sent; they do no I/O and take the time as an argument. The protocol is
+//! [`Client`] makes calls and opens a [`Watch`]. [`Throttle`], made of a
+//! [`Budget`] and a [`Breaker`], and [`Backoff`] decide when a call may be sent; they do no I/O and
+//! take the time as an argument. The protocol is
 //! described in `docs/platform.md`.
 
 pub mod backoff;
@@ -18,6 +19,7 @@
 pub mod put;
 pub mod range;
 pub mod stamp;
+pub mod throttle;
 pub mod watch;
 
 pub use backoff::Backoff;
@@ -34,4 +36,5 @@
 pub use put::Put;
 pub use range::Range;
 pub use stamp::Stamp;
+pub use throttle::Throttle;
 pub use watch::Watch;
--- a/crates/store/tests/limits.rs
+++ b/crates/store/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use toucanquay_model::Time;
-use toucanquay_store::{Backoff, Breaker, Budget, Stamp, breaker::State};
+use toucanquay_store::{Backoff, Breaker, Budget, Stamp, Throttle, breaker::State, throttle::Admission};
 
 const PROBE_MICROS: u64 = 1_000_000;
 
@@ -200,3 +200,25 @@
         prop_assert_eq!(Stamp::open(&value), (None, value.as_str()));
     }
 }
+
+/// Guards against calls that were reserved during an outage and go out in a burst when another
+/// call has found that it is over.
+#[test]
+fn reservations_of_an_outage_are_void_after_it() {
+    let now = Time::from_millis(10_000);
+    let budget = Budget::new(10, now);
+    let mut throttle = Throttle::new(budget, opened(Time::ZERO));
+    let probe = throttle.reserve(now, now).unwrap();
+    let late = throttle.reserve(now, now).unwrap();
+    let Admission::Admitted(permit) = throttle.admit(probe, now) else {
+        panic!("the breaker's time has passed");
+    };
+
+    let is_back = throttle.succeed(permit, now);
+    let admission = throttle.admit(late, now);
+    let next = throttle.reserve(now, now.plus_millis(1_000)).unwrap();
+
+    assert!(is_back);
+    assert_eq!(admission, Admission::Void);
+    assert_eq!(next.send_at, now.plus_millis(100));
+}
