--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -8,15 +8,18 @@
 mod listing;
 mod outcome;
 mod pacer;
+mod reading;
 mod settings;
 
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
     session::{End, Orders, Phase, Rejection, Run, Start, Stop, Update, Worker},
 };
+use toucanquay_policy::pressure::{Estimate, Model, Neighbour};
 
 pub use action::Action;
 pub use beat::Beat;
@@ -24,9 +27,17 @@
 pub use listed::Listed;
 pub use listing::Listing;
 pub use outcome::Outcome;
-use pacer::{Pace, Pacer};
+use pacer::{Pace, Row};
 pub use settings::Settings;
 
+/// Time after the start or end of an attempt from which renewed figures cover only the present
+/// ones. Latencies and processors in use cover the same time, so a change of pace disturbs nothing.
+const STEADY_MICROS: u64 = 300_000;
+
+/// Time of a missed target after which all neighbours are paused, in microseconds: what is known
+/// of them must be wrong.
+const MISSED_MICROS_MAX: u64 = 1_200_000;
+
 /// An attempt at a task.
 type Key = (Task, u64);
 
@@ -48,17 +59,22 @@
     beat: u64,
     life: Incarnation,
     listed_at: Option<Time>,
+    /// When an attempt that uses idle processors was last started or ended.
+    disturbed_at: Time,
+    /// Renewed figures that cover the present attempts were listed since the last update.
+    has_sample: bool,
     runs: BTreeMap<Key, Entry>,
     ends: Vec<End>,
     ends_seen: u64,
     acknowledged: u64,
-    pacer: Pacer,
+    /// How images disturb each other. Its keys are the owner's.
+    model: Model,
 }
 
 impl Runner {
     /// Returns the table of a process that starts now.
     #[must_use]
-    pub const fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings) -> Self {
         Self {
             settings,
             epoch: 0,
@@ -71,11 +87,13 @@
             beat: 0,
             life: 0,
             listed_at: None,
+            disturbed_at: Time::ZERO,
+            has_sample: false,
             runs: BTreeMap::new(),
             ends: Vec::new(),
             ends_seen: 0,
             acknowledged: 0,
-            pacer: Pacer::new(),
+            model: Model::default(),
         }
     }
 
@@ -123,10 +141,14 @@
     }
 
     /// Begins a session with the owner of `epoch`. Returns `false` if a later owner is known.
-    pub const fn begin_session(&mut self, epoch: Epoch) -> bool {
+    pub fn begin_session(&mut self, epoch: Epoch) -> bool {
         if epoch < self.epoch {
             return false;
         }
+        if epoch > self.epoch {
+            // Images have other keys at another owner.
+            self.model = Model::default();
+        }
         self.epoch = epoch;
         self.applied = 0;
         true
@@ -147,6 +169,15 @@
                 entry.profile = Some(*profile);
             }
         }
+        for effect in &orders.effects {
+            let value = f64::from(effect.percent) / 100.0;
+            let deviation = f64::from(effect.deviation_percent) / 100.0;
+            self.model.suggest(
+                effect.sensitive as usize,
+                effect.other as usize,
+                Estimate::new(value, deviation),
+            );
+        }
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
@@ -157,24 +188,23 @@
         actions
     }
 
-    /// Takes the outcome of a start. Returns the pace to set.
+    /// Takes the outcome of a start. Returns the paces to set.
     pub fn started(
         &mut self,
         task: Task,
         attempt: u64,
         outcome: Outcome,
         now: Time,
-    ) -> Option<Action> {
-        let worst = self.runs.values().filter_map(Entry::latency_percent).max();
-        let entry = self.runs.get_mut(&(task, attempt))?;
+    ) -> Vec<Action> {
+        let Some(entry) = self.runs.get_mut(&(task, attempt)) else {
+            return Vec::new();
+        };
         match outcome {
             Outcome::Done => {
                 entry.confirm(now);
-                return entry.begin_pace(worst).map(|percent| Action::Pace {
-                    task,
-                    attempt,
-                    percent,
-                });
+                if entry.is_paced() {
+                    return self.begin_pace((task, attempt), now);
+                }
             }
             Outcome::Refused if entry.phase == Phase::Starting => {
                 entry.phase = Phase::Rejected(Rejection::Refused);
@@ -184,7 +214,7 @@
                 entry.stop_at = now.plus_micros(self.settings.unknown_micros);
             }
         }
-        None
+        Vec::new()
     }
 
     /// Takes the outcome of a stop.
@@ -217,14 +247,25 @@
         for entry in self.runs.values_mut() {
             entry.is_listed = false;
         }
+        let mut is_renewed = false;
         for row in listing.running {
-            self.adopt(row, now);
+            is_renewed |= self.adopt(row, now);
         }
         for end in listing.finished {
-            self.finish(end);
+            self.finish(end, now);
         }
+        let steady_at = self.disturbed_at.plus_micros(STEADY_MICROS);
+        let is_sample = is_renewed && now >= steady_at;
+        self.has_sample |= is_sample;
         self.settle(called_at);
-        self.pace(now)
+        if is_sample {
+            self.learn();
+        }
+        let has_ended = self.disturbed_at == now;
+        if is_renewed || has_ended {
+            return self.pace(now);
+        }
+        Vec::new()
     }
 
     /// Returns what is due: stops of starts without an outcome, and repeated stops.
@@ -257,7 +298,8 @@
             phase: entry.phase,
             checkpoint: entry.checkpoint.clone(),
             done_percent: entry.done_percent,
-            gauge: entry.gauge,
+            gauge: entry.reading.present(),
+            gauge_min: entry.reading.lowest(),
             pace_percent: entry.pace,
         });
         Update {
@@ -268,6 +310,7 @@
             epoch: self.epoch,
             applied: self.applied,
             is_settled: self.is_settled(),
+            has_sample: std::mem::take(&mut self.has_sample),
             // Before the first list it isn't known what the worker runs.
             worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
             runs: runs.collect(),
@@ -436,22 +479,26 @@
         (!occupied.fits(&worker.capacity)).then_some(Rejection::NoRoom)
     }
 
-    fn adopt(&mut self, row: Listed, now: Time) {
+    /// Takes an attempt that the worker lists. Returns whether its figure was renewed.
+    fn adopt(&mut self, row: Listed, now: Time) -> bool {
         let key = (row.task, row.attempt);
         let entry = self.runs.entry(key).or_insert_with(Entry::adopted);
         entry.is_listed = true;
         entry.confirm(now);
         entry.checkpoint = row.checkpoint;
         entry.done_percent = row.done_percent;
-        entry.gauge = row.gauge;
+        entry.report(row.gauge, now)
     }
 
-    fn finish(&mut self, end: End) {
+    fn finish(&mut self, end: End, now: Time) {
         if end.number <= self.ends_seen {
             return;
         }
         self.ends_seen = end.number;
-        self.runs.remove(&(end.task, end.attempt));
+        let entry = self.runs.remove(&(end.task, end.attempt));
+        if entry.is_some_and(|entry| entry.uses_idle()) {
+            self.disturb(now);
+        }
         if end.number > self.acknowledged {
             self.ends.push(end);
         }
@@ -472,18 +519,89 @@
         });
     }
 
+    /// Learns from figures that cover the present attempts.
+    fn learn(&mut self) {
+        let neighbours: SmallVec<[Neighbour; 8]> = self
+            .runs
+            .values()
+            .filter(|entry| entry.is_paced())
+            .map(|entry| Neighbour {
+                image: entry.image(),
+                share: self.share(entry.reading.present()),
+            })
+            .collect();
+        for entry in self.runs.values_mut() {
+            let Some(image) = entry.sensitive_image() else {
+                continue;
+            };
+            let floor_ms = entry.profile.map_or(0, |profile| profile.latency_floor_ms);
+            self.model.see(image, floor_ms);
+            self.model.see(image, entry.reading.lowest());
+            let latency_ms = f64::from(entry.reading.present());
+            self.model
+                .observe(image, latency_ms, &mut entry.load, &neighbours);
+        }
+    }
+
+    /// Returns thousandths of a processor as a share of the worker's processors.
+    fn share(&self, milli: u32) -> f64 {
+        let capacity = self.worker.as_ref().map(|worker| worker.capacity);
+        let capacity_milli = capacity.map_or(1, |capacity| capacity.processors_milli.max(1));
+        f64::from(milli) / f64::from(capacity_milli)
+    }
+
+    /// Returns what neighbours may add to the factor on each sensitive attempt's work.
+    fn rooms(&self) -> SmallVec<[(usize, f64); 8]> {
+        let room = |entry: &Entry| {
+            let image = entry.sensitive_image()?;
+            let room = self.model.room(image, entry.load.value, entry.aim_ms());
+            Some((image, room))
+        };
+        self.runs.values().filter_map(room).collect()
+    }
+
+    /// Returns what an attempt at full pace adds to the factor on each sensitive attempt's work, and
+    /// what it hardly exceeds.
+    fn effects(&self, entry: &Entry, sensitive: &[(usize, f64)]) -> (Row, Row) {
+        let share = self.share(entry.profile.map_or(0, |profile| profile.idle_milli));
+        let estimate = |(image, _): &(usize, f64)| self.model.estimate(*image, entry.image());
+        let effect = |estimate: Estimate| estimate.value * share;
+        let effect_max = |estimate: Estimate| (estimate.value + estimate.deviation()) * share;
+        let estimates: SmallVec<[Estimate; 8]> = sensitive.iter().map(estimate).collect();
+        (
+            estimates.iter().copied().map(effect).collect(),
+            estimates.iter().copied().map(effect_max).collect(),
+        )
+    }
+
     fn pace(&mut self, now: Time) -> Vec<Action> {
-        let worst = self.runs.values().filter_map(Entry::latency_percent).max();
+        let is_missed = self.runs.values().any(|entry| {
+            let since = entry.missed_since.unwrap_or(Time::NEVER);
+            now >= since.plus_micros(MISSED_MICROS_MAX)
+        });
+        let sensitive = self.rooms();
+        let rooms: Row = sensitive.iter().map(|(_, room)| *room).collect();
+        let effects: Vec<(Row, Row)> = self
+            .runs
+            .values()
+            .filter(|entry| entry.is_paced())
+            .map(|entry| self.effects(entry, &sensitive))
+            .collect();
         let paced = self.runs.iter_mut().filter(|(_, entry)| entry.is_paced());
         let mut paces: Vec<Pace<'_, Key>> = paced
-            .map(|(key, entry)| Pace {
+            .zip(effects)
+            .map(|((key, entry), (effects, effects_max))| Pace {
                 key: *key,
-                pressure_percent: entry.profile.map_or(0, |profile| profile.pressure_percent),
-                before: entry.pace,
+                effects,
+                effects_max,
                 percent: &mut entry.pace,
             })
             .collect();
-        let changed = self.pacer.observe(worst, &mut paces, now);
+        let changed = if is_missed {
+            pacer::pause(&mut paces)
+        } else {
+            pacer::pace(&mut paces, &rooms)
+        };
         let action = |((task, attempt), percent)| Action::Pace {
             task,
             attempt,
@@ -492,6 +610,38 @@
         changed.into_iter().map(action).collect()
     }
 
+    /// Sets the paces when an attempt that uses idle processors has started, at full pace.
+    fn begin_pace(&mut self, key: Key, now: Time) -> Vec<Action> {
+        if let Some(entry) = self.runs.get_mut(&key) {
+            entry.pace = 0;
+        }
+        self.disturb(now);
+        let mut actions = self.pace(now);
+        let (task, attempt) = key;
+        let is_ordered = |action: &Action| matches!(action, Action::Pace { task: other, attempt: number, .. } if (*other, *number) == key);
+        let percent = self
+            .runs
+            .get(&key)
+            .map_or(Entry::FULL_PACE, |entry| entry.pace);
+        let has_order = actions.iter().any(is_ordered);
+        if percent == Entry::FULL_PACE {
+            actions.retain(|action| !is_ordered(action));
+        } else if !has_order {
+            actions.push(Action::Pace {
+                task,
+                attempt,
+                percent,
+            });
+        }
+        actions
+    }
+
+    /// What the worker reported so far doesn't cover the present attempts.
+    const fn disturb(&mut self, now: Time) {
+        self.disturbed_at = now;
+        self.has_sample = false;
+    }
+
     /// Forgets the pace of an attempt whose order to change it was not carried out.
     pub fn pace_failed(&mut self, task: Task, attempt: u64) {
         if let Some(entry) = self.runs.get_mut(&(task, attempt)) {
--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -4,8 +4,16 @@
     Time,
     session::{Phase, Profile},
 };
+use toucanquay_policy::pressure::Estimate;
 
-use super::pacer::Pacer;
+use super::reading::Reading;
+
+/// Latency that is aimed at, as a share of its target.
+const AIM: f64 = 0.9;
+
+/// Load of a sensitive task that is assumed at first, and the standard deviation of its error.
+const LOAD_UNKNOWN: f64 = 0.5;
+const LOAD_DEVIATION: f64 = 0.2;
 
 /// One attempt.
 #[derive(Debug)]
@@ -15,8 +23,12 @@
     pub(super) profile: Option<Profile>,
     pub(super) checkpoint: Option<String>,
     pub(super) done_percent: u8,
-    pub(super) gauge: u32,
+    pub(super) reading: Reading,
     pub(super) pace: u8,
+    /// Busy share of a sensitive task's time without neighbours.
+    pub(super) load: Estimate,
+    /// Since when the present latency has been above its target.
+    pub(super) missed_since: Option<Time>,
     /// When to send a stop.
     pub(super) stop_at: Time,
     /// A list that was asked for after this time shows the attempt if it is on the worker.
@@ -30,23 +42,25 @@
     /// Pace of an attempt when it starts, in percent.
     pub(super) const FULL_PACE: u8 = 100;
 
-    pub(super) const fn starting(profile: Profile) -> Self {
+    pub(super) fn starting(profile: Profile) -> Self {
         Self::new(Phase::Starting, Some(profile))
     }
 
     /// An attempt that was found on the worker, or that an earlier process may have started.
-    pub(super) const fn adopted() -> Self {
+    pub(super) fn adopted() -> Self {
         Self::new(Phase::Running, None)
     }
 
-    const fn new(phase: Phase, profile: Option<Profile>) -> Self {
+    fn new(phase: Phase, profile: Option<Profile>) -> Self {
         Self {
             phase,
             profile,
             checkpoint: None,
             done_percent: 0,
-            gauge: 0,
+            reading: Reading::new(),
             pace: Self::FULL_PACE,
+            load: Estimate::new(LOAD_UNKNOWN, LOAD_DEVIATION),
+            missed_since: None,
             stop_at: Time::NEVER,
             settled_at: None,
             is_listed: false,
@@ -69,24 +83,43 @@
         !matches!(self.phase, Phase::Rejected(_))
     }
 
-    /// Returns the pace at which the attempt begins, unless it is the full one.
-    pub(super) fn begin_pace(&mut self, worst: Option<u32>) -> Option<u8> {
-        if !self.is_paced() {
-            return None;
-        }
-        self.pace = Pacer::first(worst, self.profile?.pressure_percent);
-        (self.pace != Self::FULL_PACE).then_some(self.pace)
+    /// Tells whether the attempt uses only processors that others leave idle.
+    pub(super) fn uses_idle(&self) -> bool {
+        self.profile.is_some_and(|profile| profile.uses_idle)
     }
 
     /// Tells whether the attempt may be slowed down for its neighbours.
     pub(super) fn is_paced(&self) -> bool {
-        let uses_idle = self.profile.is_some_and(|profile| profile.uses_idle);
-        uses_idle && self.phase == Phase::Running
+        self.uses_idle() && self.phase == Phase::Running
+    }
+
+    /// Returns the owner's key of the image.
+    pub(super) fn image(&self) -> usize {
+        self.profile
+            .map_or(usize::MAX, |profile| profile.image as usize)
+    }
+
+    /// Returns the key of the image if the attempt's users feel its neighbours.
+    pub(super) fn sensitive_image(&self) -> Option<usize> {
+        let profile = self.profile.filter(|_| self.phase == Phase::Running)?;
+        profile.latency_target_ms.map(|_| profile.image as usize)
+    }
+
+    /// Takes the figure that the worker reports. Returns whether it was renewed.
+    pub(super) fn report(&mut self, gauge: u32, now: Time) -> bool {
+        let is_renewed = self.reading.take(gauge, now);
+        let target_ms = self.profile.and_then(|profile| profile.latency_target_ms);
+        if target_ms.is_some_and(|target_ms| self.reading.present() > target_ms) {
+            self.missed_since.get_or_insert(now);
+        } else {
+            self.missed_since = None;
+        }
+        is_renewed
     }
 
-    /// Returns the latency as a share of its target, in percent.
-    pub(super) fn latency_percent(&self) -> Option<u32> {
-        let target = self.profile?.latency_target_ms?;
-        (self.phase == Phase::Running).then(|| self.gauge.saturating_mul(100) / target.max(1))
+    /// Returns the latency that the attempt's users may see, in milliseconds.
+    pub(super) fn aim_ms(&self) -> f64 {
+        let target_ms = self.profile.and_then(|profile| profile.latency_target_ms);
+        f64::from(target_ms.unwrap_or(0)) * AIM
     }
 }
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -13,8 +13,10 @@
 /// running.
 const SPEED_MIN: f64 = 0.4;
 
-/// Deduction for mixing tasks that use idle processors with those whose users they could harm.
-const MIX_DEDUCTION: f64 = 5.0;
+/// Deduction for the first sensitive task on a worker, and the part that grows with the worker's
+/// processors: from then on, tasks that use idle processors there have to spare it.
+const FIRST_DEDUCTION: f64 = 5.0;
+const FIRST_DEDUCTION_PER_PROCESSOR: f64 = 0.05;
 
 /// Addition for a worker on which all sensitive tasks have the image of the one to place: what
 /// disturbs one of them disturbs all, and the others go elsewhere.
@@ -89,10 +91,14 @@
             speed + self.left_milli(host) / capacity_milli
         } else if step.latency_target_ms.is_some() {
             // Sensitive tasks gather on few workers, which leaves the others undisturbed.
-            let is_mixed = host.idle_milli > 0 && host.sensitive_milli == 0;
             let free_milli = f64::from(host.free().processors_milli);
             let like = LIKE_ADDITION * self.like_share(host, image);
-            like - free_milli / capacity_milli - if is_mixed { MIX_DEDUCTION } else { 0.0 }
+            let first = if host.sensitive_milli == 0 {
+                FIRST_DEDUCTION + FIRST_DEDUCTION_PER_PROCESSOR * capacity_milli / 1_000.0
+            } else {
+                0.0
+            };
+            like - free_milli / capacity_milli - first
         } else {
             self.left_milli(host) / capacity_milli
         };
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -1,12 +1,12 @@
 //! One host with a worker.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use smallvec::SmallVec;
 use toucanquay_model::{
     Incarnation, Resources, Time,
     graph::Step,
-    session::{Profile, Start, Stop, Worker},
+    session::{Effect, Profile, Start, Stop, Worker},
 };
 
 use super::{
@@ -44,6 +44,10 @@
     pub(super) starts: Vec<Start>,
     pub(super) stops: Vec<Stop>,
     pub(super) profiles: Vec<(Stop, Profile)>,
+    /// Effects of images that the agent doesn't know yet.
+    pub(super) effects: Vec<Effect>,
+    /// Effects that the agent knows or will with the next orders, in hundredths.
+    pub(super) effects_sent: BTreeMap<(usize, usize), u16>,
     pub(super) ends_seen: u64,
     pub(super) acknowledged: u64,
     pub(super) acknowledged_sent: u64,
@@ -77,6 +81,8 @@
             starts: Vec::new(),
             stops: Vec::new(),
             profiles: Vec::new(),
+            effects: Vec::new(),
+            effects_sent: BTreeMap::new(),
             ends_seen: 0,
             acknowledged: 0,
             acknowledged_sent: 0,
@@ -127,6 +133,7 @@
         !self.starts.is_empty()
             || !self.stops.is_empty()
             || !self.profiles.is_empty()
+            || !self.effects.is_empty()
             || self.acknowledged > self.acknowledged_sent
     }
 }
--- a/crates/control/src/scheduler/intake.rs
+++ b/crates/control/src/scheduler/intake.rs
@@ -32,7 +32,11 @@
             self.take_ends(key, update, now);
             self.take_runs(key, update, now);
             self.resolve_absent(key, update, is_fresh, now);
-            self.learn_pressure(key, now);
+            self.see_latencies(update);
+            if update.has_sample {
+                self.learn_pressure(key, now);
+            }
+            self.move_slow(key, now);
             self.hosts[key].is_fresh = false;
             self.acknowledge_ends(key);
             if update.is_settled && self.awaited.remove(&update.host) {
@@ -207,7 +211,7 @@
     }
 
     /// Takes over an attempt that an earlier owner started. Returns `false` if it must stop.
-    fn adopt(&mut self, host: HostKey, row: &Row, now: Time) -> bool {
+    fn adopt(&mut self, key: HostKey, row: &Row, now: Time) -> bool {
         let place = place_of(row.task);
         let Some(job_key) = self.ids.get(&row.task.job).copied() else {
             return false;
@@ -223,7 +227,7 @@
         };
         job.begin();
         let image = self.model.key(step.image.as_deref().unwrap_or_default());
-        let mut run = Run::new(job_key, place, row.attempt, host, &step, image, now);
+        let mut run = Run::new(job_key, place, row.attempt, key, &step, image, now);
         run.ordered_in = Some(0);
         // The task must not start elsewhere before this attempt has ended.
         run.is_stopping = row.phase == RunPhase::Stopping;
@@ -236,14 +240,16 @@
             task: row.task,
             attempt: row.attempt,
         };
-        let host = &mut self.hosts[host];
+        let host = &mut self.hosts[key];
         self.notes.push(Note::Adopted {
             task: row.task,
             attempt: row.attempt,
             host: host.name.clone(),
         });
-        host.profiles.push((stop, profile(&step)));
         host.attach(run, &step);
+        let profile = self.profile(&step, image);
+        self.hosts[key].profiles.push((stop, profile));
+        self.send_effects(key);
         true
     }
 
@@ -331,7 +337,8 @@
         occupied: step.occupied(),
         idle_milli: step.idle_milli(),
         latency_target_ms: step.latency_target_ms,
-        pressure_percent: 0,
+        latency_floor_ms: 0,
+        image: 0,
         uses_idle: step.uses_idle,
     }
 }
--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -17,6 +17,8 @@
         host.starts.clear();
         host.stops.clear();
         host.profiles.clear();
+        host.effects.clear();
+        host.effects_sent.clear();
         host.acknowledged_sent = 0;
     }
 
@@ -65,6 +67,7 @@
             starts: std::mem::take(&mut host.starts),
             stops: std::mem::take(&mut host.stops),
             profiles: std::mem::take(&mut host.profiles),
+            effects: std::mem::take(&mut host.effects),
         };
         for key in &host.runs {
             if let Some(run) = self.runs.get_mut(*key) {
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -3,12 +3,11 @@
 use toucanquay_model::{
     Time,
     graph::{Place, Step},
-    session::{Profile, Start},
+    session::Start,
 };
 
 use super::{
     ATTEMPTS_PER_EPOCH, Run, Scheduler,
-    intake::profile,
     key::{HostKey, JobKey, RunKey},
     rank::Rank,
     task::Phase,
@@ -158,8 +157,7 @@
         let image = self.image(step);
         let run = Run::new(key, place, attempt, host, step, image, now);
         let run = self.runs.insert(run);
-        let pressure_percent = self.pressure_percent(run);
-        self.runs[run].pressure_sent = pressure_percent;
+        let profile = self.profile(step, image);
         let job = &mut self.jobs[key];
         let task = job.name(place);
         let payload = job.payload.clone();
@@ -168,18 +166,17 @@
             state.phase = Phase::Running(run);
             checkpoint.clone_from(&state.checkpoint);
         }
-        let host = &mut self.hosts[host];
+        let key = host;
+        let host = &mut self.hosts[key];
         host.attach(run, step);
         host.starts.push(Start {
             task,
             attempt,
             payload,
             checkpoint,
-            profile: Profile {
-                pressure_percent,
-                ..profile(step)
-            },
+            profile,
         });
+        self.send_effects(key);
         run
     }
 }
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -1,23 +1,33 @@
 //! Interference between tasks on one worker.
 
-use toucanquay_model::{Time, graph::Step, session::Stop};
-use toucanquay_policy::pressure::Neighbour;
+use smallvec::SmallVec;
+use toucanquay_model::{
+    Time,
+    graph::{Step, Task},
+    session::{Effect, Profile, Update},
+};
+use toucanquay_policy::pressure::{Estimate, Neighbour};
 
 use super::{
     Note, Run, Scheduler,
     host::Host,
-    intake::profile,
+    intake::{place_of, profile},
     key::{HostKey, RunKey},
+    task::Phase,
 };
 
-/// Logarithm of the latency that is aimed at, as a share of its target.
-const AIM: f64 = -0.22;
+/// Latency that is aimed at, as a share of its target.
+const AIM: f64 = 0.9;
 
 /// Time from the start of a sensitive task until its latency is learned from.
 const WARM_MICROS: u64 = 1_500_000;
 
-/// Change of an effect that is sent to the agent, in hundredths.
-const CHANGE_MIN_PERCENT: u16 = 4;
+/// Change of an effect that is sent to the agent, as a part of it and in hundredths.
+const CHANGE_PART: u16 = 8;
+const CHANGE_MIN_PERCENT: u16 = 10;
+
+/// Effect that counts as none.
+const EFFECT_MIN: f64 = 0.005;
 
 /// Time for which an attempt must have been slow before it is moved.
 const SLOW_MICROS: u64 = 1_500_000;
@@ -30,42 +40,93 @@
         self.model.key(step.image.as_deref().unwrap_or_default())
     }
 
-    /// Learns from the latencies on a host, tells its agent what has changed, and moves an attempt
-    /// that hardly advances there.
+    /// Returns what an agent must know of a step's tasks.
+    pub(super) fn profile(&self, step: &Step, image: usize) -> Profile {
+        Profile {
+            latency_floor_ms: self.model.floor_ms(image).unwrap_or(0),
+            image: u32::try_from(image).unwrap_or(u32::MAX),
+            ..profile(step)
+        }
+    }
+
+    /// Takes the lowest latencies that an agent has seen.
+    pub(super) fn see_latencies(&mut self, update: &Update) {
+        for row in &update.runs {
+            let run = self.run_of(row.task, row.attempt);
+            if let Some(run) = run.filter(|run| run.is_sensitive()) {
+                self.model.see(run.image, row.gauge_min);
+            }
+        }
+    }
+
+    fn run_of(&self, task: Task, attempt: u64) -> Option<&Run> {
+        let job = self.jobs.get(*self.ids.get(&task.job)?)?;
+        let Phase::Running(key) = job.task(place_of(task))?.phase else {
+            return None;
+        };
+        self.runs.get(key).filter(|run| run.attempt == attempt)
+    }
+
+    /// Learns from the present latencies on a host, and tells its agent what has changed.
     pub(super) fn learn_pressure(&mut self, key: HostKey, now: Time) {
         let host = &self.hosts[key];
         let neighbours = self.neighbours(host, |run| run.used_milli);
-        let runs = host.runs.clone();
-        for run in &runs {
-            let Some(run) = self.runs.get_mut(*run) else {
-                continue;
-            };
-            let Some(target_ms) = run.latency_target_ms else {
+        for run in host.runs.clone() {
+            let Some(run) = self.runs.get_mut(run).filter(|run| run.is_sensitive()) else {
                 continue;
             };
             if run.gauge > 0 && now >= run.started_at.plus_micros(WARM_MICROS) {
-                let share = f64::from(run.gauge) / f64::from(target_ms.max(1));
+                let latency_ms = f64::from(run.gauge);
                 self.model
-                    .observe(run.image, share, &mut run.alone, &neighbours);
+                    .observe(run.image, latency_ms, &mut run.load, &neighbours);
             }
         }
-        for run in &runs {
-            self.send_pressure(*run);
-        }
-        self.move_slow(key, now);
+        self.send_effects(key);
     }
 
-    /// Returns the effect of an attempt at full pace on its most disturbed neighbour, in
-    /// hundredths of the logarithm of latency.
-    pub(super) fn pressure_percent(&self, key: RunKey) -> u16 {
-        let Some(run) = self.runs.get(key).filter(|run| run.idle_milli > 0) else {
-            return 0;
-        };
-        let host = &self.hosts[run.host];
-        let share = f64::from(run.idle_milli) / capacity_milli(host);
-        let effect = |other: &Run| self.model.effect(other.image, run.image) * share;
-        let sensitive = self.sensitive(host).map(effect);
-        (sensitive.fold(0.0, f64::max) * 100.0).min(1_000.0) as u16
+    /// Tells a host's agent the effects of the images on its worker that have changed.
+    pub(super) fn send_effects(&mut self, key: HostKey) {
+        let host = &self.hosts[key];
+        let runs = || host.runs.iter().filter_map(|run| self.runs.get(*run));
+        let mut sensitive: SmallVec<[usize; 8]> = SmallVec::new();
+        let mut others: SmallVec<[usize; 8]> = SmallVec::new();
+        for run in runs() {
+            let images = if run.is_sensitive() {
+                &mut sensitive
+            } else if run.idle_milli > 0 {
+                &mut others
+            } else {
+                continue;
+            };
+            if !images.contains(&run.image) {
+                images.push(run.image);
+            }
+        }
+        let mut changed: Vec<((usize, usize), Estimate)> = Vec::new();
+        for pair in sensitive
+            .iter()
+            .flat_map(|image| others.iter().map(move |other| (*image, *other)))
+        {
+            let estimate = self.model.estimate(pair.0, pair.1);
+            let percent = (estimate.value * 100.0) as u16;
+            let is_new = host.effects_sent.get(&pair).is_none_or(|sent| {
+                sent.abs_diff(percent) >= CHANGE_MIN_PERCENT.max(*sent / CHANGE_PART)
+            });
+            if is_new {
+                changed.push((pair, estimate));
+            }
+        }
+        let host = &mut self.hosts[key];
+        for (pair, estimate) in changed {
+            let percent = (estimate.value * 100.0) as u16;
+            host.effects_sent.insert(pair, percent);
+            host.effects.push(Effect {
+                sensitive: u32::try_from(pair.0).unwrap_or(u32::MAX),
+                other: u32::try_from(pair.1).unwrap_or(u32::MAX),
+                percent,
+                deviation_percent: (estimate.deviation() * 100.0) as u16,
+            });
+        }
     }
 
     /// Returns the speed at which a task that uses idle processors would run on a host, from 0 to
@@ -75,13 +136,14 @@
         let neighbours = self.neighbours(host, |run| run.idle_milli);
         let share = f64::from(idle_milli) / capacity_milli(host);
         let speed = |other: &Run| {
-            let room = AIM - other.alone - self.model.sum(other.image, &neighbours);
             let need = self.model.effect(other.image, image) * share;
-            if need <= 0.01 {
-                1.0
-            } else {
-                (room / need).clamp(0.0, 1.0)
+            if need <= EFFECT_MIN {
+                return 1.0;
             }
+            let aim_ms = f64::from(other.latency_target_ms.unwrap_or(0)) * AIM;
+            let room = self.model.room(other.image, other.load.value, aim_ms);
+            let taken = self.model.factor(other.image, &neighbours) - 1.0;
+            ((room - taken) / need).clamp(0.0, 1.0)
         };
         self.sensitive(host).map(speed).fold(1.0, f64::min)
     }
@@ -102,33 +164,8 @@
             .collect()
     }
 
-    fn send_pressure(&mut self, key: RunKey) {
-        let pressure_percent = self.pressure_percent(key);
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        let change = pressure_percent.abs_diff(run.pressure_sent);
-        if change < CHANGE_MIN_PERCENT.max(run.pressure_sent / 5) {
-            return;
-        }
-        run.pressure_sent = pressure_percent;
-        let Some(job) = self.jobs.get(run.job) else {
-            return;
-        };
-        let Some(step) = job.step(run.place) else {
-            return;
-        };
-        let mut profile = profile(step);
-        profile.pressure_percent = pressure_percent;
-        let stop = Stop {
-            task: job.name(run.place),
-            attempt: run.attempt,
-        };
-        self.hosts[run.host].profiles.push((stop, profile));
-    }
-
     /// Stops one attempt that hardly advances if it can go on at another host at once.
-    fn move_slow(&mut self, key: HostKey, now: Time) {
+    pub(super) fn move_slow(&mut self, key: HostKey, now: Time) {
         let is_slow = |run: &&RunKey| {
             let run = self.runs.get(**run);
             run.is_some_and(|run| {
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -6,10 +6,15 @@
     session,
 };
 
+use toucanquay_policy::pressure::Estimate;
+
 use super::key::{HostKey, JobKey};
 
-/// Latency of a task without neighbours that is assumed at first: a quarter of its target.
-const ALONE_UNKNOWN: f64 = -1.4;
+/// Load of a sensitive task that is assumed at first: the busy share of its time.
+const LOAD_UNKNOWN: f64 = 0.5;
+
+/// Standard deviation of that assumption.
+const LOAD_DEVIATION: f64 = 0.2;
 
 /// Time from a start until a report covers the attempt's use of processors.
 const MEASURED_MICROS: u64 = 700_000;
@@ -37,12 +42,10 @@
     pub(super) gauge: u32,
     /// Key of its image in the model of interference.
     pub(super) image: usize,
-    /// Logarithm of a sensitive task's latency, as a share of its target, without neighbours.
-    pub(super) alone: f64,
+    /// Busy share of a sensitive task's time without neighbours.
+    pub(super) load: Estimate,
     /// Processors in use, in thousandths; the demand until it is reported.
     pub(super) used_milli: u32,
-    /// Effect on its neighbours that the agent knows, in hundredths.
-    pub(super) pressure_sent: u16,
     /// Since when the pace has been low.
     pub(super) slow_since: Option<Time>,
 }
@@ -71,9 +74,8 @@
             done_percent: 0,
             gauge: 0,
             image,
-            alone: ALONE_UNKNOWN,
+            load: Estimate::new(LOAD_UNKNOWN, LOAD_DEVIATION),
             used_milli: step.idle_milli(),
-            pressure_sent: 0,
             slow_since: None,
         }
     }
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -115,6 +115,7 @@
         epoch: 1,
         applied: 0,
         is_settled: true,
+        has_sample: true,
         worker: Some(worker()),
         runs: Vec::new(),
         ends: Vec::new(),
@@ -130,6 +131,7 @@
         checkpoint: None,
         done_percent: 10,
         gauge: 0,
+        gauge_min: 0,
         pace_percent: 100,
     }
 }
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -3,12 +3,14 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod graph;
 
+use std::collections::BTreeMap;
+
 use graph::{LIFE, at, beat, cores, end, fresh_orders, listed, listing, runner, start, task};
 use rstest::rstest;
 use toucanquay_control::runner::{Action, Beat, Listed, Outcome, Runner};
 use toucanquay_model::{
     Time,
-    session::{Ending, Orders, Phase, Profile, Rejection, Start, Stop, Worker},
+    session::{Effect, Ending, Orders, Phase, Profile, Rejection, Start, Stop, Worker},
 };
 
 /// Returns orders with starts.
@@ -25,12 +27,20 @@
     update.runs.iter().map(|run| run.phase).collect()
 }
 
+/// Keys of images in these tests.
+const SENSITIVE: u32 = 0;
+const RUINOUS: u32 = 1;
+const HARMLESS: u32 = 2;
+
+/// Latency without load of the sensitive task in these tests, in milliseconds.
+const FLOOR_MS: u32 = 10;
+
 /// Returns a start of a task that uses idle processors.
-fn idle_start(index: u32, pressure_percent: u16) -> Start {
+fn idle_start(index: u32, image: u32) -> Start {
     Start {
         profile: Profile {
             idle_milli: 2_000,
-            pressure_percent,
+            image,
             uses_idle: true,
             ..Profile::default()
         },
@@ -43,6 +53,8 @@
     Start {
         profile: Profile {
             latency_target_ms: Some(50),
+            latency_floor_ms: FLOOR_MS,
+            image: SENSITIVE,
             occupied: cores(2),
             ..Profile::default()
         },
@@ -288,60 +300,102 @@
     assert_eq!(runner.lease_until(), at(6_000));
 }
 
-/// Guards against users of a sensitive task who wait because of its neighbours: the one with the
-/// larger effect is slowed down within one report, the other one goes on.
-#[test]
-fn neighbour_with_the_largest_effect_is_slowed_down_first() {
-    let mut runner = runner(1);
-    let all = vec![sensitive_start(), idle_start(0, 60), idle_start(1, 10)];
-    runner.apply(&starts(1, 1, at(0), all), at(1));
-    for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1)] {
-        runner.started(task, 1, Outcome::Done, at(2));
-    }
-    let mut list = listing(at(10));
-    list.running.push(gauged(task(2, 0, 0), 60));
-    list.running.push(gauged(task(1, 0, 0), 2_000));
-    list.running.push(gauged(task(1, 0, 1), 2_000));
-
-    let actions = runner.listed(list, at(1_000));
-
-    let [
-        Action::Pace {
-            task: paced,
-            percent,
-            ..
-        },
-    ] = actions.as_slice()
-    else {
-        panic!("one pace: {actions:?}");
+/// Returns orders to start a sensitive task and two others, with what the owner knows of them.
+fn shared_worker_orders() -> Orders {
+    let all = vec![
+        sensitive_start(),
+        idle_start(0, RUINOUS),
+        idle_start(1, HARMLESS),
+    ];
+    let effect = |other, percent| Effect {
+        sensitive: SENSITIVE,
+        other,
+        percent,
+        deviation_percent: 20,
     };
-    assert_eq!(*paced, task(1, 0, 0));
-    assert!(*percent < 50);
+    Orders {
+        effects: vec![effect(RUINOUS, 800), effect(HARMLESS, 0)],
+        ..starts(1, 1, at(0), all)
+    }
 }
 
-/// Guards against neighbours that stay paused when latency is low again.
-#[test]
-fn paused_neighbour_goes_on_when_latency_is_low() {
+/// Returns a runner on whose worker a sensitive task and two others run.
+fn shared_worker() -> Runner {
     let mut runner = runner(1);
-    let all = vec![sensitive_start(), idle_start(0, 60)];
-    runner.apply(&starts(1, 1, at(0), all), at(1));
-    for task in [task(2, 0, 0), task(1, 0, 0)] {
+    runner.apply(&shared_worker_orders(), at(1));
+    for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1)] {
         runner.started(task, 1, Outcome::Done, at(2));
     }
-    let mut last = None;
-    for (millis, latency) in [(1_000, 200), (2_000, 10), (3_000, 10), (4_000, 10)] {
+    runner
+}
+
+/// Makes the worker report each 250 ms, from one time to another, that the sensitive task's latency
+/// is `latency_ms`. Returns the last paces that were ordered.
+fn report(runner: &mut Runner, latency_ms: u32, from_ms: u64, until_ms: u64) -> BTreeMap<u32, u8> {
+    let mut paces = BTreeMap::new();
+    for millis in (from_ms..until_ms).step_by(250) {
         let mut list = listing(at(millis));
-        list.running.push(gauged(task(2, 0, 0), latency));
-        list.running.push(gauged(task(1, 0, 0), 100));
+        list.running.push(gauged(task(2, 0, 0), latency_ms));
+        list.running.push(gauged(task(1, 0, 0), 1_000));
+        list.running.push(gauged(task(1, 0, 1), 1_000));
         for action in runner.listed(list, at(millis)) {
-            let Action::Pace { percent, .. } = action else {
+            let Action::Pace { task, percent, .. } = action else {
                 panic!("a pace: {action:?}");
             };
-            last = Some(percent);
+            paces.insert(task.index, percent);
         }
     }
+    paces
+}
+
+/// Guards against users of a sensitive task who wait because of its neighbours, and against
+/// neighbours that are slowed down although they do no harm.
+#[test]
+fn neighbour_that_disturbs_is_slowed_down_alone() {
+    let mut runner = shared_worker();
+
+    let paces = report(&mut runner, 48, 1_000, 2_000);
+
+    assert!(paces.get(&0).is_some_and(|pace| *pace < 50), "{paces:?}");
+    assert!(paces.get(&1).is_none_or(|pace| *pace == 100), "{paces:?}");
+}
+
+/// Guards against neighbours that stay paused when latency is low again.
+#[test]
+fn paused_neighbour_goes_on_when_latency_is_low() {
+    let mut runner = shared_worker();
+    report(&mut runner, 200, 1_000, 2_500);
+
+    let paces = report(&mut runner, FLOOR_MS, 2_500, 8_000);
+
+    assert_eq!(paces.get(&0), Some(&100), "{paces:?}");
+}
+
+/// Guards against neighbours that go on where what was learned of them is wrong: a target that is
+/// missed for long pauses all of them.
+#[test]
+fn neighbours_pause_when_a_target_is_missed_for_long() {
+    let mut runner = shared_worker();
+
+    let paces = report(&mut runner, 500, 1_000, 3_500);
+
+    assert_eq!((paces.get(&0), paces.get(&1)), (Some(&0), Some(&0)));
+}
+
+/// Guards against a companion that follows an average: after its neighbours were paused, a task's
+/// users are well served while the average is still far above the target.
+#[test]
+fn latency_that_falls_counts_as_low_at_once() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    let mut last = BTreeMap::new();
+
+    // The worker's average halves the distance to 12 ms with each report.
+    for (millis, average) in [(3_500, 256), (3_750, 134), (4_000, 73)] {
+        last.append(&mut report(&mut runner, average, millis, millis + 1));
+    }
 
-    assert_eq!(last, Some(100));
+    assert!(last.get(&1).is_some_and(|pace| *pace > 50), "{last:?}");
 }
 
 /// Guards against a new owner that restarts a task whose start a former owner's companion sent and
--- a/crates/model/src/session.rs
+++ b/crates/model/src/session.rs
@@ -3,6 +3,7 @@
 //! The owner opens a session to each agent. It sends [`Orders`]; the agent sends an [`Update`]
 //! with everything that it knows whenever something has changed, and at least every heartbeat.
 
+mod effect;
 mod end;
 mod ending;
 mod orders;
@@ -14,6 +15,7 @@
 mod update;
 mod worker;
 
+pub use effect::Effect;
 pub use end::End;
 pub use ending::Ending;
 pub use orders::Orders;
--- a/crates/model/src/session/orders.rs
+++ b/crates/model/src/session/orders.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Profile, Start, Stop};
+use super::{Effect, Profile, Start, Stop};
 use crate::{Epoch, Incarnation, Time};
 
 /// Orders of the owner. They are applied in the order of their numbers.
@@ -26,4 +26,6 @@
     pub stops: Vec<Stop>,
     /// Profiles of attempts that the agent found on its worker.
     pub profiles: Vec<(Stop, Profile)>,
+    /// Effects that were learned, of images on this worker.
+    pub effects: Vec<Effect>,
 }
--- a/crates/model/src/session/profile.rs
+++ b/crates/model/src/session/profile.rs
@@ -13,8 +13,10 @@
     pub idle_milli: u32,
     /// Bound of the tail latency that its own users see, in milliseconds.
     pub latency_target_ms: Option<u32>,
-    /// Effect on the latency of the most disturbed neighbour, in hundredths of its logarithm.
-    pub pressure_percent: u16,
+    /// Tail latency without load, in milliseconds; 0 if it is not known.
+    pub latency_floor_ms: u32,
+    /// The owner's key of the image.
+    pub image: u32,
     /// It uses only processors that others leave idle, and may be paced.
     pub uses_idle: bool,
 }
--- a/crates/model/src/session/run.rs
+++ b/crates/model/src/session/run.rs
@@ -18,8 +18,11 @@
     pub checkpoint: Option<String>,
     /// Share of its work that is done, in percent; 100 for a perpetual task that serves.
     pub done_percent: u8,
-    /// Tail latency in milliseconds for a sensitive task, else thousandths of a processor in use.
+    /// Present tail latency in milliseconds for a sensitive task, else thousandths of a processor
+    /// in use.
     pub gauge: u32,
+    /// Lowest average of that figure that the attempt has shown.
+    pub gauge_min: u32,
     /// Share of its speed that the agent allows, in percent.
     pub pace_percent: u8,
 }
--- a/crates/model/src/session/update.rs
+++ b/crates/model/src/session/update.rs
@@ -27,6 +27,9 @@
     pub is_settled: bool,
     /// The worker, unless it has not announced itself or is gone.
     pub worker: Option<Worker>,
+    /// The attempts' figures were renewed since the last update, and cover the present attempts: no
+    /// attempt that uses idle processors was started or ended just before.
+    pub has_sample: bool,
     /// Attempts on the worker, and those that were rejected.
     pub runs: Vec<Run>,
     /// Ends that are not acknowledged.
--- a/crates/node/src/companion/hold.rs
+++ b/crates/node/src/companion/hold.rs
@@ -14,7 +14,7 @@
 
 /// Longest wait of a list for an end. It bounds the time until a start or a stop without an
 /// outcome is resolved, and the age of the latency that a pace follows.
-const WAIT_MS: u64 = 500;
+const WAIT_MS: u64 = 125;
 
 /// Time to wait for the acknowledgement of ends, without which a list doesn't wait.
 const ACKNOWLEDGEMENT_WAIT: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/policy/src/pressure/curve.rs
@@ -0,0 +1,28 @@
+//! Latency of a task that serves users, as a function of its load and its neighbours.
+
+/// Relation between a task's tail latency, its load and the factor by which its neighbours slow
+/// its work down.
+///
+/// The task is taken as a single queue: with the work `factor` times as slow, a load (the busy
+/// share of its time without neighbours) of `load`, and a tail latency of `floor` without any load,
+/// the latency is `floor * factor / (1 - load * factor)`. The same neighbours are harmless at a low
+/// load and ruinous at a high one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Curve {
+    /// Tail latency without load and without neighbours, in milliseconds.
+    pub floor_ms: f64,
+}
+
+impl Curve {
+    /// Returns the load that explains a latency at a factor of at least 1.
+    #[must_use]
+    pub fn load(self, latency_ms: f64, factor: f64) -> f64 {
+        (1.0 / factor - self.floor_ms / latency_ms).max(0.0)
+    }
+
+    /// Returns the largest factor at which a latency is not exceeded; it may be below 1.
+    #[must_use]
+    pub fn factor_max(self, load: f64, latency_ms: f64) -> f64 {
+        1.0 / (load + self.floor_ms / latency_ms)
+    }
+}
--- a/crates/policy/src/pressure/model.rs
+++ b/crates/policy/src/pressure/model.rs
@@ -4,39 +4,46 @@
 
 use foldhash::fast::RandomState;
 
-use super::Neighbour;
+use super::{Curve, Estimate, Neighbour};
 
-/// Effect of a whole worker's processors that is assumed of an unknown image, as a logarithm of
-/// the factor on latency.
-const EFFECT_UNKNOWN: f64 = 4.0;
+/// Effect of a whole worker's processors that is assumed of an unknown image: what it adds to the
+/// factor on its neighbour's work.
+const EFFECT_UNKNOWN: f64 = 2.0;
+
+/// Standard deviation of the effects of pairs of images.
+const EFFECT_DEVIATION: f64 = 2.0;
 
 /// Largest effect that is believed.
-const EFFECT_MAX: f64 = 40.0;
+const EFFECT_MAX: f64 = 20.0;
 
-/// Part of an error by which the latency of a task alone is corrected.
-const ALONE_RATE: f64 = 0.1;
+/// Variance by which effects change from one observation to the next.
+const EFFECT_DRIFT: f64 = 0.05;
 
-/// Part of an error by which the effect of an image is corrected.
-const IMAGE_RATE: f64 = 0.25;
+/// Variance by which a task's load changes from one observation to the next.
+const LOAD_DRIFT: f64 = 0.002;
 
-/// Part of an error by which the effect of a pair of images is corrected.
-const PAIR_RATE: f64 = 0.25;
+/// Largest load that is believed.
+const LOAD_MAX: f64 = 0.95;
 
-/// Keeps small shares from causing large corrections.
-const SHARE_FLOOR: f64 = 0.01;
+/// Largest variance of a task's load.
+const LOAD_VARIANCE_MAX: f64 = 0.06;
 
-/// Largest error that one observation counts for.
-const ERROR_MAX: f64 = 1.0;
+/// Standard deviation of an observation's error, and the part of it that grows with the observed
+/// quantity, the inverse of the latency.
+const NOISE: f64 = 0.03;
+const NOISE_SHARE: f64 = 0.06;
 
 /// Learned effects of images on each other.
 ///
-/// The logarithm of a task's latency, as a share of its target, is modelled as its own part plus
-/// the sum of the effects of its neighbours, each in proportion to the processors that it uses.
+/// Each neighbour adds its effect, in proportion to the processors that it uses, to the factor by
+/// which a sensitive task's work is slower than alone; [`Curve`] relates that to latency.
 #[derive(Debug, Default)]
 pub struct Model {
     keys: HashMap<String, usize, RandomState>,
-    images: Vec<f64>,
-    pairs: BTreeMap<(usize, usize), f64>,
+    /// Lowest latency of each image that was seen, in milliseconds.
+    floors: BTreeMap<usize, u32>,
+    /// Effects by sensitive image and the one beside it.
+    pairs: BTreeMap<(usize, usize), Estimate>,
 }
 
 impl Model {
@@ -45,8 +52,7 @@
         if let Some(key) = self.keys.get(image) {
             return *key;
         }
-        let key = self.images.len();
-        self.images.push(EFFECT_UNKNOWN);
+        let key = self.keys.len();
         self.keys.insert(image.to_owned(), key);
         key
     }
@@ -57,46 +63,109 @@
         self.keys.get(image).copied().unwrap_or(usize::MAX)
     }
 
+    /// Takes a latency of an image, in milliseconds, that is no less than without load.
+    pub fn see(&mut self, sensitive: usize, latency_ms: u32) {
+        if latency_ms > 0 {
+            let floor = self.floors.entry(sensitive).or_insert(latency_ms);
+            *floor = latency_ms.min(*floor);
+        }
+    }
+
+    /// Returns the latency of an image without load, in milliseconds, as far as it is known.
+    #[must_use]
+    pub fn floor_ms(&self, sensitive: usize) -> Option<u32> {
+        self.floors.get(&sensitive).copied()
+    }
+
     /// Returns the effect of an image on another at the whole of a worker's processors.
     #[must_use]
     pub fn effect(&self, sensitive: usize, image: usize) -> f64 {
-        let mean = self.images.get(image).copied().unwrap_or(EFFECT_UNKNOWN);
-        let pair = self.pairs.get(&(sensitive, image)).copied().unwrap_or(0.0);
-        (mean + pair).clamp(0.0, EFFECT_MAX)
+        self.estimate(sensitive, image).value
     }
 
-    /// Returns the sum of the effects of neighbours.
+    /// Returns what is known of an effect.
     #[must_use]
-    pub fn sum(&self, sensitive: usize, neighbours: &[Neighbour]) -> f64 {
+    pub fn estimate(&self, sensitive: usize, image: usize) -> Estimate {
+        let pair = self.pairs.get(&(sensitive, image));
+        pair.copied().unwrap_or_else(|| self.expected(image))
+    }
+
+    /// Takes an estimate that was learned elsewhere, if it is more certain than what is known here.
+    pub fn suggest(&mut self, sensitive: usize, image: usize, estimate: Estimate) {
+        let present = self.estimate(sensitive, image);
+        if estimate.deviation() < present.deviation() {
+            self.pairs.insert((sensitive, image), estimate);
+        }
+    }
+
+    /// Returns what is expected of an image beside another one that it was never seen with.
+    fn expected(&self, image: usize) -> Estimate {
+        let effects = self.pairs.iter().filter(|((_, other), _)| *other == image);
+        let (mut sum, mut weight) = (EFFECT_UNKNOWN, 1.0);
+        for (_, effect) in effects {
+            sum += effect.value;
+            weight += 1.0;
+        }
+        Estimate::new(sum / weight, EFFECT_DEVIATION)
+    }
+
+    /// Returns the factor by which neighbours slow a task's work down.
+    #[must_use]
+    pub fn factor(&self, sensitive: usize, neighbours: &[Neighbour]) -> f64 {
         let effect =
             |neighbour: &Neighbour| self.effect(sensitive, neighbour.image) * neighbour.share;
-        neighbours.iter().map(effect).sum()
+        1.0 + neighbours.iter().map(effect).sum::<f64>()
     }
 
-    /// Learns from a latency as a share of its target. `alone` is the logarithm of that share
+    /// Returns what neighbours may add to the factor until a latency is reached.
+    #[must_use]
+    pub fn room(&self, sensitive: usize, load: f64, latency_ms: f64) -> f64 {
+        let floor_ms = self.floor_ms(sensitive).map_or(0.0, f64::from);
+        Curve { floor_ms }.factor_max(load, latency_ms) - 1.0
+    }
+
+    /// Learns from a task's present latency in milliseconds. `load` is the busy share of its time
     /// without neighbours, which the caller keeps for each task.
     pub fn observe(
         &mut self,
         sensitive: usize,
-        latency_share: f64,
-        alone: &mut f64,
+        latency_ms: f64,
+        load: &mut Estimate,
         neighbours: &[Neighbour],
     ) {
-        let observed = latency_share.max(0.01).ln();
-        let error = observed - *alone - self.sum(sensitive, neighbours);
-        let error = error.clamp(-ERROR_MAX, ERROR_MAX);
-        *alone += ALONE_RATE * error;
-        let power: f64 = neighbours
-            .iter()
-            .map(|neighbour| neighbour.share.powi(2))
-            .sum();
-        for neighbour in neighbours {
-            let gain = error * neighbour.share / (SHARE_FLOOR + power);
-            if let Some(mean) = self.images.get_mut(neighbour.image) {
-                *mean = (*mean + IMAGE_RATE * gain).clamp(0.0, EFFECT_MAX);
-            }
-            let pair = self.pairs.entry((sensitive, neighbour.image)).or_default();
-            *pair = (*pair + PAIR_RATE * gain).clamp(-EFFECT_MAX, EFFECT_MAX);
+        let Some(floor_ms) = self.floor_ms(sensitive) else {
+            return;
+        };
+        let mut shares: BTreeMap<usize, f64> = BTreeMap::new();
+        for neighbour in neighbours.iter().filter(|other| other.share > 0.0) {
+            *shares.entry(neighbour.image).or_default() += neighbour.share;
+        }
+        // The inverse of the latency is linear in the load: floor / latency = 1 / factor - load.
+        let factor = self.factor(sensitive, neighbours);
+        let observed = (f64::from(floor_ms) / latency_ms.max(1.0)).min(1.0);
+        let expected = (1.0 / factor - load.value).max(0.0);
+        let error = observed - expected;
+        let slope = -1.0 / (factor * factor);
+
+        load.drift(LOAD_DRIFT, LOAD_VARIANCE_MAX);
+        let noise = NOISE.hypot(NOISE_SHARE * observed);
+        let mut spread = noise * noise + load.spread(1.0);
+        for (image, share) in &shares {
+            let pair = self.pair(sensitive, *image);
+            pair.drift(EFFECT_DRIFT, EFFECT_DEVIATION.powi(2));
+            spread += pair.spread(slope * share);
+        }
+        load.correct(-1.0, error, spread);
+        load.value = load.value.clamp(0.0, LOAD_MAX);
+        for (image, share) in shares {
+            let pair = self.pair(sensitive, image);
+            pair.correct(slope * share, error, spread);
+            pair.value = pair.value.clamp(0.0, EFFECT_MAX);
         }
     }
+
+    fn pair(&mut self, sensitive: usize, image: usize) -> &mut Estimate {
+        let expected = self.expected(image);
+        self.pairs.entry((sensitive, image)).or_insert(expected)
+    }
 }
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -1,19 +1,28 @@
 //! The model of interference between tasks on one worker.
 
-use toucanquay_policy::pressure::{Model, Neighbour};
+use toucanquay_policy::pressure::{Curve, Estimate, Model, Neighbour};
 
 /// Effect of the noisy image in these tests, at the whole of a worker's processors.
-const NOISY_EFFECT: f64 = 10.0;
+const NOISY_EFFECT: f64 = 5.0;
+
+/// Latency without load and without neighbours in these tests, in milliseconds.
+const FLOOR_MS: f64 = 25.0;
+
+/// Returns the latency of a task with a load beside neighbours.
+fn latency_ms(load: f64, factor: f64) -> f64 {
+    FLOOR_MS * factor / (1.0 - load * factor).max(0.01)
+}
 
 /// Returns a model that has seen a load swing beside a noisy and a quiet image, and their keys.
 ///
-/// The noisy image works half of the time; the latency alone swings by a third.
+/// The noisy image works half of the time; the load swings between 0.2 and 0.5.
 fn learned() -> (Model, usize, usize, usize) {
     let mut model = Model::default();
     let (sensitive, noisy, quiet) = (model.key("feed"), model.key("noisy"), model.key("quiet"));
-    let mut alone = -1.4;
+    model.see(sensitive, FLOOR_MS as u32);
+    let mut load = Estimate::new(0.5, 0.2);
     for step in 0..400_u32 {
-        let swing = 0.3 * (f64::from(step) / 18.0).sin();
+        let present = 0.35 + 0.15 * (f64::from(step) / 18.0).sin();
         let noisy_share = if step % 10 < 5 { 0.1 } else { 0.0 };
         let quiet_share = if step % 14 < 7 { 0.1 } else { 0.0 };
         let neighbours = [
@@ -26,8 +35,8 @@
                 share: quiet_share,
             },
         ];
-        let latency = (-1.2 + swing + NOISY_EFFECT * noisy_share).exp();
-        model.observe(sensitive, latency, &mut alone, &neighbours);
+        let latency = latency_ms(present, 1.0 + NOISY_EFFECT * noisy_share);
+        model.observe(sensitive, latency, &mut load, &neighbours);
     }
     (model, sensitive, noisy, quiet)
 }
@@ -42,8 +51,8 @@
         model.effect(sensitive, quiet),
     );
 
-    assert!((noisy - NOISY_EFFECT).abs() < 4.0, "{noisy}");
-    assert!(quiet < 3.0, "{quiet}");
+    assert!((noisy - NOISY_EFFECT).abs() < 2.0, "{noisy}");
+    assert!(quiet < 1.5, "{quiet}");
 }
 
 /// Guards against an image that was never seen and counts as harmless.
@@ -55,3 +64,44 @@
 
     assert!(effect > 1.0);
 }
+
+/// Guards against neighbours that are admitted by what they did at a low load: at a high one the
+/// same neighbours ruin the latency.
+#[test]
+fn room_shrinks_with_the_load() {
+    let (model, sensitive, ..) = learned();
+    let target_ms = 5.0 * FLOOR_MS;
+
+    let [low, high] = [0.2, 0.7].map(|load| model.room(sensitive, load, target_ms));
+
+    for (load, room) in [(0.2, low), (0.7, high)] {
+        let latency = latency_ms(load, 1.0 + room);
+        assert!((latency - target_ms).abs() < 1.0, "{latency} ms at {load}");
+    }
+    assert!(low > 5.0 * high, "{low} and {high}");
+}
+
+/// Guards against a load that is told wrongly from a latency beside neighbours.
+#[test]
+fn curve_tells_the_load_behind_a_latency() {
+    let curve = Curve { floor_ms: FLOOR_MS };
+
+    let load = curve.load(latency_ms(0.4, 1.5), 1.5);
+
+    assert!((load - 0.4).abs() < 0.001, "{load}");
+}
+
+/// Guards against a certain estimate that is replaced by an uncertain one from elsewhere.
+#[test]
+fn only_a_more_certain_estimate_is_taken() {
+    let (mut model, sensitive, noisy, _) = learned();
+    let before = model.effect(sensitive, noisy);
+
+    model.suggest(sensitive, noisy, Estimate::new(0.0, 3.0));
+    let kept = model.effect(sensitive, noisy);
+    model.suggest(sensitive, noisy, Estimate::new(1.0, 0.01));
+    let replaced = model.effect(sensitive, noisy);
+
+    assert!((kept - before).abs() < 0.001);
+    assert!((replaced - 1.0).abs() < 0.001);
+}
--- a/crates/store/tests/limits.rs
+++ b/crates/store/tests/limits.rs
@@ -2,7 +2,9 @@
 
 use proptest::prelude::*;
 use toucanquay_model::Time;
-use toucanquay_store::{Backoff, Breaker, Budget, Stamp, Throttle, breaker::State, throttle::Admission};
+use toucanquay_store::{
+    Backoff, Breaker, Budget, Stamp, Throttle, breaker::State, throttle::Admission,
+};
 
 const PROBE_MICROS: u64 = 1_000_000;
 
