--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -10,16 +10,16 @@
 mod pacer;
 mod reading;
 mod settings;
+mod sharing;
 
 use std::collections::BTreeMap;
 
-use smallvec::SmallVec;
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
     session::{End, Orders, Phase, Rejection, Run, Start, Stop, Update, Worker},
 };
-use toucanquay_policy::pressure::{Estimate, Model, Neighbour};
+use toucanquay_policy::pressure::{Estimate, Model};
 
 pub use action::Action;
 pub use beat::Beat;
@@ -27,17 +27,12 @@
 pub use listed::Listed;
 pub use listing::Listing;
 pub use outcome::Outcome;
-use pacer::{Pace, Row};
 pub use settings::Settings;
 
 /// Time after the start or end of an attempt from which renewed figures cover only the present
 /// ones. Latencies and processors in use cover the same time, so a change of pace disturbs nothing.
 const STEADY_MICROS: u64 = 300_000;
 
-/// Time of a missed target after which all neighbours are paused, in microseconds: what is known
-/// of them must be wrong.
-const MISSED_MICROS_MAX: u64 = 1_200_000;
-
 /// An attempt at a task.
 type Key = (Task, u64);
 
@@ -519,129 +514,6 @@
         });
     }
 
-    /// Learns from figures that cover the present attempts.
-    fn learn(&mut self) {
-        let neighbours: SmallVec<[Neighbour; 8]> = self
-            .runs
-            .values()
-            .filter(|entry| entry.is_paced())
-            .map(|entry| Neighbour {
-                image: entry.image(),
-                share: self.share(entry.reading.present()),
-            })
-            .collect();
-        for entry in self.runs.values_mut() {
-            let Some(image) = entry.sensitive_image() else {
-                continue;
-            };
-            let floor_ms = entry.profile.map_or(0, |profile| profile.latency_floor_ms);
-            self.model.see(image, floor_ms);
-            self.model.see(image, entry.reading.lowest());
-            let latency_ms = f64::from(entry.reading.present());
-            self.model
-                .observe(image, latency_ms, &mut entry.load, &neighbours);
-        }
-    }
-
-    /// Returns thousandths of a processor as a share of the worker's processors.
-    fn share(&self, milli: u32) -> f64 {
-        let capacity = self.worker.as_ref().map(|worker| worker.capacity);
-        let capacity_milli = capacity.map_or(1, |capacity| capacity.processors_milli.max(1));
-        f64::from(milli) / f64::from(capacity_milli)
-    }
-
-    /// Returns what neighbours may add to the factor on each sensitive attempt's work.
-    fn rooms(&self) -> SmallVec<[(usize, f64); 8]> {
-        let room = |entry: &Entry| {
-            let image = entry.sensitive_image()?;
-            let room = self.model.room(image, entry.load.value, entry.aim_ms());
-            Some((image, room))
-        };
-        self.runs.values().filter_map(room).collect()
-    }
-
-    /// Returns what an attempt at full pace adds to the factor on each sensitive attempt's work, and
-    /// what it hardly exceeds.
-    fn effects(&self, entry: &Entry, sensitive: &[(usize, f64)]) -> (Row, Row) {
-        let share = self.share(entry.profile.map_or(0, |profile| profile.idle_milli));
-        let estimate = |(image, _): &(usize, f64)| self.model.estimate(*image, entry.image());
-        let effect = |estimate: Estimate| estimate.value * share;
-        let effect_max = |estimate: Estimate| (estimate.value + estimate.deviation()) * share;
-        let estimates: SmallVec<[Estimate; 8]> = sensitive.iter().map(estimate).collect();
-        (
-            estimates.iter().copied().map(effect).collect(),
-            estimates.iter().copied().map(effect_max).collect(),
-        )
-    }
-
-    fn pace(&mut self, now: Time) -> Vec<Action> {
-        let is_missed = self.runs.values().any(|entry| {
-            let since = entry.missed_since.unwrap_or(Time::NEVER);
-            now >= since.plus_micros(MISSED_MICROS_MAX)
-        });
-        let sensitive = self.rooms();
-        let rooms: Row = sensitive.iter().map(|(_, room)| *room).collect();
-        let effects: Vec<(Row, Row)> = self
-            .runs
-            .values()
-            .filter(|entry| entry.is_paced())
-            .map(|entry| self.effects(entry, &sensitive))
-            .collect();
-        let paced = self.runs.iter_mut().filter(|(_, entry)| entry.is_paced());
-        let mut paces: Vec<Pace<'_, Key>> = paced
-            .zip(effects)
-            .map(|((key, entry), (effects, effects_max))| Pace {
-                key: *key,
-                effects,
-                effects_max,
-                percent: &mut entry.pace,
-            })
-            .collect();
-        let changed = if is_missed {
-            pacer::pause(&mut paces)
-        } else {
-            pacer::pace(&mut paces, &rooms)
-        };
-        let action = |((task, attempt), percent)| Action::Pace {
-            task,
-            attempt,
-            percent,
-        };
-        changed.into_iter().map(action).collect()
-    }
-
-    /// Sets the paces when an attempt that uses idle processors has started, at full pace.
-    fn begin_pace(&mut self, key: Key, now: Time) -> Vec<Action> {
-        if let Some(entry) = self.runs.get_mut(&key) {
-            entry.pace = 0;
-        }
-        self.disturb(now);
-        let mut actions = self.pace(now);
-        let (task, attempt) = key;
-        let is_ordered = |action: &Action| matches!(action, Action::Pace { task: other, attempt: number, .. } if (*other, *number) == key);
-        let percent = self
-            .runs
-            .get(&key)
-            .map_or(Entry::FULL_PACE, |entry| entry.pace);
-        let has_order = actions.iter().any(is_ordered);
-        if percent == Entry::FULL_PACE {
-            actions.retain(|action| !is_ordered(action));
-        } else if !has_order {
-            actions.push(Action::Pace {
-                task,
-                attempt,
-                percent,
-            });
-        }
-        actions
-    }
-
-    /// What the worker reported so far doesn't cover the present attempts.
-    const fn disturb(&mut self, now: Time) {
-        self.disturbed_at = now;
-        self.has_sample = false;
-    }
-
     /// Forgets the pace of an attempt whose order to change it was not carried out.
     pub fn pace_failed(&mut self, task: Task, attempt: u64) {
         if let Some(entry) = self.runs.get_mut(&(task, attempt)) {
--- /dev/null
+++ b/crates/control/tests/sharing.rs
@@ -0,0 +1,94 @@
+//! The owner's part in sharing workers: where tasks go whose users feel their neighbours.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use graph::{acceptance, at, cores, orders, owner, step, update};
+use toucanquay_control::scheduler::Scheduler;
+use toucanquay_model::graph::{Id, Step};
+
+/// Returns a step with one task whose users feel its neighbours.
+fn sensitive() -> Step {
+    Step {
+        image: Some("feed".to_owned()),
+        latency_target_ms: Some(50),
+        is_perpetual: true,
+        ..step(1)
+    }
+}
+
+/// Returns a step with one task that uses idle processors.
+fn idle() -> Step {
+    Step {
+        image: Some("plan".to_owned()),
+        uses_idle: true,
+        ..step(1)
+    }
+}
+
+/// Returns an owner with a worker of 4 processors on `small` and one of 8 on `large`.
+fn two_sizes() -> Scheduler {
+    let mut scheduler = owner(1, &["large", "small"]);
+    for (host, processors) in [("small", 4), ("large", 8)] {
+        let mut update = update(host, 2);
+        if let Some(worker) = &mut update.worker {
+            worker.capacity.processors_milli = cores(processors).processors_milli;
+        }
+        scheduler.update(&update, at(1));
+    }
+    scheduler
+}
+
+fn accept(scheduler: &mut Scheduler, job: u64, step: Step) {
+    scheduler.accept(Id::new(job), acceptance(vec![step]), at(2));
+    scheduler.tick(at(2));
+}
+
+/// Guards against a large worker whose idle processors are lost to one sensitive task.
+#[test]
+fn first_sensitive_task_goes_where_it_affects_fewer_processors() {
+    let mut scheduler = two_sizes();
+
+    accept(&mut scheduler, 1, sensitive());
+    accept(&mut scheduler, 2, sensitive());
+
+    let small = orders(&mut scheduler, "small", at(3));
+    let large = orders(&mut scheduler, "large", at(3));
+    assert_eq!((small.starts.len(), large.starts.len()), (2, 0));
+}
+
+/// Guards against a companion that paces by nothing: with a start it hears what is known of the
+/// images on its worker.
+#[test]
+fn effects_are_told_with_the_start() {
+    let mut scheduler = owner(1, &["h1"]);
+
+    accept(&mut scheduler, 1, sensitive());
+    accept(&mut scheduler, 2, idle());
+
+    let orders = orders(&mut scheduler, "h1", at(3));
+    let images: Vec<u32> = orders
+        .starts
+        .iter()
+        .map(|start| start.profile.image)
+        .collect();
+    let [effect] = orders.effects.as_slice() else {
+        panic!("one pair: {orders:?}");
+    };
+    assert_eq!(images, [effect.sensitive, effect.other]);
+    assert!(effect.percent > 0 && effect.deviation_percent > 0);
+}
+
+/// Guards against a task that uses idle processors beside users who feel it while another worker
+/// has none.
+#[test]
+fn task_that_uses_idle_processors_goes_where_nobody_feels_it() {
+    let mut scheduler = two_sizes();
+    accept(&mut scheduler, 1, sensitive());
+
+    accept(&mut scheduler, 2, idle());
+
+    let small = orders(&mut scheduler, "small", at(3));
+    let large = orders(&mut scheduler, "large", at(3));
+    assert_eq!((small.starts.len(), large.starts.len()), (1, 1));
+}
