--- a/crates/control/src/runner/action.rs
+++ b/crates/control/src/runner/action.rs
@@ -26,5 +26,17 @@
         attempt: u64,
         /// The share, in percent.
         percent: u8,
+        /// Highest present latency on the worker as a share of its target, in percent.
+        latency_percent: Option<u32>,
     },
 }
+
+impl Action {
+    /// Returns the attempt whose pace is set.
+    pub(super) const fn key(&self) -> Option<(Task, u64)> {
+        match self {
+            Self::Pace { task, attempt, .. } => Some((*task, *attempt)),
+            Self::Start { .. } | Self::Stop(_) => None,
+        }
+    }
+}
--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -9,7 +9,7 @@
 use super::reading::Reading;
 
 /// Latency that is aimed at, as a share of its target.
-const AIM: f64 = 0.9;
+const AIM: f64 = 0.87;
 
 /// Load of a sensitive task that is assumed at first, and the standard deviation of its error.
 const LOAD_UNKNOWN: f64 = 0.5;
@@ -117,6 +117,13 @@
         is_renewed
     }
 
+    /// Returns the present latency as a share of its target, in percent.
+    pub(super) fn latency_percent(&self) -> Option<u32> {
+        let target_ms = self.profile?.latency_target_ms?;
+        let present = self.reading.present().saturating_mul(100);
+        (self.phase == Phase::Running).then(|| present / target_ms.max(1))
+    }
+
     /// Returns the latency that the attempt's users may see, in milliseconds.
     pub(super) fn aim_ms(&self) -> f64 {
         let target_ms = self.profile.and_then(|profile| profile.latency_target_ms);
--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -35,22 +35,26 @@
 /// Sets the paces so that the factor of no sensitive task exceeds its room, and returns those that
 /// have changed.
 ///
-/// Where a room is exceeded, the attempts with the largest effect on that task are slowed down at
-/// once. Where all have room, attempts speed up by parts, those that need least of it first. It
-/// answers neighbours that are harmless, or ruinous, depending on the pair and on the load of the
-/// moment.
+/// Those that need least of the rooms get it first. Attempts that get less than they have are
+/// slowed down at once, the others speed up by parts. It answers neighbours that are harmless, or
+/// ruinous, depending on the pair and on the load of the moment.
 pub(super) fn pace<K: Copy + Ord>(paces: &mut [Pace<'_, K>], rooms: &[f64]) -> Vec<(K, u8)> {
-    paces.sort_by_key(|pace| pace.key);
-    let mut shares: Vec<f64> = paces
-        .iter()
-        .map(|pace| f64::from(*pace.percent) / FULL_PERCENT)
-        .collect();
-    let mut left: Row = rooms.iter().copied().collect();
-    for (pace, share) in paces.iter().zip(&shares) {
-        take(&mut left, &pace.effects, *share);
+    let rooms: Row = rooms.iter().copied().collect();
+    sort(paces, |pace| need(&pace.effects, &rooms));
+    let aims = shares(paces, rooms.clone());
+    let mut left = rooms;
+    let mut shares: Vec<f64> = Vec::with_capacity(paces.len());
+    for (pace, aim) in paces.iter().zip(&aims) {
+        let share = aim.min(f64::from(*pace.percent) / FULL_PERCENT);
+        take(&mut left, &pace.effects, share);
+        shares.push(share);
+    }
+    for ((pace, aim), share) in paces.iter().zip(aims).zip(&mut shares) {
+        let gain = RAISE_PART / need(&pace.effects_max, &left);
+        let gain = gain.min(aim - *share);
+        take(&mut left, &pace.effects_max, gain);
+        *share += gain;
     }
-    slow(paces, &mut shares, &mut left);
-    raise(paces, &mut shares, &mut left);
     apply(paces, &shares)
 }
 
@@ -59,38 +63,21 @@
     apply(paces, &vec![0.0; paces.len()])
 }
 
-fn slow<K>(paces: &[Pace<'_, K>], shares: &mut [f64], left: &mut Row) {
-    for task in 0..left.len() {
-        let mut order: SmallVec<[usize; 16]> = (0..paces.len()).collect();
-        order.sort_by(|one, other| {
-            let [one, other] = [one, other].map(|index| paces[*index].effects[task]);
-            other.total_cmp(&one)
-        });
-        for index in order {
-            let effect = paces[index].effects[task];
-            if left[task] >= 0.0 || effect < EFFECT_MIN {
-                break;
-            }
-            let cut = (-left[task] / effect).min(shares[index]);
-            shares[index] -= cut;
-            take(left, &paces[index].effects, -cut);
-        }
-    }
+/// Returns the share of the full pace that each attempt can have, in order.
+fn shares<K>(paces: &[Pace<'_, K>], mut left: Row) -> Vec<f64> {
+    let share = |pace: &Pace<'_, K>| {
+        let share = (1.0 / need(&pace.effects, &left)).min(1.0);
+        take(&mut left, &pace.effects, share);
+        share
+    };
+    paces.iter().map(share).collect()
 }
 
-fn raise<K>(paces: &[Pace<'_, K>], shares: &mut [f64], left: &mut Row) {
-    let mut order: SmallVec<[usize; 16]> = (0..paces.len()).collect();
-    let needs: Vec<f64> = paces
-        .iter()
-        .map(|pace| need(&pace.effects_max, left))
-        .collect();
-    order.sort_by(|one, other| needs[*one].total_cmp(&needs[*other]));
-    for index in order {
-        let effects = &paces[index].effects_max;
-        let gain = (RAISE_PART / need(effects, left)).min(1.0 - shares[index]);
-        shares[index] += gain;
-        take(left, effects, gain);
-    }
+fn sort<K: Ord>(paces: &mut [Pace<'_, K>], need: impl Fn(&Pace<'_, K>) -> f64) {
+    paces.sort_by(|one, other| {
+        let order = need(one).total_cmp(&need(other));
+        order.then(one.key.cmp(&other.key))
+    });
 }
 
 /// Returns the part of what is left that an attempt needs at full pace.
--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -34,6 +34,9 @@
             self.model.see(image, floor_ms);
             self.model.see(image, entry.reading.lowest());
             let latency_ms = f64::from(entry.reading.present());
+            if latency_ms == 0.0 {
+                continue;
+            }
             self.model
                 .observe(image, latency_ms, &mut entry.load, &neighbours);
         }
@@ -70,6 +73,7 @@
         )
     }
 
+    /// Sets the paces for the present loads, and returns the orders to change them.
     pub(super) fn pace(&mut self, now: Time) -> Vec<Action> {
         let is_missed = self.runs.values().any(|entry| {
             let since = entry.missed_since.unwrap_or(Time::NEVER);
@@ -98,40 +102,38 @@
         } else {
             pacer::pace(&mut paces, &rooms)
         };
-        let action = |((task, attempt), percent)| Action::Pace {
-            task,
-            attempt,
-            percent,
-        };
-        changed.into_iter().map(action).collect()
+        let order = |(key, percent)| self.order(key, percent);
+        changed.into_iter().map(order).collect()
     }
 
-    /// Sets the paces when an attempt that uses idle processors has started, at full pace.
+    /// Sets the paces when an attempt that uses idle processors has started. The worker lets it begin
+    /// at full pace.
     pub(super) fn begin_pace(&mut self, key: Key, now: Time) -> Vec<Action> {
         if let Some(entry) = self.runs.get_mut(&key) {
             entry.pace = 0;
         }
         self.disturb(now);
         let mut actions = self.pace(now);
-        let (task, attempt) = key;
-        let is_ordered = |action: &Action| matches!(action, Action::Pace { task: other, attempt: number, .. } if (*other, *number) == key);
-        let percent = self
-            .runs
-            .get(&key)
-            .map_or(Entry::FULL_PACE, |entry| entry.pace);
-        let has_order = actions.iter().any(is_ordered);
-        if percent == Entry::FULL_PACE {
-            actions.retain(|action| !is_ordered(action));
-        } else if !has_order {
-            actions.push(Action::Pace {
-                task,
-                attempt,
-                percent,
-            });
+        let is_other = |action: &Action| action.key() != Some(key);
+        actions.retain(is_other);
+        let present = self.runs.get(&key).map(|entry| entry.pace);
+        let percent = present.unwrap_or(Entry::FULL_PACE);
+        if percent != Entry::FULL_PACE {
+            actions.push(self.order(key, percent));
         }
         actions
     }
 
+    fn order(&self, (task, attempt): Key, percent: u8) -> Action {
+        let latencies = self.runs.values().filter_map(Entry::latency_percent);
+        Action::Pace {
+            task,
+            attempt,
+            percent,
+            latency_percent: latencies.max(),
+        }
+    }
+
     /// What the worker reported so far doesn't cover the present attempts.
     pub(super) const fn disturb(&mut self, now: Time) {
         self.disturbed_at = now;
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -17,7 +17,7 @@
 };
 
 /// Latency that is aimed at, as a share of its target.
-const AIM: f64 = 0.9;
+const AIM: f64 = 0.87;
 
 /// Time from the start of a sensitive task until its latency is learned from.
 const WARM_MICROS: u64 = 1_500_000;
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -32,7 +32,8 @@
                     task,
                     attempt,
                     percent,
-                } => pace(&shared, task, attempt, percent).await,
+                    latency_percent,
+                } => pace(&shared, (task, attempt), percent, latency_percent).await,
             }
         });
     }
@@ -79,7 +80,12 @@
     shared.look.notify_one();
 }
 
-async fn pace(shared: &Shared, task: Task, attempt: u64, percent: u8) {
+async fn pace(
+    shared: &Shared,
+    (task, attempt): (Task, u64),
+    percent: u8,
+    latency_percent: Option<u32>,
+) {
     let epoch = shared.runner().epoch();
     let call = Call::Pace {
         epoch,
@@ -94,7 +100,7 @@
             .await,
     );
     info!(shared.log, "task_pace"; "task" => %task, "attempt" => attempt, "percent" => percent,
-        "outcome" => ?outcome);
+        "latency_percent" => latency_percent, "outcome" => ?outcome);
     if outcome != Outcome::Done {
         shared.runner().pace_failed(task, attempt);
     }
