companion, owner: hosts that are gone are not awaited after a takeover

The eleventh host had been taken away 6 s before; its address stayed in the store, and the owner awaited what its worker might still run. Change: a companion whose worker has ended removes its address when it stops; an owner removes the address of a host that has been silent for 20 s, unless most hosts are.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -51,6 +51,8 @@
     fenced: Epoch,
     worker: Option<Worker>,
     worker_id: String,
+    /// The worker has ended, and no other life of it was seen.
+    is_vacant: bool,
     beat: u64,
     life: Incarnation,
     listed_at: Option<Time>,
@@ -79,6 +81,7 @@
             fenced: 0,
             worker: None,
             worker_id: String::new(),
+            is_vacant: false,
             beat: 0,
             life: 0,
             listed_at: None,
@@ -128,6 +131,7 @@
     /// The worker's process is gone: its address refuses connections.
     pub fn lose_worker(&mut self) {
         self.worker = None;
+        self.is_vacant = true;
         self.runs.clear();
         self.ends.clear();
         // Whatever is heard next of the same life is an old message.
@@ -362,6 +366,12 @@
         self.worker.as_ref()
     }
 
+    /// Tells whether the worker has ended, and with it all that it ran.
+    #[must_use]
+    pub const fn is_vacant(&self) -> bool {
+        self.is_vacant
+    }
+
     /// Returns the identifier under which the worker announced itself.
     #[must_use]
     pub fn worker_id(&self) -> &str {
@@ -386,6 +396,7 @@
     fn begin_life(&mut self, incarnation: Incarnation) {
         self.life = incarnation;
         self.worker = None;
+        self.is_vacant = false;
         self.runs.clear();
         self.ends.clear();
         self.forget_life();
--- a/crates/node/src/companion.rs
+++ b/crates/node/src/companion.rs
@@ -77,10 +77,15 @@
         self.shared.changed.notify_one();
     }
 
-    /// Stops the companion. What its worker runs goes on until its lease ends.
-    pub fn stop(&self) {
-        info!(self.shared.log, "companion_stopped");
+    /// Stops the companion. What its worker runs goes on until its lease ends; if the worker has
+    /// ended, the host's address is removed.
+    pub async fn stop(&self) {
         self.shared.stop.cancel();
+        let is_vacant = self.shared.runner().is_vacant();
+        if is_vacant {
+            registration::withdraw(&self.shared).await;
+        }
+        info!(self.shared.log, "companion_stopped"; "is_vacant" => is_vacant);
     }
 }
 
--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -31,6 +31,29 @@
     }
 }
 
+/// Removes the address, so that no later owner awaits what this host's worker may run.
+pub(super) async fn withdraw(shared: &Shared) {
+    match remove(shared).await {
+        Ok(()) => info!(shared.log, "unregistered"),
+        // The owner removes the address of a host that stays silent.
+        Err(error) => info!(shared.log, "unregistering_failed"; "error" => %error),
+    }
+}
+
+async fn remove(shared: &Shared) -> Result<(), Error> {
+    let key = key::host(&shared.settings.name);
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let Some(item) = shared.store.get(&key, deadline).await? else {
+        return Ok(());
+    };
+    let transaction = Transaction::default().expect(key.clone(), item.revision);
+    shared
+        .store
+        .commit(transaction.remove(key), deadline)
+        .await?;
+    Ok(())
+}
+
 async fn register(shared: &Shared) -> Result<(), Error> {
     let settings = &shared.settings;
     let key = key::host(&settings.name);
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -21,6 +21,10 @@
 /// Longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Silence after which a host's address is removed, in milliseconds. It is longer than a lease, after
+/// which nothing runs there, and than most cuts, after which the host is needed at once.
+const FORGET_MS: u64 = 20_000;
+
 /// Time between two updates of the gauges, in milliseconds.
 const METER_INTERVAL_MS: u64 = 1_000;
 
@@ -35,6 +39,8 @@
     orders: HashMap<String, mpsc::Sender<Orders>>,
     addresses: session::Addresses,
     sessions: HashMap<String, (Address, JoinHandle<()>)>,
+    /// Since when a host has had no session.
+    silent_since: HashMap<String, Time>,
     tasks: Vec<JoinHandle<()>>,
     is_deposed: bool,
     meter_at: Time,
@@ -68,6 +74,7 @@
             orders: HashMap::new(),
             addresses: session::Addresses::default(),
             sessions: HashMap::new(),
+            silent_since: HashMap::new(),
             is_deposed: false,
             meter_at: Time::ZERO,
         };
@@ -107,6 +114,7 @@
             Event::Connected(name, orders) => {
                 info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
                 self.scheduler.connect(&name);
+                self.silent_since.remove(&name);
                 self.orders.insert(name, orders);
             }
             Event::Disconnected(name) => {
@@ -114,6 +122,7 @@
                 meters::session_lost();
                 self.scheduler.disconnect(&name);
                 self.orders.remove(&name);
+                self.silent_since.entry(name).or_insert(now);
             }
             Event::Update(update) => self.scheduler.update(&update, now),
             Event::Query(query, reply) => self.answer(query, reply, now),
@@ -155,12 +164,31 @@
             let scheduler = &self.scheduler;
             let (jobs, attempts) = (scheduler.active(), scheduler.running());
             meters::owned(jobs, attempts, scheduler.unrecorded());
+            self.forget_silent(now);
         }
         for name in self.scheduler.due_hosts(now) {
             self.send(&name, now);
         }
     }
 
+    /// Removes the addresses of hosts that have been silent for long, so that no later owner awaits
+    /// them. A companion that lives registers again.
+    fn forget_silent(&mut self, now: Time) {
+        // Where most hosts are silent, the fault is on this side.
+        if 2 * self.silent_since.len() > self.sessions.len() {
+            return;
+        }
+        let is_gone = |since: &Time| now >= since.plus_millis(FORGET_MS);
+        let gone = self.silent_since.extract_if(|_, since| is_gone(since));
+        let hosts: Vec<String> = gone.map(|(name, _)| name).collect();
+        for host in hosts {
+            info!(self.shared.log, "host_forgotten"; "host" => &host, "epoch" => self.epoch,
+                "silent_ms" => FORGET_MS);
+            let (shared, fence) = (self.shared.clone(), self.fence);
+            tokio::spawn(record::forget_host(shared, fence, host));
+        }
+    }
+
     fn log_note(&self, note: Note) {
         let (log, epoch) = (&self.shared.log, self.epoch);
         match note {
@@ -267,6 +295,8 @@
             self.scheduler.disconnect(&name);
             self.orders.remove(&name);
         }
+        self.silent_since
+            .insert(name.clone(), self.shared.clock.now());
         self.addresses
             .lock()
             .expect("no holder of this lock panics")
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::{
     sync::mpsc,
     time::{Duration, Instant, sleep},
@@ -109,6 +109,17 @@
     }
 }
 
+/// Removes the address of a host.
+pub(super) async fn forget_host(shared: Arc<Shared>, fence: Revision, host: String) {
+    let transaction = Transaction::default().expect(key::FENCE, fence);
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let commit = transaction.remove(key::host(&host));
+    if let Err(error) = shared.store.commit(commit, deadline).await {
+        // A later owner finds the address and awaits the host for the length of a lease.
+        info!(shared.log, "forgetting_failed"; "host" => host, "error" => %error);
+    }
+}
+
 fn encode(progress: &Progress) -> Vec<u8> {
     serde_json::to_vec(progress).expect("progress is plain data")
 }
