--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -15,6 +15,14 @@
 const MISSED_MICROS_MAX: u64 = 1_200_000;
 
 impl Runner {
+    /// Tells whether the worker has sensitive attempts and others that are paced for them.
+    #[must_use]
+    pub fn is_shared(&self) -> bool {
+        let mut entries = self.runs.values();
+        let has_paced = self.runs.values().any(Entry::is_paced);
+        has_paced && entries.any(|entry| entry.sensitive_image().is_some())
+    }
+
     /// Learns from figures that cover the present attempts.
     pub(super) fn learn(&mut self) {
         let neighbours: SmallVec<[Neighbour; 8]> = self
--- a/crates/node/src/companion/hold.rs
+++ b/crates/node/src/companion/hold.rs
@@ -13,8 +13,11 @@
 };
 
 /// Longest wait of a list for an end. It bounds the time until a start or a stop without an
-/// outcome is resolved, and the age of the latency that a pace follows.
-const WAIT_MS: u64 = 125;
+/// outcome is resolved.
+const WAIT_MS: u64 = 500;
+
+/// The same where paces follow the latency that the worker reports, which it renews each 250 ms.
+const SHARED_WAIT_MS: u64 = 125;
 
 /// Time to wait for the acknowledgement of ends, without which a list doesn't wait.
 const ACKNOWLEDGEMENT_WAIT: Duration = Duration::from_millis(100);
@@ -37,7 +40,11 @@
             // The wait ends early when the owner's acknowledgement arrives.
             let _ = timeout(ACKNOWLEDGEMENT_WAIT, shared.look.notified()).await;
         }
-        match list(&shared, WAIT_MS).await {
+        let wait_ms = match shared.runner().is_shared() {
+            true => SHARED_WAIT_MS,
+            false => WAIT_MS,
+        };
+        match list(&shared, wait_ms).await {
             Reply::Listing(listing) => {
                 refusals = 0;
                 apply(&shared, listing);
