--- a/crates/control/src/runner/entry.rs
+++ b/crates/control/src/runner/entry.rs
@@ -4,17 +4,10 @@
     Time,
     session::{Phase, Profile},
 };
-use toucanquay_policy::pressure::Estimate;
+use toucanquay_policy::pressure::{AIM, Estimate, Model};
 
 use super::reading::Reading;
 
-/// Latency that is aimed at, as a share of its target.
-const AIM: f64 = 0.87;
-
-/// Load of a sensitive task that is assumed at first, and the standard deviation of its error.
-const LOAD_UNKNOWN: f64 = 0.5;
-const LOAD_DEVIATION: f64 = 0.2;
-
 /// One attempt.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -59,7 +52,7 @@
             done_percent: 0,
             reading: Reading::new(),
             pace: Self::FULL_PACE,
-            load: Estimate::new(LOAD_UNKNOWN, LOAD_DEVIATION),
+            load: Model::unknown_load(),
             missed_since: None,
             stop_at: Time::NEVER,
             settled_at: None,
--- a/crates/control/src/runner/pacer.rs
+++ b/crates/control/src/runner/pacer.rs
@@ -50,8 +50,10 @@
         shares.push(share);
     }
     for ((pace, aim), share) in paces.iter().zip(aims).zip(&mut shares) {
-        let gain = RAISE_PART / need(&pace.effects_max, &left);
-        let gain = gain.min(aim - *share);
+        let most = 1.0 / need(&pace.effects_max, &left);
+        // A smaller step up from a pause would count as none, and the pause could never end.
+        let least = (PACE_MIN_PERCENT / FULL_PERCENT).min(most);
+        let gain = (RAISE_PART * most).max(least).min(aim - *share);
         take(&mut left, &pace.effects_max, gain);
         *share += gain;
     }
--- a/crates/control/src/scheduler/pressure.rs
+++ b/crates/control/src/scheduler/pressure.rs
@@ -6,7 +6,7 @@
     graph::{Step, Task},
     session::{Effect, Profile, Update},
 };
-use toucanquay_policy::pressure::{Estimate, Neighbour};
+use toucanquay_policy::pressure::{AIM, Estimate, Neighbour};
 
 use super::{
     Note, Run, Scheduler,
@@ -16,9 +16,6 @@
     task::Phase,
 };
 
-/// Latency that is aimed at, as a share of its target.
-const AIM: f64 = 0.87;
-
 /// Time from the start of a sensitive task until its latency is learned from.
 const WARM_MICROS: u64 = 1_500_000;
 
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -6,16 +6,10 @@
     session,
 };
 
-use toucanquay_policy::pressure::Estimate;
+use toucanquay_policy::pressure::{Estimate, Model};
 
 use super::key::{HostKey, JobKey};
 
-/// Load of a sensitive task that is assumed at first: the busy share of its time.
-const LOAD_UNKNOWN: f64 = 0.5;
-
-/// Standard deviation of that assumption.
-const LOAD_DEVIATION: f64 = 0.2;
-
 /// Time from a start until a report covers the attempt's use of processors.
 const MEASURED_MICROS: u64 = 700_000;
 
@@ -74,7 +68,7 @@
             done_percent: 0,
             gauge: 0,
             image,
-            load: Estimate::new(LOAD_UNKNOWN, LOAD_DEVIATION),
+            load: Model::unknown_load(),
             used_milli: step.idle_milli(),
             slow_since: None,
         }
--- a/crates/policy/src/pressure.rs
+++ b/crates/policy/src/pressure.rs
@@ -8,7 +8,7 @@
 mod model;
 mod neighbour;
 
-pub use curve::Curve;
+pub use curve::{AIM, Curve};
 pub use estimate::Estimate;
 pub use model::Model;
 pub use neighbour::Neighbour;
--- a/crates/policy/src/pressure/curve.rs
+++ b/crates/policy/src/pressure/curve.rs
@@ -1,5 +1,9 @@
 //! Latency of a task that serves users, as a function of its load and its neighbours.
 
+/// Latency that is aimed at, as a share of its target: reports are rough, and loads rise between two
+/// of them.
+pub const AIM: f64 = 0.87;
+
 /// Relation between a task's tail latency, its load and the factor by which its neighbours slow
 /// its work down.
 ///
--- a/crates/policy/src/pressure/model.rs
+++ b/crates/policy/src/pressure/model.rs
@@ -19,6 +19,10 @@
 /// Variance by which effects change from one observation to the next.
 const EFFECT_DRIFT: f64 = 0.05;
 
+/// Load that is assumed of a task at first, and the standard deviation of its error.
+const LOAD_UNKNOWN: f64 = 0.5;
+const LOAD_DEVIATION: f64 = 0.2;
+
 /// Variance by which a task's load changes from one observation to the next.
 const LOAD_DRIFT: f64 = 0.002;
 
@@ -47,6 +51,12 @@
 }
 
 impl Model {
+    /// Returns what is assumed at first of the busy share of a task's time without neighbours.
+    #[must_use]
+    pub const fn unknown_load() -> Estimate {
+        Estimate::new(LOAD_UNKNOWN, LOAD_DEVIATION)
+    }
+
     /// Returns the key of an image.
     pub fn key(&mut self, image: &str) -> usize {
         if let Some(key) = self.keys.get(image) {
