scheduler: search each host once a stage and remember searches that found none

Cause: placement searched all hosts for each waiting task whenever an attempt ended, and each search computed the effects on all sensitive neighbours anew, with a scan of all known pairs for an unknown one. Ruled out: updates, orders and commits (together under 6 % of a core).

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -8,10 +8,12 @@
 //! attempts from the agents' updates. Only the progress of jobs is persisted. The end of an attempt
 //! is acknowledged to its worker after it has been persisted.
 
+mod candidates;
 mod choice;
 mod commit;
 mod ending;
 mod event;
+mod headroom;
 mod host;
 mod interference;
 mod job;
@@ -23,7 +25,9 @@
 mod restored;
 mod run;
 mod settings;
+mod shortage;
 mod stage;
+mod stage_ref;
 mod task;
 mod updates;
 
@@ -72,6 +76,10 @@
     waiting_jobs: BTreeSet<JobKey>,
     timers: BTreeSet<(Time, JobKey)>,
     is_placement_due: bool,
+    /// Number of the last placement round.
+    placement_round: u64,
+    /// Hosts by the placement round that first saw their last change.
+    changed_hosts: BTreeSet<(u64, HostKey)>,
     /// Hosts that may still run tasks of inherited jobs and have not reported yet. Until they have
     /// all reported, or the longest possible lease has ended, no task of an inherited job is
     /// placed, because it may already be running.
@@ -113,6 +121,8 @@
             waiting_jobs: BTreeSet::new(),
             timers: BTreeSet::new(),
             is_placement_due: true,
+            placement_round: 0,
+            changed_hosts: BTreeSet::new(),
             awaited_hosts: hosts.into_iter().collect(),
             takeover_complete_at: settings.lease_end_bound(now),
             unrecorded_jobs: BTreeSet::new(),
@@ -138,6 +148,10 @@
     /// contains is kept for the jobs that use it.
     pub fn configure(&mut self, queues: impl IntoIterator<Item = (String, Queue)>) {
         self.queues.extend(queues);
+        let hosts: Vec<HostKey> = self.hosts.keys().collect();
+        for key in hosts {
+            self.mark_host_changed(key);
+        }
         self.is_placement_due = true;
     }
 
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -4,9 +4,10 @@
 
 use super::{
     Scheduler,
+    candidates::{AVOIDED_HOST_PENALTY, Candidates},
     host::Host,
-    key::{HostKey, JobKey},
-    task::Task,
+    key::HostKey,
+    stage_ref::StageRef,
 };
 
 /// Minimum speed at which a task that uses idle processors is started. It does not apply if its job
@@ -29,65 +30,61 @@
 /// Bonus for a worker on the rack that holds the task's data.
 const RACK_BONUS: f64 = 10.0;
 
-/// Penalty for a host on which the last failed attempt of the task ran, or on which several jobs
-/// have failed.
-const AVOIDED_HOST_PENALTY: f64 = 20.0;
-
 impl Scheduler {
-    /// Returns the best host for one task of a stage, or `None` if the task fits nowhere.
+    /// Returns the hosts that fit a task of a stage. With `since`, only hosts that have changed in a
+    /// later placement round are considered.
     ///
     /// Tasks are placed on the worker with the largest share of idle processors. Sensitive tasks
     /// are packed onto few workers instead, and tasks that use idle processors prefer the other
     /// workers.
-    pub(super) fn select_host(
+    pub(super) fn candidates(
         &self,
-        job: JobKey,
-        stage_index: usize,
-        step: &Step,
-        task: &Task,
+        stage: StageRef<'_>,
+        since: Option<u64>,
         now: Time,
-    ) -> Option<HostKey> {
-        let image = self
-            .interference
-            .image_key(step.image.as_deref().unwrap_or_default());
-        let pool = &self.jobs.get(job)?.queue_at_acceptance.pool;
-        let queue = self.queues.get(&self.jobs.get(job)?.queue);
-        let pool = queue.map_or(pool, |queue| &queue.pool);
-        let is_job_idle = self.jobs.get(job)?.active_runs().is_empty();
-        let mut best: Option<(f64, HostKey)> = None;
-        for (key, host) in &self.hosts {
-            let Some(score) = self.score(host, pool, step, image, is_job_idle) else {
-                continue;
-            };
-            if !self.is_below_worker_limit(key, job, stage_index, step) {
-                continue;
-            }
-            let is_avoided = task.avoided_host == Some(key) || now < host.avoid_until;
-            let score = if is_avoided {
-                score - AVOIDED_HOST_PENALTY
-            } else {
-                score
-            };
-            if best.is_none_or(|(highest, _)| score > highest) {
-                best = Some((score, key));
+    ) -> Candidates {
+        let mut candidates = Candidates::default();
+        let mut add = |key: HostKey| {
+            if let Some(score) = self.host_score(key, stage, now) {
+                candidates.push(key, score);
             }
+        };
+        match since {
+            None => self.hosts.keys().for_each(&mut add),
+            Some(round) => self.hosts_changed_after(round).for_each(&mut add),
         }
-        best.map(|(_, key)| key)
+        candidates
     }
 
-    fn score(
+    /// Returns how well a host suits a task of a stage, or `None` if the task must not run there.
+    pub(super) fn host_score(
         &self,
-        host: &Host,
-        pool: &str,
-        step: &Step,
-        image: usize,
-        is_job_idle: bool,
+        key: HostKey,
+        stage: StageRef<'_>,
+        now: Time,
     ) -> Option<f64> {
+        let host = &self.hosts[key];
+        let score = self.score(host, stage)?;
+        if !self.is_below_worker_limit(key, stage) {
+            return None;
+        }
+        let is_avoided = now < host.avoid_until;
+        Some(if is_avoided {
+            score - AVOIDED_HOST_PENALTY
+        } else {
+            score
+        })
+    }
+
+    fn score(&self, host: &Host, stage: StageRef<'_>) -> Option<f64> {
+        let StageRef {
+            pool, step, image, ..
+        } = stage;
         let worker = self.fitting_worker(host, pool, step)?;
         let capacity_milli = f64::from(worker.capacity.processors_milli.max(1));
         let mut score = if step.uses_idle {
             let speed = self.speed(host, pool, step, image)?;
-            if speed < START_SPEED_MIN && !is_job_idle {
+            if speed < START_SPEED_MIN && !stage.is_job_idle {
                 return None;
             }
             speed + self.expected_idle_milli(host) / capacity_milli
@@ -152,22 +149,14 @@
     }
 
     /// Returns whether the worker may run another task of the stage, given the limit of the step.
-    fn is_below_worker_limit(
-        &self,
-        host: HostKey,
-        job: JobKey,
-        stage_index: usize,
-        step: &Step,
-    ) -> bool {
-        let Some(per_worker_max) = step.per_worker_max else {
+    fn is_below_worker_limit(&self, host: HostKey, stage: StageRef<'_>) -> bool {
+        let Some(per_worker_max) = stage.step.per_worker_max else {
             return true;
         };
+        let job = self.jobs.get(stage.job);
         let is_sibling = |run: &super::Run| {
-            let stage = self
-                .jobs
-                .get(job)
-                .and_then(|job| job.stage_index(run.place));
-            run.job == job && stage == Some(stage_index)
+            let index = job.and_then(|job| job.stage_index(run.place));
+            run.job == stage.job && index == Some(stage.index)
         };
         let runs = self.hosts[host].runs.iter();
         let siblings = runs.filter(|key| self.runs.get(**key).is_some_and(is_sibling));
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -47,6 +47,7 @@
         if let Some(host) = self.hosts.get_mut(run.host) {
             host.remove_run(key, &run);
         }
+        self.mark_host_changed(run.host);
         self.is_placement_due = true;
         let Some(job) = self.jobs.get_mut(run.job) else {
             return;
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -1,6 +1,9 @@
 //! State of one host and its worker.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    cell::OnceCell,
+    collections::{BTreeMap, VecDeque},
+};
 
 use smallvec::SmallVec;
 use toucanquay_model::{
@@ -11,6 +14,7 @@
 
 use super::{
     Run,
+    headroom::Headroom,
     key::{JobKey, RunKey},
 };
 
@@ -64,6 +68,10 @@
     /// Distinct jobs that have failed on the worker since the last success.
     pub(super) failing_jobs: SmallVec<[JobKey; 4]>,
     pub(super) avoid_until: Time,
+    /// Placement round that first saw the host's last change after which more tasks may fit.
+    pub(super) changed_in: u64,
+    /// Headroom of the sensitive attempts, by image. Empty until it is needed after a change.
+    pub(super) headrooms: OnceCell<SmallVec<[Headroom; 4]>>,
 }
 
 impl Host {
@@ -97,6 +105,8 @@
             unacknowledged_ends: VecDeque::new(),
             failing_jobs: SmallVec::new(),
             avoid_until: Time::ZERO,
+            changed_in: 0,
+            headrooms: OnceCell::new(),
         }
     }
 
@@ -117,6 +127,7 @@
 
     /// Adds an attempt and its resources.
     pub(super) fn add_run(&mut self, key: RunKey, step: &Step) {
+        self.headrooms.take();
         self.runs.push(key);
         self.used = self.used.plus(&step.occupied());
         self.idle_milli = self.idle_milli.saturating_add(step.idle_milli());
@@ -128,6 +139,7 @@
 
     /// Removes an attempt and its resources.
     pub(super) fn remove_run(&mut self, key: RunKey, run: &Run) {
+        self.headrooms.take();
         self.runs.retain(|other| *other != key);
         self.used = self.used.saturating_sub(&run.occupied);
         self.idle_milli = self.idle_milli.saturating_sub(run.idle_milli);
--- a/crates/control/src/scheduler/interference.rs
+++ b/crates/control/src/scheduler/interference.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Event, Run, Scheduler,
+    headroom::Headroom,
     host::Host,
     key::{HostKey, RunKey},
     task::Phase,
@@ -84,6 +85,7 @@
                     .observe(run.image, latency_ms, &mut run.load, &neighbours);
             }
         }
+        self.mark_host_changed(key);
         self.send_effects(key);
     }
 
@@ -136,24 +138,41 @@
     /// Returns the speed, from 0 to 1, at which a task that uses idle processors can run on a host
     /// without raising the latency of a sensitive task there above its setpoint.
     pub(super) fn allowed_speed(&self, host: &Host, image: usize, idle_milli: u32) -> f64 {
-        // Counts the full demand of each attempt rather than its usage, because a paused attempt
-        // will use its processors again.
-        let neighbours = self.neighbours(host, |run| run.idle_milli);
         let share = f64::from(idle_milli) / capacity_milli(host);
-        let speed = |other: &Run| {
-            let added_slowdown = self.interference.effect(other.image, image) * share;
+        let speed = |headroom: &Headroom| {
+            let added_slowdown = self.interference.effect(headroom.image, image) * share;
             if added_slowdown <= NEGLIGIBLE_EFFECT {
                 return 1.0;
             }
+            (headroom.slowdown / added_slowdown).clamp(0.0, 1.0)
+        };
+        let headrooms = host.headrooms.get_or_init(|| self.headrooms(host));
+        headrooms.iter().map(speed).fold(1.0, f64::min)
+    }
+
+    /// Returns the headroom of the sensitive attempts on a host, by image.
+    fn headrooms(&self, host: &Host) -> SmallVec<[Headroom; 4]> {
+        // Counts the full demand of each attempt rather than its usage, because a paused attempt
+        // will use its processors again.
+        let neighbours = self.neighbours(host, |run| run.idle_milli);
+        let mut headrooms: SmallVec<[Headroom; 4]> = SmallVec::new();
+        for run in self.sensitive_runs(host) {
             let setpoint_ms =
-                f64::from(other.latency_target_ms.unwrap_or(0)) * LATENCY_SETPOINT_RATIO;
-            let headroom = self
+                f64::from(run.latency_target_ms.unwrap_or(0)) * LATENCY_SETPOINT_RATIO;
+            let total = self
                 .interference
-                .headroom(other.image, other.load.value, setpoint_ms);
-            let used_headroom = self.interference.slowdown(other.image, &neighbours) - 1.0;
-            ((headroom - used_headroom) / added_slowdown).clamp(0.0, 1.0)
-        };
-        self.sensitive_runs(host).map(speed).fold(1.0, f64::min)
+                .headroom(run.image, run.load.value, setpoint_ms);
+            let used = self.interference.slowdown(run.image, &neighbours) - 1.0;
+            let slowdown = total - used;
+            match headrooms.iter_mut().find(|known| known.image == run.image) {
+                Some(known) => known.slowdown = known.slowdown.min(slowdown),
+                None => headrooms.push(Headroom {
+                    image: run.image,
+                    slowdown,
+                }),
+            }
+        }
+        headrooms
     }
 
     fn sensitive_runs<'a>(&'a self, host: &'a Host) -> impl Iterator<Item = &'a Run> {
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -21,7 +21,11 @@
     /// Settings of the queue when the job was accepted. They apply if the queue is not configured.
     pub(super) queue_at_acceptance: Queue,
     pub(super) payload: Arc<str>,
-    pub(super) spec: graph::Job,
+    pub(super) spec: Arc<graph::Job>,
+    /// Length of the critical path by estimated run times, in milliseconds.
+    pub(super) critical_path_ms: u64,
+    /// A step runs until the job is cancelled.
+    pub(super) is_perpetual: bool,
     pub(super) accepted_unix_ms: u64,
     /// The job was persisted before this owner took over, so a former owner may have started some
     /// of its tasks.
@@ -51,7 +55,9 @@
             queue: accepted_job.queue,
             queue_at_acceptance: accepted_job.policy,
             payload,
-            spec,
+            critical_path_ms: spec.critical_path_ms(),
+            is_perpetual: spec.is_perpetual(),
+            spec: Arc::new(spec),
             accepted_unix_ms: accepted_job.unix_ms,
             is_inherited,
             stages,
--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -80,6 +80,27 @@
         Some(orders)
     }
 
+    /// Records that more tasks may fit on a host than before.
+    pub(super) fn mark_host_changed(&mut self, key: HostKey) {
+        let round = self.placement_round + 1;
+        let Some(host) = self.hosts.get_mut(key) else {
+            return;
+        };
+        host.headrooms.take();
+        if host.changed_in != round {
+            self.changed_hosts.remove(&(host.changed_in, key));
+            host.changed_in = round;
+            self.changed_hosts.insert((round, key));
+        }
+    }
+
+    /// Returns the hosts that have changed after a placement round, in the order of their keys
+    /// within each round.
+    pub(super) fn hosts_changed_after(&self, round: u64) -> impl Iterator<Item = HostKey> {
+        let first = (round + 1, HostKey::default());
+        self.changed_hosts.range(first..).map(|(_, key)| *key)
+    }
+
     pub(super) fn host_key(&mut self, name: &str) -> HostKey {
         if let Some(key) = self.host_keys.get(name) {
             return *key;
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -1,18 +1,26 @@
 //! Placement of waiting tasks.
 
+use std::sync::Arc;
+
 use toucanquay_model::{
     Time,
-    graph::{Place, Step},
+    graph::{self, Place},
     session::Start,
 };
 
 use super::{
     ATTEMPTS_PER_EPOCH, Run, Scheduler,
+    candidates::Candidates,
     key::{HostKey, JobKey, RunKey},
     rank::Rank,
-    task::Phase,
+    shortage::Shortage,
+    stage_ref::StageRef,
+    task::{Phase, Task},
 };
 
+/// Interval between searches of all hosts for a stage that fits nowhere, in microseconds.
+const FULL_SEARCH_INTERVAL_MICROS: u64 = 500_000;
+
 impl Scheduler {
     /// Places as many waiting tasks as possible, in the order of their jobs.
     pub(super) fn place_waiting_tasks(&mut self, now: Time) {
@@ -20,6 +28,7 @@
             return;
         }
         self.is_placement_due = false;
+        self.placement_round += 1;
         for key in self.placement_order(now) {
             self.place_job(key, now);
         }
@@ -44,8 +53,7 @@
                 .queues
                 .get(&job.queue)
                 .unwrap_or(&job.queue_at_acceptance);
-            let rank = Rank::new(&job.spec, queue, job.accepted_unix_ms, unix_ms);
-            order.push((rank, *key));
+            order.push((Rank::new(job, queue, unix_ms), *key));
         }
         order.sort_unstable();
         order.into_iter().map(|(_, key)| key).collect()
@@ -58,51 +66,134 @@
         if job.state.is_over() {
             return;
         }
-        let waiting = |(_, stage): &(usize, &super::stage::Stage)| stage.has_waiting();
-        let stages = job.stages.iter().enumerate().filter(waiting);
-        let stage_indices: Vec<usize> = stages.map(|(stage_index, _)| stage_index).collect();
-        let steps = job.spec.steps.clone();
-        for stage_index in stage_indices {
-            let step = &steps[stage_index % steps.len()];
-            if step.is_gang {
-                self.place_gang(key, stage_index, step, now);
+        let queue = self
+            .queues
+            .get(&job.queue)
+            .unwrap_or(&job.queue_at_acceptance);
+        let pool = queue.pool.clone();
+        let spec: Arc<graph::Job> = job.spec.clone();
+        for index in 0..job.stages.len() {
+            if !self.jobs[key].stages[index].has_waiting() {
+                continue;
+            }
+            let step = &spec.steps[index % spec.steps.len()];
+            let image = step.image.as_deref().unwrap_or_default();
+            let stage = StageRef {
+                job: key,
+                index,
+                step,
+                pool: &pool,
+                image: self.interference.image_key(image),
+                is_job_idle: self.jobs[key].active_runs().is_empty(),
+            };
+            let is_placed = if step.is_gang {
+                self.place_gang(stage, now)
             } else {
-                self.place_stage(key, stage_index, step, now);
+                self.place_stage(stage, now)
+            };
+            if !is_placed {
+                self.record_shortage(stage, now);
             }
         }
     }
 
-    fn place_stage(&mut self, key: JobKey, stage_index: usize, step: &Step, now: Time) {
-        for index in 0..step.tasks {
-            let Some(task) = self.waiting_task(key, stage_index, index, now) else {
+    /// Places the waiting tasks of a stage. Returns `false` if one doesn't fit on any host.
+    fn place_stage(&mut self, mut stage: StageRef<'_>, now: Time) -> bool {
+        let since = self.last_search(stage, now);
+        if since.is_some_and(|round| self.hosts_changed_after(round).next().is_none()) {
+            return false;
+        }
+        let mut candidates = self.candidates(stage, since, now);
+        for index in 0..stage.step.tasks {
+            let Some(avoided_host) = self
+                .waiting_task(stage, index, now)
+                .map(|task| task.avoided_host)
+            else {
                 continue;
             };
-            let Some(host) = self.select_host(key, stage_index, step, &task, now) else {
+            let Some(host) = candidates.pop(avoided_host) else {
                 // The other tasks of the stage have the same requirements, so they don't fit
                 // either.
-                return;
+                return false;
             };
             let attempt = self.next_attempt();
-            self.start_task(key, stage_index, index, step, host, attempt, now);
+            self.start_task(stage, index, host, attempt, now);
+            if stage.is_job_idle {
+                stage.is_job_idle = false;
+                candidates = self.candidates(stage, since, now);
+            } else {
+                self.readd_host(&mut candidates, host, stage, now);
+            }
         }
+        true
     }
 
-    /// Places all tasks of a gang under one attempt number. Places none of them if one doesn't fit.
-    fn place_gang(&mut self, key: JobKey, stage_index: usize, step: &Step, now: Time) {
+    /// Places all tasks of a gang under one attempt number. Returns `false` and places none of them
+    /// if one doesn't fit.
+    fn place_gang(&mut self, stage: StageRef<'_>, now: Time) -> bool {
+        let since = self.last_search(stage, now);
+        if since.is_some_and(|round| self.hosts_changed_after(round).next().is_none()) {
+            return false;
+        }
         let attempt = self.next_attempt();
-        let mut started: Vec<RunKey> = Vec::with_capacity(step.tasks as usize);
-        for index in 0..step.tasks {
+        let mut candidates = self.candidates(stage, None, now);
+        let mut started: Vec<RunKey> = Vec::with_capacity(stage.step.tasks as usize);
+        for index in 0..stage.step.tasks {
             let host = self
-                .waiting_task(key, stage_index, index, now)
-                .and_then(|task| self.select_host(key, stage_index, step, &task, now));
+                .waiting_task(stage, index, now)
+                .map(|task| task.avoided_host)
+                .and_then(|avoided_host| candidates.pop(avoided_host));
             let Some(host) = host else {
                 for run in started {
                     self.cancel_start(run, now);
                 }
-                return;
+                // No order contains the attempt, so its number can be used again.
+                self.last_attempt -= 1;
+                return false;
             };
-            started.push(self.start_task(key, stage_index, index, step, host, attempt, now));
+            started.push(self.start_task(stage, index, host, attempt, now));
+            self.readd_host(&mut candidates, host, stage, now);
         }
+        true
+    }
+
+    /// Adds a host to the candidates again after a task has been placed on it, if one more fits.
+    fn readd_host(
+        &self,
+        candidates: &mut Candidates,
+        host: HostKey,
+        stage: StageRef<'_>,
+        now: Time,
+    ) {
+        if let Some(score) = self.host_score(host, stage, now) {
+            candidates.push(host, score);
+        }
+    }
+
+    /// Returns the placement round of the last search that found no host for a stage, if hosts that
+    /// have not changed since then need not be searched again.
+    fn last_search(&self, stage: StageRef<'_>, now: Time) -> Option<u64> {
+        let shortage = self.jobs[stage.job].stages[stage.index].shortage?;
+        let is_valid = now < shortage.full_search_at
+            && (shortage.was_job_idle || !stage.is_job_idle);
+        is_valid.then_some(shortage.round)
+    }
+
+    /// Records that no host fits the waiting tasks of a stage.
+    fn record_shortage(&mut self, stage: StageRef<'_>, now: Time) {
+        let full_search_at = match self.last_search(stage, now) {
+            Some(_) => self.jobs[stage.job].stages[stage.index]
+                .shortage
+                .map_or(now, |shortage| shortage.full_search_at),
+            None => now.plus_micros(FULL_SEARCH_INTERVAL_MICROS),
+        };
+        let job = &mut self.jobs[stage.job];
+        let was_job_idle = stage.is_job_idle && job.active_runs().is_empty();
+        job.stages[stage.index].shortage = Some(Shortage {
+            round: self.placement_round,
+            was_job_idle,
+            full_search_at,
+        });
     }
 
     /// Cancels a start that has not been sent.
@@ -120,22 +211,11 @@
         self.is_placement_due = is_due;
     }
 
-    fn waiting_task(
-        &self,
-        key: JobKey,
-        stage_index: usize,
-        index: u32,
-        now: Time,
-    ) -> Option<super::task::Task> {
-        let task = self
-            .jobs
-            .get(key)?
-            .stages
-            .get(stage_index)?
-            .tasks
-            .get(index as usize)?;
+    fn waiting_task(&self, stage: StageRef<'_>, index: u32, now: Time) -> Option<&Task> {
+        let stages = &self.jobs.get(stage.job)?.stages;
+        let task = stages.get(stage.index)?.tasks.get(index as usize)?;
         let is_waiting = task.phase == Phase::Waiting && task.not_before <= now;
-        is_waiting.then(|| task.clone())
+        is_waiting.then_some(task)
     }
 
     const fn next_attempt(&mut self) -> u64 {
@@ -143,24 +223,19 @@
         self.epoch * ATTEMPTS_PER_EPOCH + self.last_attempt
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "all arguments describe one start"
-    )]
     fn start_task(
         &mut self,
-        key: JobKey,
-        stage_index: usize,
+        stage: StageRef<'_>,
         index: u32,
-        step: &Step,
         host: HostKey,
         attempt: u64,
         now: Time,
     ) -> RunKey {
+        let (key, step) = (stage.job, stage.step);
         let steps = self.jobs[key].spec.steps.len();
         let place = Place {
-            occurrence: u32::try_from(stage_index / steps).unwrap_or(u32::MAX),
-            step: u16::try_from(stage_index % steps).unwrap_or(u16::MAX),
+            occurrence: u32::try_from(stage.index / steps).unwrap_or(u32::MAX),
+            step: u16::try_from(stage.index % steps).unwrap_or(u16::MAX),
             index,
         };
         let image = self.image_key(step);
--- a/crates/control/src/scheduler/rank.rs
+++ b/crates/control/src/scheduler/rank.rs
@@ -1,6 +1,8 @@
 //! Order in which waiting jobs are placed.
 
-use toucanquay_model::graph::{Job, Queue};
+use toucanquay_model::graph::Queue;
+
+use super::Job;
 
 /// Multiple of a job's objective after which its completion has no value any more.
 const LATE_FACTOR: f64 = 3.0;
@@ -19,12 +21,11 @@
 }
 
 impl Rank {
-    pub(super) fn new(job: &Job, queue: &Queue, accepted_unix_ms: u64, unix_ms: u64) -> Self {
-        let critical_path_ms = job.critical_path_ms();
-        let objective_ms = job_objective_ms(critical_path_ms, queue);
-        let elapsed_ms = unix_ms.saturating_sub(accepted_unix_ms);
+    pub(super) fn new(job: &Job, queue: &Queue, unix_ms: u64) -> Self {
+        let objective_ms = job_objective_ms(job.critical_path_ms, queue);
+        let elapsed_ms = unix_ms.saturating_sub(job.accepted_unix_ms);
         let is_past = |factor: f64| elapsed_ms as f64 > objective_ms * factor;
-        let lateness = if job.is_perpetual() {
+        let lateness = if job.is_perpetual {
             0
         } else if is_past(LATE_FACTOR) {
             2
@@ -34,7 +35,7 @@
         Self {
             lateness,
             priority: queue.priority,
-            objective_unix_ms: accepted_unix_ms.saturating_add(objective_ms as u64),
+            objective_unix_ms: job.accepted_unix_ms.saturating_add(objective_ms as u64),
         }
     }
 }
--- a/crates/control/src/scheduler/stage.rs
+++ b/crates/control/src/scheduler/stage.rs
@@ -1,6 +1,9 @@
 //! Tasks of one step in one occurrence.
 
-use super::task::{Phase, Task};
+use super::{
+    shortage::Shortage,
+    task::{Phase, Task},
+};
 
 /// Tasks of one step in one occurrence of a job.
 #[derive(Debug, Clone, Default)]
@@ -9,6 +12,8 @@
     pub(super) done: usize,
     /// The preceding steps are complete, so the tasks may be placed.
     pub(super) is_open: bool,
+    /// The last search for a host, if it found none.
+    pub(super) shortage: Option<Shortage>,
 }
 
 impl Stage {
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -39,7 +39,10 @@
                 self.learn_interference(key, now);
             }
             self.move_slow_run(key, now);
-            self.hosts[key].is_first_update = false;
+            if is_first_update {
+                self.hosts[key].is_first_update = false;
+                self.mark_host_changed(key);
+            }
             self.acknowledge_ends(key);
             if update.is_settled && self.awaited_hosts.remove(&update.host) {
                 self.is_placement_due = true;
@@ -90,6 +93,7 @@
             .is_some_and(|former| former.is_draining);
         if host.worker.as_ref() != Some(worker) {
             host.worker = Some(worker.clone());
+            self.mark_host_changed(key);
             self.is_placement_due = true;
         }
         if worker.is_draining && !was_draining {
@@ -183,7 +187,10 @@
                 }
             }
         }
-        self.hosts[key].untracked = untracked;
+        if self.hosts[key].untracked != untracked {
+            self.hosts[key].untracked = untracked;
+            self.mark_host_changed(key);
+        }
     }
 
     /// Updates a known attempt from the agent's report.
--- a/crates/policy/src/image_interference/model.rs
+++ b/crates/policy/src/image_interference/model.rs
@@ -47,8 +47,8 @@
     keys: HashMap<String, usize, RandomState>,
     /// Lowest latency that was observed of each image, in milliseconds.
     latency_floors: BTreeMap<usize, u32>,
-    /// Effects by sensitive image and neighbouring image.
-    pairs: BTreeMap<(usize, usize), Estimate>,
+    /// Effects by neighbouring image, and for each one by sensitive image.
+    effects: HashMap<usize, BTreeMap<usize, Estimate>, RandomState>,
 }
 
 impl InterferenceModel {
@@ -100,24 +100,27 @@
     /// Returns the estimate of an effect, or its prior if the pair was never observed.
     #[must_use]
     pub fn estimate(&self, sensitive: usize, image: usize) -> Estimate {
-        let pair = self.pairs.get(&(sensitive, image));
-        pair.copied().unwrap_or_else(|| self.prior(image))
+        let Some(effects) = self.effects.get(&image) else {
+            return Self::prior(None);
+        };
+        let known = effects.get(&sensitive).copied();
+        known.unwrap_or_else(|| Self::prior(Some(effects)))
     }
 
     /// Replaces an estimate by one that was learned elsewhere, if that one is more certain.
     pub fn merge_estimate(&mut self, sensitive: usize, image: usize, estimate: Estimate) {
         let present = self.estimate(sensitive, image);
         if estimate.deviation() < present.deviation() {
-            self.pairs.insert((sensitive, image), estimate);
+            let effects = self.effects.entry(image).or_default();
+            effects.insert(sensitive, estimate);
         }
     }
 
     /// Returns the prior effect of an image on one that it was never observed with: the mean of its
-    /// effects on other images and of the effect of an unknown image.
-    fn prior(&self, image: usize) -> Estimate {
-        let effects = self.pairs.iter().filter(|((_, other), _)| *other == image);
+    /// effects on other images, if any are known, and of the effect of an unknown image.
+    fn prior(effects: Option<&BTreeMap<usize, Estimate>>) -> Estimate {
         let (mut sum, mut weight) = (PRIOR_EFFECT, 1.0);
-        for (_, effect) in effects {
+        for effect in effects.into_iter().flat_map(BTreeMap::values) {
             sum += effect.value;
             weight += 1.0;
         }
@@ -185,7 +188,13 @@
     }
 
     fn estimate_mut(&mut self, sensitive: usize, image: usize) -> &mut Estimate {
-        let prior = self.prior(image);
-        self.pairs.entry((sensitive, image)).or_insert(prior)
+        let effects = self.effects.entry(image).or_default();
+        if !effects.contains_key(&sensitive) {
+            let prior = Self::prior(Some(effects));
+            effects.insert(sensitive, prior);
+        }
+        effects
+            .get_mut(&sensitive)
+            .expect("the estimate was inserted above if it was missing")
     }
 }
