--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -30,6 +30,8 @@
     /// The job was persisted before this owner took over, so a former owner may have started some
     /// of its tasks.
     pub(super) is_inherited: bool,
+    /// A task of the job has been placed by this owner or was adopted by it.
+    pub(super) is_started: bool,
     pub(super) stages: Vec<Stage>,
     pub(super) state: State,
     pub(super) reason: Option<String>,
@@ -60,6 +62,7 @@
             spec: Arc::new(spec),
             accepted_unix_ms: accepted_job.unix_ms,
             is_inherited,
+            is_started: false,
             stages,
             state: State::Queued,
             reason: None,
@@ -152,6 +155,7 @@
 
     /// Marks the job as running once a task has started.
     pub(super) fn mark_started(&mut self) {
+        self.is_started = true;
         if self.state == State::Queued {
             self.state = State::Running;
         }
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -243,6 +243,7 @@
         let run = self.runs.insert(run);
         let profile = self.profile(step, image);
         let job = &mut self.jobs[key];
+        job.is_started = true;
         let task = job.task_id(place);
         let payload = job.payload.clone();
         let mut checkpoint = None;
--- a/crates/control/src/scheduler/rank.rs
+++ b/crates/control/src/scheduler/rank.rs
@@ -7,39 +7,60 @@
 /// Multiple of a job's objective after which its completion has no value any more.
 const LATE_FACTOR: f64 = 3.0;
 
+/// Time that an unstarted job must have until its objective, as a multiple of its critical path.
+/// The part above 1 covers estimates that are too low and tasks that wait between steps.
+const START_MARGIN: f64 = 1.25;
+
 /// Sort key of a waiting job; the job with the lowest rank is placed first.
 ///
-/// The order matters at peaks, when not all jobs can meet their objectives. Jobs that can still
-/// meet theirs come first, then jobs that are late but whose completion still has value, then the
-/// rest. Within each class, jobs are ordered by priority and then by the time at which they should
-/// end.
+/// The order matters at peaks, when not all jobs can meet their objectives. If jobs were ordered by
+/// their objectives alone, each one would start when it has hardly any time left, and all of them
+/// would be late. Therefore jobs that can still meet their objective come first, then those whose
+/// late completion still has value, then the rest. In each class, jobs are ordered by priority.
+/// Started jobs come before others of the same priority, so that no step waits behind a job that
+/// has yet to begin, and then the objective decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    lateness: u8,
+    lateness: Lateness,
     priority: u32,
+    is_unstarted: bool,
     objective_unix_ms: u64,
 }
 
+/// What the completion of a job is still worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Lateness {
+    /// The job can meet its objective.
+    OnTime,
+    /// The job will be late but its completion has some value.
+    Late,
+    /// The completion of the job has no value any more.
+    TooLate,
+}
+
 impl Rank {
     pub(super) fn new(job: &Job, queue: &Queue, unix_ms: u64) -> Self {
-        let objective_ms = job_objective_ms(job.critical_path_ms, queue);
-        let elapsed_ms = unix_ms.saturating_sub(job.accepted_unix_ms);
-        let is_past = |factor: f64| elapsed_ms as f64 > objective_ms * factor;
-        let lateness = if job.is_perpetual {
-            0
-        } else if is_past(LATE_FACTOR) {
-            2
+        let critical_path_ms = job.critical_path_ms as f64;
+        let objective_ms = critical_path_ms * queue.stretch.max(1.0) + queue.slack_ms as f64;
+        let elapsed_ms = unix_ms.saturating_sub(job.accepted_unix_ms) as f64;
+        // The estimates are too rough to give up a job that has started before it is late.
+        let needed_ms = if job.is_started {
+            0.0
         } else {
-            u8::from(is_past(1.0))
+            critical_path_ms * START_MARGIN
+        };
+        let lateness = if job.is_perpetual || elapsed_ms + needed_ms <= objective_ms {
+            Lateness::OnTime
+        } else if elapsed_ms <= objective_ms * LATE_FACTOR {
+            Lateness::Late
+        } else {
+            Lateness::TooLate
         };
         Self {
             lateness,
             priority: queue.priority,
+            is_unstarted: !job.is_started,
             objective_unix_ms: job.accepted_unix_ms.saturating_add(objective_ms as u64),
         }
     }
 }
-
-fn job_objective_ms(critical_path_ms: u64, queue: &Queue) -> f64 {
-    critical_path_ms as f64 * queue.stretch.max(1.0) + queue.slack_ms as f64
-}
