--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -80,6 +80,7 @@
         self.state = progress.state;
         self.reason = progress.reason;
         self.over_unix_ms = progress.over_unix_ms;
+        self.is_started = !progress.done.is_empty();
         for place in progress.done {
             if let Some(stage) = self.stage_mut(place) {
                 stage.finish_task(place.index);
