--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -101,7 +101,9 @@
             };
             same_image_bonus - free_milli / capacity_milli - first_penalty
         } else {
-            self.expected_idle_milli(host) / capacity_milli
+            // Filling the worker with the least room leaves larger gaps on the others, so that
+            // larger tasks still fit.
+            -f64::from(host.free_resources().processors_milli) / capacity_milli
         };
         let has_label = |label: &String| worker.labels.contains(label);
         if step.rack.as_ref().is_some_and(has_label) {
