--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -76,6 +76,10 @@
     waiting_jobs: BTreeSet<JobKey>,
     timers: BTreeSet<(Time, JobKey)>,
     is_placement_due: bool,
+    /// Time of the next placement round if none is due before and tasks are waiting.
+    next_placement_at: Time,
+    /// Pools and whether they were full at the beginning of the placement round.
+    full_pools: BTreeMap<String, bool>,
     /// Number of the last placement round.
     placement_round: u64,
     /// Hosts by the placement round that first saw their last change.
@@ -121,6 +125,8 @@
             waiting_jobs: BTreeSet::new(),
             timers: BTreeSet::new(),
             is_placement_due: true,
+            next_placement_at: Time::ZERO,
+            full_pools: BTreeMap::new(),
             placement_round: 0,
             changed_hosts: BTreeSet::new(),
             awaited_hosts: hosts.into_iter().collect(),
@@ -185,7 +191,8 @@
             self.awaited_hosts.clear();
             self.is_placement_due = true;
         }
-        if self.is_placement_due {
+        let is_round_due = !self.waiting_jobs.is_empty() && now >= self.next_placement_at;
+        if self.is_placement_due || is_round_due {
             self.place_waiting_tasks(now);
         }
         if now >= self.next_sweep_at {
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -10,8 +10,8 @@
     stage_ref::StageRef,
 };
 
-/// Minimum speed at which a task that uses idle processors is started. It does not apply if its job
-/// has no attempt running.
+/// Minimum speed at which a task that uses idle processors is started. It does not apply to a job
+/// that has been idle for long while its pool has room.
 const START_SPEED_MIN: f64 = 0.4;
 
 /// Penalty for the first sensitive task on a worker, and the part of it that grows with the
@@ -84,7 +84,7 @@
         let capacity_milli = f64::from(worker.capacity.processors_milli.max(1));
         let mut score = if step.uses_idle {
             let speed = self.speed(host, pool, step, image)?;
-            if speed < START_SPEED_MIN && !stage.is_job_idle {
+            if speed < START_SPEED_MIN && !stage.accepts_any_speed {
                 return None;
             }
             speed + self.expected_idle_milli(host) / capacity_milli
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -52,6 +52,7 @@
         let Some(job) = self.jobs.get_mut(run.job) else {
             return;
         };
+        job.remove_run(now);
         if let Some(task) = job.task_mut(run.place)
             && task.phase == Phase::Running(key)
         {
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -32,6 +32,10 @@
     pub(super) is_inherited: bool,
     /// A task of the job has been placed by this owner or was adopted by it.
     pub(super) is_started: bool,
+    /// Number of attempts that are or may be on a worker.
+    pub(super) runs: usize,
+    /// Time since which the job has had no attempt; `None` while it has one.
+    pub(super) idle_since: Option<Time>,
     pub(super) stages: Vec<Stage>,
     pub(super) state: State,
     pub(super) reason: Option<String>,
@@ -46,7 +50,7 @@
 }
 
 impl Job {
-    pub(super) fn new(id: Id, accepted_job: AcceptedJob, is_inherited: bool) -> Self {
+    pub(super) fn new(id: Id, accepted_job: AcceptedJob, is_inherited: bool, now: Time) -> Self {
         let mut spec = accepted_job.job;
         let payload = std::mem::take(&mut spec.payload).into();
         let stages = (0..spec.occurrences())
@@ -63,6 +67,8 @@
             accepted_unix_ms: accepted_job.unix_ms,
             is_inherited,
             is_started: false,
+            runs: 0,
+            idle_since: Some(now),
             stages,
             state: State::Queued,
             reason: None,
@@ -154,9 +160,23 @@
         self.tasks_by_place().filter_map(run).collect()
     }
 
+    /// Counts an attempt that was placed or adopted.
+    pub(super) const fn add_run(&mut self) {
+        self.is_started = true;
+        self.runs += 1;
+        self.idle_since = None;
+    }
+
+    /// Counts an attempt that is no longer on its worker.
+    pub(super) const fn remove_run(&mut self, now: Time) {
+        self.runs = self.runs.saturating_sub(1);
+        if self.runs == 0 {
+            self.idle_since = Some(now);
+        }
+    }
+
     /// Marks the job as running once a task has started.
     pub(super) fn mark_started(&mut self) {
-        self.is_started = true;
         if self.state == State::Queued {
             self.state = State::Running;
         }
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -18,9 +18,20 @@
     task::{Phase, Task},
 };
 
+/// Maximum time between two placement rounds while tasks wait, in microseconds. Headroom and speeds
+/// change without an attempt that ends.
+const PLACEMENT_INTERVAL_MICROS: u64 = 250_000;
+
 /// Interval between searches of all hosts for a stage that fits nowhere, in microseconds.
 const FULL_SEARCH_INTERVAL_MICROS: u64 = 500_000;
 
+/// Time without a running task after which a job accepts hosts on which it is slow, in
+/// microseconds.
+const IDLE_MICROS_MAX: u64 = 1_500_000;
+
+/// Share of a pool's processors that are reserved when the pool counts as full.
+const FULL_POOL_RATIO: f64 = 0.6;
+
 impl Scheduler {
     /// Places as many waiting tasks as possible, in the order of their jobs.
     pub(super) fn place_waiting_tasks(&mut self, now: Time) {
@@ -29,6 +40,8 @@
         }
         self.is_placement_due = false;
         self.placement_round += 1;
+        self.next_placement_at = now.plus_micros(PLACEMENT_INTERVAL_MICROS);
+        self.full_pools.clear();
         for key in self.placement_order(now) {
             self.place_job(key, now);
         }
@@ -84,7 +97,7 @@
                 step,
                 pool: &pool,
                 image: self.interference.image_key(image),
-                is_job_idle: self.jobs[key].active_runs().is_empty(),
+                accepts_any_speed: self.accepts_any_speed(key, &pool, now),
             };
             let is_placed = if step.is_gang {
                 self.place_gang(stage, now)
@@ -97,6 +110,30 @@
         }
     }
 
+    /// Returns whether a task of a job is started even where it would be slow: nothing of the job
+    /// has run for some time, although its pool has room.
+    fn accepts_any_speed(&mut self, key: JobKey, pool: &str, now: Time) -> bool {
+        let idle_since = self.jobs[key].idle_since.unwrap_or(Time::NEVER);
+        now >= idle_since.plus_micros(IDLE_MICROS_MAX) && !self.is_pool_full(pool)
+    }
+
+    /// Returns whether most processors of a pool are reserved at the beginning of the round.
+    fn is_pool_full(&mut self, pool: &str) -> bool {
+        if let Some(is_full) = self.full_pools.get(pool) {
+            return *is_full;
+        }
+        let (mut used_milli, mut capacity_milli) = (0_u64, 0_u64);
+        for host in self.hosts.values() {
+            if let Some(worker) = host.worker.as_ref().filter(|worker| worker.pool == pool) {
+                used_milli += u64::from(host.used.processors_milli);
+                capacity_milli += u64::from(worker.capacity.processors_milli);
+            }
+        }
+        let is_full = used_milli as f64 >= capacity_milli as f64 * FULL_POOL_RATIO;
+        self.full_pools.insert(pool.to_owned(), is_full);
+        is_full
+    }
+
     /// Places the waiting tasks of a stage. Returns `false` if one doesn't fit on any host.
     fn place_stage(&mut self, mut stage: StageRef<'_>, now: Time) -> bool {
         let since = self.last_search(stage, now);
@@ -118,8 +155,8 @@
             };
             let attempt = self.next_attempt();
             self.start_task(stage, index, host, attempt, now);
-            if stage.is_job_idle {
-                stage.is_job_idle = false;
+            if stage.accepts_any_speed {
+                stage.accepts_any_speed = false;
                 candidates = self.candidates(stage, since, now);
             } else {
                 self.readd_host(&mut candidates, host, stage, now);
@@ -175,7 +212,7 @@
     fn last_search(&self, stage: StageRef<'_>, now: Time) -> Option<u64> {
         let shortage = self.jobs[stage.job].stages[stage.index].shortage?;
         let is_valid = now < shortage.full_search_at
-            && (shortage.was_job_idle || !stage.is_job_idle);
+            && (shortage.accepted_any_speed || !stage.accepts_any_speed);
         is_valid.then_some(shortage.round)
     }
 
@@ -188,10 +225,10 @@
             None => now.plus_micros(FULL_SEARCH_INTERVAL_MICROS),
         };
         let job = &mut self.jobs[stage.job];
-        let was_job_idle = stage.is_job_idle && job.active_runs().is_empty();
+        let accepted_any_speed = stage.accepts_any_speed && job.idle_since.is_some();
         job.stages[stage.index].shortage = Some(Shortage {
             round: self.placement_round,
-            was_job_idle,
+            accepted_any_speed,
             full_search_at,
         });
     }
@@ -243,7 +280,7 @@
         let run = self.runs.insert(run);
         let profile = self.profile(step, image);
         let job = &mut self.jobs[key];
-        job.is_started = true;
+        job.add_run();
         let task = job.task_id(place);
         let payload = job.payload.clone();
         let mut checkpoint = None;
--- a/crates/control/src/scheduler/shortage.rs
+++ b/crates/control/src/scheduler/shortage.rs
@@ -11,8 +11,8 @@
 pub(super) struct Shortage {
     /// The round; only hosts that have changed in later rounds are searched.
     pub(super) round: u64,
-    /// Whether no task of the job was running, which allows hosts that are too slow otherwise.
-    pub(super) was_job_idle: bool,
+    /// Whether hosts on which the tasks would be slow were accepted.
+    pub(super) accepted_any_speed: bool,
     /// Time from which all hosts are searched again, because effects that are learned on one host
     /// change the speed on the others.
     pub(super) full_search_at: Time,
--- a/crates/control/src/scheduler/stage_ref.rs
+++ b/crates/control/src/scheduler/stage_ref.rs
@@ -13,6 +13,6 @@
     pub(super) pool: &'a str,
     /// Key of the step's image in the interference model.
     pub(super) image: usize,
-    /// No task of the job is running.
-    pub(super) is_job_idle: bool,
+    /// The tasks are started even where they would be slow.
+    pub(super) accepts_any_speed: bool,
 }
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -250,6 +250,7 @@
         // Until this attempt has ended, the task must not start elsewhere.
         run.is_stopping = reported.phase == RunPhase::Stopping;
         let run = self.runs.insert(run);
+        job.add_run();
         if let Some(task) = job.task_mut(place) {
             task.phase = Phase::Running(run);
             task.checkpoint.clone_from(&reported.checkpoint);
