--- a/crates/control/src/scheduler/stage.rs
+++ b/crates/control/src/scheduler/stage.rs
@@ -33,6 +33,15 @@
         self.is_open && tasks.any(|task| task.phase == Phase::Waiting)
     }
 
+    /// Returns the number of tasks that may be placed and have no attempt.
+    pub(super) fn waiting_tasks(&self) -> usize {
+        if !self.is_open {
+            return 0;
+        }
+        let is_waiting = |task: &&Task| task.phase == Phase::Waiting;
+        self.tasks.iter().filter(is_waiting).count()
+    }
+
     /// Marks a task as done. Returns `false` if it does not exist or is already done.
     pub(super) fn finish_task(&mut self, index: u32) -> bool {
         let Some(task) = self.tasks.get_mut(index as usize) else {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -173,6 +173,13 @@
             let scheduler = &self.scheduler;
             let (jobs, attempts) = (scheduler.active_jobs(), scheduler.running_attempts());
             meters::set_owner_gauges(jobs, attempts, scheduler.unrecorded_jobs());
+            let load = scheduler.load();
+            info!(self.shared.log, "owner_load"; "epoch" => self.epoch, "jobs" => jobs,
+                "attempts" => attempts, "unrecorded_jobs" => scheduler.unrecorded_jobs(),
+                "workers" => load.workers, "capacity_milli" => load.capacity_milli,
+                "reserved_milli" => load.reserved_milli,
+                "waiting_reserving" => load.waiting_reserving,
+                "waiting_idle" => load.waiting_idle);
             self.remove_silent_hosts(now);
         }
         for name in self.scheduler.due_hosts(now) {
