--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod placement;
 mod rank;
+mod record_queue;
 mod restored;
 mod run;
 mod settings;
@@ -49,6 +50,7 @@
 use job::Job;
 use key::{HostKey, JobKey, RunKey};
 pub use load::Load;
+use record_queue::RecordQueue;
 pub use restored::RestoredJob;
 use run::Run;
 pub use settings::Settings;
@@ -91,7 +93,7 @@
     /// placed, because it may already be running.
     awaited_hosts: BTreeSet<String>,
     takeover_complete_at: Time,
-    unrecorded_jobs: BTreeSet<JobKey>,
+    unrecorded_jobs: RecordQueue,
     committing_jobs: Vec<(JobKey, u64)>,
     next_commit_at: Time,
     next_sweep_at: Time,
@@ -133,7 +135,7 @@
             changed_hosts: BTreeSet::new(),
             awaited_hosts: hosts.into_iter().collect(),
             takeover_complete_at: settings.lease_end_bound(now),
-            unrecorded_jobs: BTreeSet::new(),
+            unrecorded_jobs: RecordQueue::new(),
             committing_jobs: Vec::new(),
             next_commit_at: Time::ZERO,
             next_sweep_at: Time::ZERO,
--- a/crates/control/src/scheduler/commit.rs
+++ b/crates/control/src/scheduler/commit.rs
@@ -19,18 +19,20 @@
 
 impl Scheduler {
     /// Returns the next records to write. Returns `None` if nothing has changed, a commit is in
-    /// progress, the commit interval has not passed, or the owner has lost its ownership.
+    /// progress, or the owner has lost its ownership. A commit that isn't full waits until the
+    /// commit interval has passed.
     pub fn next_commit(&mut self, now: Time) -> Option<Commit> {
-        if !self.committing_jobs.is_empty() || self.unrecorded_jobs.is_empty() {
+        if !self.committing_jobs.is_empty() || self.unrecorded_jobs.len() == 0 {
             return None;
         }
-        if now < self.next_commit_at || !self.is_owner(now) {
+        let is_full = self.unrecorded_jobs.len() >= self.settings.commit_jobs_max;
+        if (now < self.next_commit_at && !is_full) || !self.is_owner(now) {
             return None;
         }
         self.next_commit_at = now.plus_micros(self.settings.commit_interval_micros);
         let mut records = Vec::new();
         while records.len() < self.settings.commit_jobs_max {
-            let Some(key) = self.unrecorded_jobs.pop_first() else {
+            let Some(key) = self.unrecorded_jobs.pop() else {
                 break;
             };
             if let Some(job) = self.jobs.get(key) {
@@ -59,7 +61,8 @@
     /// conflict. `revisions` are the current revisions of the records.
     pub fn commit_rejected(&mut self, revisions: &[(Id, Revision)]) {
         for (key, _) in std::mem::take(&mut self.committing_jobs) {
-            self.unrecorded_jobs.insert(key);
+            let is_over = self.jobs.get(key).is_some_and(|job| job.state.is_over());
+            self.unrecorded_jobs.push(key, is_over);
         }
         for (id, revision) in revisions {
             if let Some(job) = self
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -129,7 +129,8 @@
     pub(super) fn mark_changed(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(key) {
             job.version += 1;
-            self.unrecorded_jobs.insert(key);
+            let is_over = job.state.is_over();
+            self.unrecorded_jobs.push(key, is_over);
         }
     }
 
