session: updates by difference

Cause: each start and end sent the whole state of a worker: 1.7 MB/s into the owner of large, which is near the link of its small hosts (20 Mbit/s). A start that took effect is no longer reported at once.

--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -61,7 +61,10 @@
         .runner()
         .record_start_outcome(task, attempt, outcome, now);
     run(shared, pace_action.into_iter().collect());
-    shared.update_needed.notify_one();
+    // A start that took effect is part of the next update; the owner need not act on it.
+    if outcome != CallOutcome::Done {
+        shared.update_needed.notify_one();
+    }
 }
 
 async fn do_stop(shared: &Shared, stop: Stop) {
--- a/crates/node/src/companion/session.rs
+++ b/crates/node/src/companion/session.rs
@@ -7,11 +7,11 @@
 use tokio_util::sync::CancellationToken;
 use toucanquay_control::runner::Action;
 use toucanquay_model::{Epoch, Error, ErrorKind, session::Orders};
-use toucanquay_wire::{Frame, Sender, Stream};
+use toucanquay_wire::{Frame, Stream, delta::Encoder};
 
 use super::{Shared, executor, lease, relay};
 
-/// Maximum interval between updates.
+/// Maximum interval between updates that contain all changes.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time without orders after which a session is closed.
@@ -66,8 +66,10 @@
     stream: Stream,
 ) -> Result<(), Error> {
     let (mut sender, mut receiver) = stream.split();
-    send_update(shared, &mut sender).await?;
-    let mut next_update_at = Instant::now() + UPDATE_INTERVAL;
+    let first = shared.runner().next_update(shared.clock.now());
+    let mut encoder = Encoder::new(&first);
+    sender.send(&Frame::Update(first)).await?;
+    let mut next_complete_at = Instant::now() + UPDATE_INTERVAL;
     let mut idle_deadline = Instant::now() + IDLE_TIMEOUT;
     loop {
         tokio::select! {
@@ -79,28 +81,24 @@
                 if apply_orders(shared, token, &orders) {
                     shared.update_needed.notify_one();
                 }
+                continue;
             }
-            () = shared.update_needed.notified() => {
-                sleep(BATCHING_DELAY).await;
-                send_update(shared, &mut sender).await?;
-                next_update_at = Instant::now() + UPDATE_INTERVAL;
-            }
-            () = sleep_until(next_update_at) => {
-                send_update(shared, &mut sender).await?;
-                next_update_at = Instant::now() + UPDATE_INTERVAL;
-            }
+            () = shared.update_needed.notified() => sleep(BATCHING_DELAY).await,
+            () = sleep_until(next_complete_at) => {}
             () = sleep_until(idle_deadline) => {
                 return Err(Error::new(ErrorKind::PeerUnavailable).context("no orders"));
             }
         }
+        let is_complete = Instant::now() >= next_complete_at;
+        if is_complete {
+            next_complete_at = Instant::now() + UPDATE_INTERVAL;
+        }
+        let update = shared.runner().next_update(shared.clock.now());
+        let delta = encoder.encode(update, is_complete);
+        sender.send(&Frame::Delta(delta)).await?;
     }
 }
 
-async fn send_update(shared: &Shared, sender: &mut Sender) -> Result<(), Error> {
-    let update = shared.runner().next_update(shared.clock.now());
-    sender.send(&Frame::Update(update)).await
-}
-
 /// Applies orders unless the session was replaced. Returns whether an attempt was rejected.
 fn apply_orders(shared: &Arc<Shared>, token: &CancellationToken, orders: &Orders) -> bool {
     let (actions, has_acknowledged) = {
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -12,7 +12,7 @@
     time::{Duration, sleep, timeout},
 };
 use toucanquay_model::{Epoch, Error, ErrorKind};
-use toucanquay_wire::{Client, Frame, Stream};
+use toucanquay_wire::{Client, Frame, Stream, delta::Decoder};
 
 use super::owner::Event;
 
@@ -144,6 +144,7 @@
     let (mut sender, mut receiver) = stream.split();
     let (orders_sender, mut orders_receiver) = mpsc::channel(ORDER_QUEUE_CAPACITY);
     let mut orders_sender = Some(orders_sender);
+    let mut decoder: Option<Decoder> = None;
     let mark_established = |error: Error, is_established: bool| {
         if is_established {
             error.field(ESTABLISHED)
@@ -160,7 +161,17 @@
                 };
                 let frame = frame.map_err(idle_error).and_then(|frame| frame);
                 let update = match frame.map_err(|error| mark_established(error, is_established))? {
-                    Some(Frame::Update(update)) => update,
+                    Some(Frame::Update(update)) => {
+                        decoder = Some(Decoder::new(&update));
+                        update
+                    }
+                    Some(Frame::Delta(delta)) => {
+                        let restored = match &mut decoder {
+                            Some(decoder) => decoder.decode(delta),
+                            None => Err(Error::new(ErrorKind::Protocol).context("no first update")),
+                        };
+                        restored.map_err(|error| mark_established(error, is_established))?
+                    }
                     Some(Frame::Refused(error)) => return Err(error),
                     _ => {
                         let error = Error::new(ErrorKind::PeerUnavailable).context("closed");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use toucanquay_model::{Epoch, Error, exchange, job, request::Verdict, session};
 
-use crate::{End, Failure, Tombstone, graph, heartbeat, peer, request, response, section};
+use crate::{End, Failure, Tombstone, delta, graph, heartbeat, peer, request, response, section};
 
 /// A message between processes of the system.
 ///
@@ -54,7 +54,7 @@
     Relay(SocketAddr),
     /// Owner to agent: orders of the session.
     Orders(session::Orders),
-    /// Agent to owner: complete state of the worker.
+    /// Agent to owner: complete state of the worker, at the start of a session.
     Update(session::Update),
     /// Entry to owner: query or notification about job graphs.
     Graph(graph::Query),
@@ -62,4 +62,6 @@
     GraphReply(graph::Reply),
     /// The call was refused.
     Refused(Error),
+    /// Agent to owner: changed state of the worker.
+    Delta(delta::Delta),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod clock;
 pub mod codec;
+pub mod delta;
 pub mod end;
 pub mod failure;
 pub mod frame;
