--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,7 @@
 //! The entry process, which accepts jobs and, while it is the owner, places their tasks.
 
+mod candidate;
+mod candidates;
 mod configuration;
 mod create;
 mod election;
@@ -58,6 +60,7 @@
         let stop = shared.stop.clone();
         tokio::spawn(server.run(stop, move |stream| peer::serve(peer_shared.clone(), stream)));
         shared.spawn(configuration::run(shared.clone()));
+        shared.spawn(candidates::run(shared.clone()));
         tokio::spawn(election::run(shared.clone()));
         Ok(Self { shared })
     }
@@ -85,11 +88,10 @@
     pub async fn drain(&self) {
         info!(self.shared.log, "entry_draining");
         self.shared.drain.cancel();
-        let _ = timeout_at(
-            Instant::now() + HANDOVER_TIMEOUT,
-            self.shared.released.cancelled(),
-        )
-        .await;
+        let deregistered = candidates::deregister(&self.shared);
+        let released = self.shared.released.cancelled();
+        let handed_over = async { tokio::join!(deregistered, released) };
+        let _ = timeout_at(Instant::now() + HANDOVER_TIMEOUT, handed_over).await;
     }
 
     /// Stops the entry.
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use toucanquay_model::{Epoch, Error, Revision, Time};
 
-use super::{Shared, owner, term::Term};
+use super::{Shared, candidates, owner, term::Term};
 use crate::{
     key, meters,
     store::{Commit, Event, Item, Transaction, Watch},
@@ -23,6 +23,13 @@
 /// [`OWNERSHIP_MICROS`], so that the previous owner has stopped acting by then.
 const TAKEOVER_MICROS: u64 = 2_000_000;
 
+/// Head start that an entry leaves to those with much larger hosts. It covers the delay of their
+/// watches and the time of one write.
+const HEAD_START_MICROS: u64 = 400_000;
+
+/// Interval between two attempts to hand the ownership over to a larger host.
+const HANDOVER_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Interval between renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -135,10 +142,20 @@
     };
     // No other process uses this address, so the holder is a previous process of this host.
     let is_previous_process = term.address == shared.settings.listen;
-    if term.is_released || is_previous_process {
+    if is_previous_process && !term.is_released {
         return observed.unchanged_since;
     }
-    observed.unchanged_since.plus_micros(TAKEOVER_MICROS)
+    let head_start_micros = match shared.has_larger_candidate() {
+        true => HEAD_START_MICROS,
+        false => 0,
+    };
+    let takeover_micros = match term.is_released {
+        true => 0,
+        false => TAKEOVER_MICROS,
+    };
+    observed
+        .unchanged_since
+        .plus_micros(takeover_micros + head_start_micros)
 }
 
 async fn take_over(shared: &Arc<Shared>, observed: &mut Option<ObservedOwner>) {
@@ -185,9 +202,16 @@
     let fence = revision;
     let owner = owner::Owner::start(shared, term.epoch, fence, ownership_until(sent_at));
     let mut renew_at = Instant::now() + RENEWAL_INTERVAL;
+    let larger_ready = wait_for_larger_candidate(shared);
+    tokio::pin!(larger_ready);
     loop {
         tokio::select! {
             () = sleep_until(renew_at) => {}
+            () = &mut larger_ready => {
+                info!(shared.log, "ownership_handed_over"; "epoch" => term.epoch,
+                    "reason" => "an entry on a larger host is ready");
+                break;
+            }
             () = shared.drain.cancelled() => break,
         }
         term.renewals += 1;
@@ -218,6 +242,16 @@
     release(shared, term, revision).await;
 }
 
+/// Returns once an entry on a much larger host is ready to become the owner.
+async fn wait_for_larger_candidate(shared: &Shared) {
+    loop {
+        sleep(HANDOVER_INTERVAL).await;
+        if candidates::is_larger_candidate_ready(shared).await {
+            return;
+        }
+    }
+}
+
 async fn renew(shared: &Shared, term: &Term, revision: Revision) -> Result<Commit, Error> {
     let transaction = Transaction::default()
         .expect_revision(key::OWNER, revision)
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -284,8 +284,8 @@
                 self.scheduler.cancel(id, now);
                 Reply::Noted
             }
-            // The peer handler of this process writes the key itself and never forwards the query.
-            Query::Create { .. } => Reply::Noted,
+            // The peer handler of this process answers these itself and never forwards them.
+            Query::Create { .. } | Query::IsReady => Reply::Noted,
         };
         if let Some(reply) = reply {
             // Sending fails if the caller has timed out.
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -29,6 +29,7 @@
             let created = create::create_in_store(&shared, &key, &value, deadline).await;
             created.map(|()| Reply::Created)
         }
+        Query::IsReady => Ok(Reply::Ready(shared.is_ready())),
         query => query_local_owner(&shared, query).await,
     };
     let frame = match reply {
--- a/crates/node/src/entry/settings.rs
+++ b/crates/node/src/entry/settings.rs
@@ -13,4 +13,7 @@
     pub process: Incarnation,
     /// Listen address for connections from other entries.
     pub listen: SocketAddr,
+    /// Capacity of the host for the owner's work, in any unit that all entries share. An entry whose
+    /// host has at least twice the capacity is preferred as the owner.
+    pub capacity: u32,
 }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -8,7 +8,7 @@
 use toucanquay_model::Time;
 use toucanquay_wire::Pool;
 
-use super::{Settings, owner::Event, term::Term};
+use super::{Settings, candidate::Candidate, owner::Event, term::Term};
 use crate::{Clock, Configuration, Store, configuration::Source};
 
 /// Time without a response from the store after which the entry is not ready.
@@ -41,6 +41,8 @@
     /// Sends events to the owner while it runs in this process.
     mailbox: Option<mpsc::Sender<Event>>,
     store_responded_at: Option<Time>,
+    /// Candidates that are preferred to this entry as the owner.
+    larger_candidates: Vec<Candidate>,
 }
 
 impl Shared {
@@ -94,6 +96,18 @@
         self.state().mailbox = mailbox;
     }
 
+    pub(super) fn larger_candidates(&self) -> Vec<Candidate> {
+        self.state().larger_candidates.clone()
+    }
+
+    pub(super) fn set_larger_candidates(&self, candidates: Vec<Candidate>) {
+        self.state().larger_candidates = candidates;
+    }
+
+    pub(super) fn has_larger_candidate(&self) -> bool {
+        !self.state().larger_candidates.is_empty()
+    }
+
     /// Records that the store has responded.
     pub(super) fn record_store_response(&self) {
         self.state().store_responded_at = Some(self.clock.now());
--- a/crates/node/src/key.rs
+++ b/crates/node/src/key.rs
@@ -17,6 +17,9 @@
 /// Prefix of the registrations of companions.
 pub const HOSTS: &str = "tq/host/";
 
+/// Prefix of the registrations of entries.
+pub const ENTRIES: &str = "tq/entry/";
+
 /// Key of the current owner. Its value changes with each renewal.
 pub const OWNER: &str = "tq/owner";
 
@@ -47,3 +50,9 @@
 pub fn host(name: &str) -> String {
     format!("{HOSTS}{name}")
 }
+
+/// Returns the key of an entry's registration.
+#[must_use]
+pub fn entry(name: &str) -> String {
+    format!("{ENTRIES}{name}")
+}
--- a/crates/wire/src/graph/query.rs
+++ b/crates/wire/src/graph/query.rs
@@ -30,4 +30,6 @@
         /// Time left for the operation, in milliseconds.
         within_ms: u64,
     },
+    /// Asks an entry whether it is ready to become the owner.
+    IsReady,
 }
--- a/crates/wire/src/graph/reply.rs
+++ b/crates/wire/src/graph/reply.rs
@@ -14,4 +14,6 @@
     Noted,
     /// The key exists.
     Created,
+    /// Whether the entry is ready to become the owner.
+    Ready(bool),
 }
