--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -82,8 +82,6 @@
     is_placement_due: bool,
     /// Time of the next placement round if none is due before and tasks are waiting.
     next_placement_at: Time,
-    /// Pools and whether they were full at the beginning of the placement round.
-    full_pools: BTreeMap<String, bool>,
     /// Number of the last placement round.
     placement_round: u64,
     /// Hosts by the placement round that first saw their last change.
@@ -130,7 +128,6 @@
             timers: BTreeSet::new(),
             is_placement_due: true,
             next_placement_at: Time::ZERO,
-            full_pools: BTreeMap::new(),
             placement_round: 0,
             changed_hosts: BTreeSet::new(),
             awaited_hosts: hosts.into_iter().collect(),
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -11,7 +11,7 @@
 };
 
 /// Minimum speed at which a task that uses idle processors is started. It does not apply to a job
-/// that has been idle for long while its pool has room.
+/// that has no task running.
 const START_SPEED_MIN: f64 = 0.4;
 
 /// Penalty for the first sensitive task on a worker, and the part of it that grows with the
@@ -57,12 +57,7 @@
     }
 
     /// Returns how well a host suits a task of a stage, or `None` if the task must not run there.
-    pub(super) fn host_score(
-        &self,
-        key: HostKey,
-        stage: StageRef<'_>,
-        now: Time,
-    ) -> Option<f64> {
+    pub(super) fn host_score(&self, key: HostKey, stage: StageRef<'_>, now: Time) -> Option<f64> {
         let host = &self.hosts[key];
         let score = self.score(host, stage)?;
         if !self.is_below_worker_limit(key, stage) {
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -52,7 +52,7 @@
         let Some(job) = self.jobs.get_mut(run.job) else {
             return;
         };
-        job.remove_run(now);
+        job.remove_run();
         if let Some(task) = job.task_mut(run.place)
             && task.phase == Phase::Running(key)
         {
@@ -107,6 +107,7 @@
             stage.finish_task(u32::try_from(index).unwrap_or(u32::MAX));
         }
         job.mark_started();
+        job.update_remaining_path();
         self.mark_changed(key);
         for run in others {
             self.stop_run(run);
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
 use toucanquay_model::{
     Revision, Time,
     graph::{self, AcceptedJob, Id, Place, Progress, Queue, State, Step, TaskProgress},
@@ -34,8 +35,9 @@
     pub(super) is_started: bool,
     /// Number of attempts that are or may be on a worker.
     pub(super) runs: usize,
-    /// Time since which the job has had no attempt; `None` while it has one.
-    pub(super) idle_since: Option<Time>,
+    /// Length of the critical path through the steps that are not complete, by estimated run times,
+    /// in milliseconds. That of a job with several occurrences counts as whole.
+    pub(super) remaining_path_ms: u64,
     pub(super) stages: Vec<Stage>,
     pub(super) state: State,
     pub(super) reason: Option<String>,
@@ -50,7 +52,7 @@
 }
 
 impl Job {
-    pub(super) fn new(id: Id, accepted_job: AcceptedJob, is_inherited: bool, now: Time) -> Self {
+    pub(super) fn new(id: Id, accepted_job: AcceptedJob, is_inherited: bool) -> Self {
         let mut spec = accepted_job.job;
         let payload = std::mem::take(&mut spec.payload).into();
         let stages = (0..spec.occurrences())
@@ -68,7 +70,7 @@
             is_inherited,
             is_started: false,
             runs: 0,
-            idle_since: Some(now),
+            remaining_path_ms: spec.critical_path_ms(),
             stages,
             state: State::Queued,
             reason: None,
@@ -92,6 +94,7 @@
                 stage.finish_task(place.index);
             }
         }
+        self.update_remaining_path();
         for task_progress in progress.tallies {
             if let Some(task) = self.task_mut(task_progress.place) {
                 task.failed_attempts = task_progress.failed;
@@ -164,15 +167,30 @@
     pub(super) const fn add_run(&mut self) {
         self.is_started = true;
         self.runs += 1;
-        self.idle_since = None;
     }
 
     /// Counts an attempt that is no longer on its worker.
-    pub(super) const fn remove_run(&mut self, now: Time) {
+    pub(super) const fn remove_run(&mut self) {
         self.runs = self.runs.saturating_sub(1);
-        if self.runs == 0 {
-            self.idle_since = Some(now);
+    }
+
+    /// Recomputes the remaining critical path after a stage has been completed.
+    pub(super) fn update_remaining_path(&mut self) {
+        if self.spec.occurrences() > 1 {
+            return;
+        }
+        let mut finish_ms: SmallVec<[u64; 8]> = SmallVec::new();
+        for (step, stage) in self.spec.steps.iter().zip(&self.stages) {
+            let after = step.after.iter();
+            let start_ms = after.filter_map(|index| finish_ms.get(usize::from(*index)));
+            let own_ms = if stage.is_complete() {
+                0
+            } else {
+                step.estimate_ms
+            };
+            finish_ms.push(start_ms.max().copied().unwrap_or(0) + own_ms);
         }
+        self.remaining_path_ms = finish_ms.into_iter().max().unwrap_or(0);
     }
 
     /// Marks the job as running once a task has started.
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -22,7 +22,7 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
-        let mut job = Job::new(id, accepted_job, restored.is_some(), now);
+        let mut job = Job::new(id, accepted_job, restored.is_some());
         if let Some(restored) = restored {
             job.apply_progress(restored.progress, restored.revision);
         }
--- a/crates/control/src/scheduler/load.rs
+++ b/crates/control/src/scheduler/load.rs
@@ -32,7 +32,11 @@
             load.capacity_milli += u64::from(worker.capacity.processors_milli);
             load.reserved_milli += u64::from(host.used.processors_milli);
         }
-        for job in self.waiting_jobs.iter().filter_map(|key| self.jobs.get(*key)) {
+        for job in self
+            .waiting_jobs
+            .iter()
+            .filter_map(|key| self.jobs.get(*key))
+        {
             let steps = job.spec.steps.iter().cycle();
             for (stage, step) in job.stages.iter().zip(steps) {
                 load.add_waiting(stage, step);
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -25,13 +25,6 @@
 /// Interval between searches of all hosts for a stage that fits nowhere, in microseconds.
 const FULL_SEARCH_INTERVAL_MICROS: u64 = 500_000;
 
-/// Time without a running task after which a job accepts hosts on which it is slow, in
-/// microseconds.
-const IDLE_MICROS_MAX: u64 = 1_500_000;
-
-/// Share of a pool's processors that are reserved when the pool counts as full.
-const FULL_POOL_RATIO: f64 = 0.6;
-
 impl Scheduler {
     /// Places as many waiting tasks as possible, in the order of their jobs.
     pub(super) fn place_waiting_tasks(&mut self, now: Time) {
@@ -41,7 +34,6 @@
         self.is_placement_due = false;
         self.placement_round += 1;
         self.next_placement_at = now.plus_micros(PLACEMENT_INTERVAL_MICROS);
-        self.full_pools.clear();
         for key in self.placement_order(now) {
             self.place_job(key, now);
         }
@@ -97,7 +89,7 @@
                 step,
                 pool: &pool,
                 image: self.interference.image_key(image),
-                accepts_any_speed: self.accepts_any_speed(key, &pool, now),
+                accepts_any_speed: self.jobs[key].runs == 0,
             };
             let is_placed = if step.is_gang {
                 self.place_gang(stage, now)
@@ -110,30 +102,6 @@
         }
     }
 
-    /// Returns whether a task of a job is started even where it would be slow: nothing of the job
-    /// has run for some time, although its pool has room.
-    fn accepts_any_speed(&mut self, key: JobKey, pool: &str, now: Time) -> bool {
-        let idle_since = self.jobs[key].idle_since.unwrap_or(Time::NEVER);
-        now >= idle_since.plus_micros(IDLE_MICROS_MAX) && !self.is_pool_full(pool)
-    }
-
-    /// Returns whether most processors of a pool are reserved at the beginning of the round.
-    fn is_pool_full(&mut self, pool: &str) -> bool {
-        if let Some(is_full) = self.full_pools.get(pool) {
-            return *is_full;
-        }
-        let (mut used_milli, mut capacity_milli) = (0_u64, 0_u64);
-        for host in self.hosts.values() {
-            if let Some(worker) = host.worker.as_ref().filter(|worker| worker.pool == pool) {
-                used_milli += u64::from(host.used.processors_milli);
-                capacity_milli += u64::from(worker.capacity.processors_milli);
-            }
-        }
-        let is_full = used_milli as f64 >= capacity_milli as f64 * FULL_POOL_RATIO;
-        self.full_pools.insert(pool.to_owned(), is_full);
-        is_full
-    }
-
     /// Places the waiting tasks of a stage. Returns `false` if one doesn't fit on any host.
     fn place_stage(&mut self, mut stage: StageRef<'_>, now: Time) -> bool {
         let since = self.last_search(stage, now);
@@ -225,7 +193,7 @@
             None => now.plus_micros(FULL_SEARCH_INTERVAL_MICROS),
         };
         let job = &mut self.jobs[stage.job];
-        let accepted_any_speed = stage.accepts_any_speed && job.idle_since.is_some();
+        let accepted_any_speed = stage.accepts_any_speed && job.runs == 0;
         job.stages[stage.index].shortage = Some(Shortage {
             round: self.placement_round,
             accepted_any_speed,
--- a/crates/control/src/scheduler/rank.rs
+++ b/crates/control/src/scheduler/rank.rs
@@ -11,6 +11,10 @@
 /// The part above 1 covers estimates that are too low and tasks that wait between steps.
 const START_MARGIN: f64 = 1.25;
 
+/// Time that a started job must have until its objective, as a multiple of its remaining critical
+/// path. Estimates are too rough to give up a job earlier.
+const CONTINUE_MARGIN: f64 = 0.6;
+
 /// Sort key of a waiting job; the job with the lowest rank is placed first.
 ///
 /// The order matters at peaks, when not all jobs can meet their objectives. If jobs were ordered by
@@ -43,9 +47,8 @@
         let critical_path_ms = job.critical_path_ms as f64;
         let objective_ms = critical_path_ms * queue.stretch.max(1.0) + queue.slack_ms as f64;
         let elapsed_ms = unix_ms.saturating_sub(job.accepted_unix_ms) as f64;
-        // The estimates are too rough to give up a job that has started before it is late.
         let needed_ms = if job.is_started {
-            0.0
+            job.remaining_path_ms as f64 * CONTINUE_MARGIN
         } else {
             critical_path_ms * START_MARGIN
         };
--- a/crates/wire/src/delta/encoder.rs
+++ b/crates/wire/src/delta/encoder.rs
@@ -102,9 +102,7 @@
     fn remove_unlisted(&mut self, update: &Update) -> Vec<u32> {
         let listed = update.runs.iter().map(|run| (run.task, run.attempt));
         let listed: std::collections::BTreeSet<(Task, u64)> = listed.collect();
-        let unlisted = self
-            .attempts
-            .extract_if(.., |key, _| !listed.contains(key));
+        let unlisted = self.attempts.extract_if(.., |key, _| !listed.contains(key));
         unlisted.map(|(_, sent)| sent.slot).collect()
     }
 
