--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -33,7 +33,10 @@
 mod task;
 mod updates;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use foldhash::{HashMap, HashMapExt};
 use slotmap::SlotMap;
@@ -56,8 +59,9 @@
 pub use settings::Settings;
 
 /// Size of the range of attempt numbers of an epoch. An attempt number is the epoch times this
-/// value plus a counter, so that a later owner's attempts have higher numbers.
-const ATTEMPTS_PER_EPOCH: u64 = 1 << 20;
+/// value plus a counter, so that a later owner's attempts have higher numbers. At 15,000 starts a
+/// second an epoch may last for three days.
+const ATTEMPTS_PER_EPOCH: u64 = 1 << 32;
 
 /// Tracks the jobs, attempts and hosts of one owner and decides which task runs where.
 #[derive(Debug)]
@@ -82,10 +86,12 @@
     is_placement_due: bool,
     /// Time of the next placement round if none is due before and tasks are waiting.
     next_placement_at: Time,
+    /// Number of hosts that were scored for a stage so far.
+    hosts_scored: Cell<u64>,
     /// Number of the last placement round.
     placement_round: u64,
     /// Hosts by the placement round that first saw their last change.
-    changed_hosts: BTreeSet<(u64, HostKey)>,
+    changed_hosts: BTreeMap<u64, BTreeSet<HostKey>>,
     /// Hosts that may still run tasks of inherited jobs and have not reported yet. Until they have
     /// all reported, or the longest possible lease has ended, no task of an inherited job is
     /// placed, because it may already be running.
@@ -128,8 +134,9 @@
             timers: BTreeSet::new(),
             is_placement_due: true,
             next_placement_at: Time::ZERO,
+            hosts_scored: Cell::new(0),
             placement_round: 0,
-            changed_hosts: BTreeSet::new(),
+            changed_hosts: BTreeMap::new(),
             awaited_hosts: hosts.into_iter().collect(),
             takeover_complete_at: settings.lease_end_bound(now),
             unrecorded_jobs: RecordQueue::new(),
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -58,6 +58,7 @@
 
     /// Returns how well a host suits a task of a stage, or `None` if the task must not run there.
     pub(super) fn host_score(&self, key: HostKey, stage: StageRef<'_>, now: Time) -> Option<f64> {
+        self.hosts_scored.update(|count| count + 1);
         let host = &self.hosts[key];
         let score = self.score(host, stage)?;
         if !self.is_below_worker_limit(key, stage) {
--- a/crates/control/src/scheduler/load.rs
+++ b/crates/control/src/scheduler/load.rs
@@ -17,13 +17,18 @@
     pub waiting_reserving: usize,
     /// Number of waiting tasks that use idle processors.
     pub waiting_idle: usize,
+    /// Number of hosts that placement has scored so far. Its growth shows the work of placement.
+    pub hosts_scored: u64,
 }
 
 impl Scheduler {
     /// Returns the load of all connected workers.
     #[must_use]
     pub fn load(&self) -> Load {
-        let mut load = Load::default();
+        let mut load = Load {
+            hosts_scored: self.hosts_scored.get(),
+            ..Load::default()
+        };
         for host in self.hosts.values() {
             let Some(worker) = host.schedulable_worker() else {
                 continue;
--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -87,18 +87,23 @@
             return;
         };
         host.headrooms.take();
-        if host.changed_in != round {
-            self.changed_hosts.remove(&(host.changed_in, key));
-            host.changed_in = round;
-            self.changed_hosts.insert((round, key));
+        if host.changed_in == round {
+            return;
+        }
+        if let Some(hosts) = self.changed_hosts.get_mut(&host.changed_in) {
+            hosts.remove(&key);
+            if hosts.is_empty() {
+                self.changed_hosts.remove(&host.changed_in);
+            }
         }
+        host.changed_in = round;
+        self.changed_hosts.entry(round).or_default().insert(key);
     }
 
-    /// Returns the hosts that have changed after a placement round, in the order of their keys
-    /// within each round.
+    /// Returns the hosts whose last change is later than a placement round.
     pub(super) fn hosts_changed_after(&self, round: u64) -> impl Iterator<Item = HostKey> {
-        let first = (round + 1, HostKey::default());
-        self.changed_hosts.range(first..).map(|(_, key)| *key)
+        let later = self.changed_hosts.range(round + 1..);
+        later.flat_map(|(_, hosts)| hosts.iter().copied())
     }
 
     pub(super) fn host_key(&mut self, name: &str) -> HostKey {
--- a/crates/model/src/graph/place_range.rs
+++ b/crates/model/src/graph/place_range.rs
@@ -1,6 +1,6 @@
 //! Compact form of a list of places.
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 
 use super::Place;
 
@@ -8,6 +8,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct PlaceRange(u32, u16, u32, u32);
 
+/// Maximum number of places in a range, which bounds the memory that a damaged record can take.
+const RANGE_PLACES_MAX: u32 = 100_000;
+
 /// Element of a stored list. Older records name each task.
 #[derive(Deserialize)]
 #[serde(untagged)]
@@ -37,7 +40,10 @@
     let mut places = Vec::new();
     for element in elements {
         match element {
-            Element::Range(range) => places.extend(range.places()),
+            Element::Range(range) => {
+                range.check().map_err(D::Error::custom)?;
+                places.extend(range.places());
+            }
             Element::Place(place) => places.push(place),
         }
     }
@@ -51,6 +57,16 @@
             && last.checked_add(1) == Some(place.index)
     }
 
+    fn check(self) -> Result<(), String> {
+        let Self(_, _, first, last) = self;
+        if first <= last && last - first < RANGE_PLACES_MAX {
+            return Ok(());
+        }
+        Err(format!(
+            "range from {first} to {last}, expected 1 to {RANGE_PLACES_MAX} places"
+        ))
+    }
+
     fn places(self) -> impl Iterator<Item = Place> {
         let Self(occurrence, step, first, last) = self;
         (first..=last).map(move |index| Place {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -179,7 +179,7 @@
                 "workers" => load.workers, "capacity_milli" => load.capacity_milli,
                 "reserved_milli" => load.reserved_milli,
                 "waiting_reserving" => load.waiting_reserving,
-                "waiting_idle" => load.waiting_idle);
+                "waiting_idle" => load.waiting_idle, "hosts_scored" => load.hosts_scored);
             self.remove_silent_hosts(now);
         }
         for name in self.scheduler.due_hosts(now) {
