--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -76,6 +76,7 @@
             .call(call, Instant::now() + CALL_TIMEOUT)
             .await,
     );
+    meters::count_task_stop(outcome_label(outcome));
     info!(shared.log, "task_stop"; "task" => %stop.task, "attempt" => stop.attempt,
         "epoch" => epoch, "outcome" => ?outcome);
     let now = shared.clock.now();
@@ -104,6 +105,7 @@
             .call(call, Instant::now() + CALL_TIMEOUT)
             .await,
     );
+    meters::count_task_pace(outcome_label(outcome));
     info!(shared.log, "task_pace"; "task" => %task, "attempt" => attempt, "percent" => percent,
         "latency_percent" => latency_percent, "outcome" => ?outcome);
     if outcome != CallOutcome::Done {
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -35,6 +35,16 @@
     histogram!("toucanquay_task_start_seconds").record(started_at.elapsed().as_secs_f64());
 }
 
+/// Counts a call to stop a task on the worker by outcome.
+pub fn count_task_stop(outcome: &'static str) {
+    counter!("toucanquay_task_stops_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a call to set the pace of a task on the worker by outcome.
+pub fn count_task_pace(outcome: &'static str) {
+    counter!("toucanquay_task_paces_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an ended attempt by the way it ended.
 pub fn count_task_end(ending: Ending) {
     let ending = format!("{ending:?}").to_lowercase();
