--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -175,6 +175,28 @@
     assert_eq!(after, [Phase::Rejected(Rejection::Stopped)]);
 }
 
+/// Guards against an attempt that runs on because the answer to its stop counts as its end.
+#[rstest]
+#[case::done(CallOutcome::Done)]
+#[case::refused(CallOutcome::Refused)]
+fn attempt_that_is_listed_after_its_stop_is_stopped_again(#[case] outcome: CallOutcome) {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Done, at(10));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, 1, outcome, at(30));
+    let mut list = empty_list(at(2_500));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(2_500));
+
+    let actions = runner.tick(at(2_500));
+
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
+
 /// Guards against stopping an attempt whose start took effect although the answer was lost.
 #[test]
 fn unanswered_start_that_is_listed_runs() {
