companion: repeat a stop until the attempt is off the worker

A task of a cancelled job ran on to the end of its work, a task that lasts for good, although the cancelling was acknowledged.

Cause: the worker's "not now" (429, 503: nothing was done, the call may be repeated) and its "no" (409, 400, 421) were one outcome. A stop that was turned away counted as answered, the attempt stayed in the phase `Stopping`, in which no stop is ordered, and nothing compared that with the worker's list.

The class: an order whose answer is taken for its effect. Two changes: the worker's client tells `Unavailable` from `Refused`, and a stop is repeated until a list or an end shows that the attempt is gone, after 100 ms if the worker had no time, after 2 s if it answered anything else and still lists the attempt.

The same merging could let a task run twice: a start without an answer was resolved by a stop that was turned away, and might take effect later.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -210,10 +210,10 @@
                     return self.start_pacing((task, attempt), now);
                 }
             }
-            CallOutcome::Refused if state.phase == Phase::Starting => {
+            CallOutcome::Refused | CallOutcome::Unavailable if state.phase == Phase::Starting => {
                 state.phase = Phase::Rejected(Rejection::Refused);
             }
-            CallOutcome::Refused => {}
+            CallOutcome::Refused | CallOutcome::Unavailable => {}
             CallOutcome::Unknown => {
                 state.stop_at = now.plus_micros(self.settings.start_outcome_micros);
             }
@@ -221,7 +221,8 @@
         Vec::new()
     }
 
-    /// Processes the outcome of a stop call.
+    /// Processes the outcome of a stop call. The stop is repeated until a list or an end shows that
+    /// the attempt is no longer on the worker.
     pub fn record_stop_outcome(
         &mut self,
         task: Task,
@@ -232,11 +233,18 @@
         let Some(state) = self.runs.get_mut(&(task, attempt)) else {
             return;
         };
-        match outcome {
-            CallOutcome::Done => state.outcome_known_at = Some(now),
-            // The worker is another incarnation or doesn't know the attempt; a list shows which.
-            CallOutcome::Refused => state.outcome_known_at = Some(now),
-            CallOutcome::Unknown => state.stop_at = now.plus_micros(self.settings.retry_micros),
+        let retry_micros = match outcome {
+            // A refusal means that the worker is another incarnation or doesn't know the attempt; a
+            // list shows which.
+            CallOutcome::Done | CallOutcome::Refused => {
+                state.outcome_known_at = Some(now);
+                self.settings.stop_confirmation_micros
+            }
+            CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
+            CallOutcome::Unknown => self.settings.retry_micros,
+        };
+        if state.phase == Phase::Stopping {
+            state.stop_at = now.plus_micros(retry_micros);
         }
     }
 
@@ -542,6 +550,7 @@
             }
             if state.phase == Phase::Stopping {
                 state.phase = Phase::Rejected(Rejection::Stopped);
+                state.stop_at = Time::NEVER;
                 return true;
             }
             matches!(state.phase, Phase::Rejected(_))
--- a/crates/control/src/runner/call_outcome.rs
+++ b/crates/control/src/runner/call_outcome.rs
@@ -5,6 +5,8 @@
 pub enum CallOutcome {
     /// It was carried out.
     Done,
+    /// The worker had no time for it. It has no effect, and may be repeated.
+    Unavailable,
     /// It was refused and never takes effect.
     Refused,
     /// There was no answer; it may have taken effect, or do so later.
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -20,6 +20,11 @@
     pub start_outcome_micros: u64,
     /// Time after which a stop without an outcome is repeated, in microseconds.
     pub retry_micros: u64,
+    /// Time after which a call for which the worker had no time is repeated, in microseconds.
+    pub unavailable_retry_micros: u64,
+    /// Time after which an answered stop is repeated if the attempt is still on the worker, in
+    /// microseconds. It covers the time that a stop takes and the next list.
+    pub stop_confirmation_micros: u64,
 }
 
 impl Settings {
@@ -33,6 +38,8 @@
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
+            unavailable_retry_micros: 100_000,
+            stop_confirmation_micros: 2_000_000,
         }
     }
 }
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -197,6 +197,39 @@
     assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
 }
 
+/// Guards against an attempt that runs on because the worker had no time for its stop.
+#[test]
+fn stop_that_was_turned_away_is_repeated_soon() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Done, at(10));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, 1, CallOutcome::Unavailable, at(30));
+
+    let actions = runner.tick(at(130));
+
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
+
+/// Guards against a task that runs twice: a start without an answer may take effect until its stop
+/// has been carried out, and a stop that was turned away hasn't been.
+#[test]
+fn unanswered_start_is_not_resolved_by_a_stop_that_was_turned_away() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    runner.tick(at(2_300));
+    runner.record_stop_outcome(task, 1, CallOutcome::Unavailable, at(2_310));
+
+    runner.apply_list(empty_list(at(2_320)), at(2_330));
+
+    assert_eq!(phases(&mut runner, at(2_331)), [Phase::Stopping]);
+}
+
 /// Guards against stopping an attempt whose start took effect although the answer was lost.
 #[test]
 fn unanswered_start_that_is_listed_runs() {
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -129,6 +129,7 @@
 const fn outcome_label(outcome: CallOutcome) -> &'static str {
     match outcome {
         CallOutcome::Done => "done",
+        CallOutcome::Unavailable => "unavailable",
         CallOutcome::Refused => "refused",
         CallOutcome::Unknown => "unknown",
     }
