companion: set a pace again that the worker had no time for

A call to pace an attempt that was answered with 429 or 503 put the believed pace back to full. A pause was then ordered again only when the worker listed new measurements, and a pace that should have been raised to full never was.

Test: pace_that_was_turned_away_is_set_again fails with the former reaction to a failed call.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -286,9 +286,10 @@
         Vec::new()
     }
 
-    /// Returns the calls that are due: stops of starts without an outcome, and repeated stops.
+    /// Returns the calls that are due: stops of starts without an outcome, and repeated stops and
+    /// paces.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.due_paces(now);
         for ((task, attempt), state) in &mut self.runs {
             if now >= state.stop_at {
                 state.stop_at = Time::NEVER;
@@ -556,12 +557,4 @@
             matches!(state.phase, Phase::Rejected(_))
         });
     }
-
-    /// Processes a failed call to set the pace of an attempt.
-    pub fn record_pace_failure(&mut self, task: Task, attempt: u64) {
-        if let Some(state) = self.runs.get_mut(&(task, attempt)) {
-            // The next list with renewed gauges sets the pace again unless full pace is right.
-            state.pace_percent = AttemptState::FULL_PACE_PERCENT;
-        }
-    }
 }
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -18,7 +18,10 @@
     pub(super) checkpoint: Option<String>,
     pub(super) done_percent: u8,
     pub(super) gauge: GaugeEstimator,
+    /// Pace that the attempt should have, in percent.
     pub(super) pace_percent: u8,
+    /// When the pace is due to be set again, because the last call may not have set it.
+    pub(super) pace_at: Time,
     /// Estimated load of a sensitive task: the busy share of its time in the absence of
     /// interference.
     pub(super) load: Estimate,
@@ -56,6 +59,7 @@
             done_percent: 0,
             gauge: GaugeEstimator::new(),
             pace_percent: Self::FULL_PACE_PERCENT,
+            pace_at: Time::NEVER,
             load: InterferenceModel::prior_load(),
             over_target_since: None,
             stop_at: Time::NEVER,
--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -1,11 +1,11 @@
 //! Pacing of tasks that use idle processors beside latency-sensitive tasks on the same worker.
 
 use smallvec::SmallVec;
-use toucanquay_model::Time;
+use toucanquay_model::{Time, graph::Task};
 use toucanquay_policy::image_interference::{Estimate, Neighbour};
 
 use super::{
-    Action, AttemptKey, Runner,
+    Action, AttemptKey, CallOutcome, Runner,
     attempt_state::AttemptState,
     pacer::{self, PacedAttempt, PerSensitiveTask},
 };
@@ -139,6 +139,37 @@
         actions
     }
 
+    /// Processes the outcome of a call to set a pace. A pace that may not be set is due again.
+    pub fn record_pace_outcome(
+        &mut self,
+        task: Task,
+        attempt: u64,
+        outcome: CallOutcome,
+        now: Time,
+    ) {
+        let retry_micros = match outcome {
+            CallOutcome::Done => return,
+            CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
+            CallOutcome::Refused | CallOutcome::Unknown => self.settings.retry_micros,
+        };
+        if let Some(state) = self.runs.get_mut(&(task, attempt)) {
+            state.pace_at = now.plus_micros(retry_micros);
+        }
+    }
+
+    /// Returns the calls that set the paces that are due again.
+    pub(super) fn due_paces(&mut self, now: Time) -> Vec<Action> {
+        let mut due: SmallVec<[(AttemptKey, u8); 8]> = SmallVec::new();
+        for (key, state) in &mut self.runs {
+            if now >= state.pace_at && state.is_paced() {
+                state.pace_at = Time::NEVER;
+                due.push((*key, state.pace_percent));
+            }
+        }
+        let action = |(key, percent)| self.pace_action(key, percent);
+        due.into_iter().map(action).collect()
+    }
+
     fn pace_action(&self, (task, attempt): AttemptKey, percent: u8) -> Action {
         let latencies = self.runs.values().filter_map(AttemptState::latency_percent);
         Action::Pace {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -439,6 +439,22 @@
     assert_eq!(paces.get(&0), Some(&100), "{paces:?}");
 }
 
+/// Guards against a neighbour that keeps its former pace because the worker had no time for the
+/// call that changes it.
+#[test]
+fn pace_that_was_turned_away_is_set_again() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    let paused = task(1, 0, 0);
+    runner.record_pace_outcome(paused, 1, CallOutcome::Unavailable, at(3_500));
+
+    let actions = runner.tick(at(3_600));
+
+    let is_pause = |action: &Action| matches!(action, Action::Pace { task, percent: 0, .. } if *task == paused);
+    assert!(matches!(actions.as_slice(), [action] if is_pause(action)));
+    assert!(runner.tick(at(3_700)).is_empty());
+}
+
 /// Guards against neighbours that keep running because their learned effects are too low: a target
 /// that is missed for long pauses all of them.
 #[test]
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -108,9 +108,10 @@
     meters::count_task_pace(outcome_label(outcome));
     info!(shared.log, "task_pace"; "task" => %task, "attempt" => attempt, "percent" => percent,
         "latency_percent" => latency_percent, "outcome" => ?outcome);
-    if outcome != CallOutcome::Done {
-        shared.runner().record_pace_failure(task, attempt);
-    }
+    let now = shared.clock.now();
+    shared
+        .runner()
+        .record_pace_outcome(task, attempt, outcome, now);
 }
 
 fn call_outcome(reply: &Reply) -> CallOutcome {
