companion: set the pace of an attempt that it finds running

Cause: the worker doesn't list paces. A restarted companion took each attempt that it found for one at full pace, so that full pace was never ordered.

Now such an attempt is treated like one that has just started, and its pace is set in any case.

Test: pace_of_an_attempt_that_was_found_running_is_set failed before."

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -18,7 +18,7 @@
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
-    session::{AttemptStatus, End, Orders, Phase, Rejection, Start, Stop, Update, Worker},
+    session::{AttemptStatus, End, Orders, Phase, Profile, Rejection, Start, Stop, Update, Worker},
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
 
@@ -169,9 +169,8 @@
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
         for (stop, profile) in &orders.profiles {
-            if let Some(state) = self.runs.get_mut(&(stop.task, stop.attempt)) {
-                state.profile = Some(*profile);
-            }
+            let key = (stop.task, stop.attempt);
+            actions.extend(self.set_profile(key, *profile, now));
         }
         for effect in &orders.effects {
             let value = f64::from(effect.percent) / 100.0;
@@ -447,6 +446,20 @@
         });
     }
 
+    /// Sets the profile of an attempt that was found on the worker. Returns the paces to set: an
+    /// earlier companion process may have set another one.
+    fn set_profile(&mut self, key: AttemptKey, profile: Profile, now: Time) -> Vec<Action> {
+        let Some(state) = self.runs.get_mut(&key) else {
+            return Vec::new();
+        };
+        let is_first = state.profile.replace(profile).is_none();
+        if !is_first || !state.is_paced() {
+            return Vec::new();
+        }
+        state.pace_at = now;
+        self.start_pacing(key, now)
+    }
+
     fn stop(&mut self, stop: Stop, actions: &mut Vec<Action>) {
         let key = (stop.task, stop.attempt);
         if self.ends.iter().any(|end| (end.task, end.attempt) == key) {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -455,6 +455,29 @@
     assert!(runner.tick(at(3_700)).is_empty());
 }
 
+/// Guards against an attempt that stands still because a former process of the companion paused it.
+#[test]
+fn pace_of_an_attempt_that_was_found_running_is_set() {
+    let mut runner = runner(1);
+    let mut list = empty_list(at(10));
+    list.running.push(gauged(task(1, 0, 0), 0));
+    runner.apply_list(list, at(10));
+    let mut orders = empty_orders(1, 1, at(20));
+    let found = Stop {
+        task: task(1, 0, 0),
+        attempt: 1,
+    };
+    orders.profiles = vec![(found, idle_start(0, NOISY).profile)];
+    runner.apply_orders(&orders, at(20));
+
+    let actions = runner.tick(at(100));
+
+    assert!(matches!(
+        actions.as_slice(),
+        [Action::Pace { percent: 100, .. }]
+    ));
+}
+
 /// Guards against neighbours that keep running because their learned effects are too low: a target
 /// that is missed for long pauses all of them.
 #[test]
