scheduler: describe an agent's attempts to it again after its restart

A companion that restarts beside running tasks of an owner that stays knew neither their room nor their latency targets: it paced nothing beside the tasks that serve, and counted nothing as occupied, although it is the final authority on the worker's capacity.

Cause: an owner described an attempt when it started or adopted it, and one that it knew already counts as neither.

Test: restarted_agent_learns_the_profiles_of_its_attempts failed before.

--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -266,9 +266,7 @@
             host: host.name.clone(),
         });
         host.add_run(run, &step);
-        let profile = self.profile(&step, image);
-        self.hosts[key].profiles.push((stop, profile));
-        self.send_effects(key);
+        self.send_profile(run, stop);
         true
     }
 
@@ -296,6 +294,9 @@
                 if is_first_update {
                     self.resume_run(run_key, reported.phase);
                 }
+                if is_agent_restarted {
+                    self.send_profile(run_key, Stop { task, attempt });
+                }
                 continue;
             }
             let was_sent = run.orders_number.is_some();
@@ -325,6 +326,19 @@
         }
     }
 
+    /// Describes an attempt to an agent that found it on its worker.
+    fn send_profile(&mut self, key: RunKey, attempt: Stop) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let Some(step) = self.jobs.get(run.job).and_then(|job| job.step(run.place)) else {
+            return;
+        };
+        let (host, profile) = (run.host, self.profile(step, run.image));
+        self.hosts[host].profiles.push((attempt, profile));
+        self.send_effects(host);
+    }
+
     /// Orders a stop of an attempt whose start may still take effect. The attempt is released once
     /// the agent has answered the stop.
     fn resolve_by_stop(&mut self, key: RunKey, stop: Stop) {
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -11,7 +11,7 @@
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
     graph::{Id, Progress, Schedule, State, Step},
-    session::{Ending, Phase, Rejection},
+    session::{Ending, Phase, Rejection, Stop},
 };
 
 /// Returns the scheduler of an owner that has taken over a job with one task and does not wait for
@@ -214,6 +214,30 @@
     );
 }
 
+/// Guards against an agent that neither counts nor paces the attempts that it finds after its
+/// restart, because the owner describes an attempt only when it starts or adopts it.
+#[test]
+fn restarted_agent_learns_the_profiles_of_its_attempts() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let start = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    scheduler.disconnect("h1");
+    scheduler.connect("h1");
+    let mut successor = update("h1", 1);
+    successor.process = 2;
+    let running = attempt_status(start.task, start.attempt, Phase::Running);
+    successor.runs.push(running);
+    scheduler.update(&successor, at(500));
+
+    let profiles = orders(&mut scheduler, "h1", at(501)).profiles;
+
+    let attempt = Stop {
+        task: start.task,
+        attempt: start.attempt,
+    };
+    assert_eq!(profiles, [(attempt, start.profile)]);
+}
+
 /// Guards against a new owner that restarts tasks before all hosts have reported.
 #[rstest]
 #[case::before_the_host_is_heard(100, 0)]
