scheduler: send the profiles of a host's attempts in each session

Cause: the profiles were sent once, after the companion's restart. The session went through another companion, which was stopped 12 ms later, and the orders were lost with it; the log of the host has no task_pace after that.

Profiles are sent again in each session, like the effects and the stops.

Test: profiles_are_sent_again_in_the_next_session failed before.

--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -293,8 +293,6 @@
             if let Some(reported) = update.runs.iter().find(|reported| is_listed(reported)) {
                 if is_first_update {
                     self.resume_run(run_key, reported.phase);
-                }
-                if is_agent_restarted {
                     self.send_profile(run_key, Stop { task, attempt });
                 }
                 continue;
@@ -326,7 +324,7 @@
         }
     }
 
-    /// Describes an attempt to an agent that found it on its worker.
+    /// Describes an attempt to an agent that may have found it on its worker.
     fn send_profile(&mut self, key: RunKey, attempt: Stop) {
         let Some(run) = self.runs.get(key) else {
             return;
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -238,6 +238,28 @@
     assert_eq!(profiles, [(attempt, start.profile)]);
 }
 
+/// Guards against profiles that were lost with a session that broke before it delivered them.
+#[test]
+fn profiles_are_sent_again_in_the_next_session() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let start = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    let mut successor = update("h1", 1);
+    successor.process = 2;
+    let running = attempt_status(start.task, start.attempt, Phase::Running);
+    successor.runs.push(running);
+    for _session in 0..2 {
+        scheduler.disconnect("h1");
+        scheduler.connect("h1");
+        successor.number += 1;
+        scheduler.update(&successor, at(500));
+    }
+
+    let profiles = orders(&mut scheduler, "h1", at(501)).profiles;
+
+    assert_eq!(profiles.len(), 1);
+}
+
 /// Guards against a new owner that restarts tasks before all hosts have reported.
 #[rstest]
 #[case::before_the_host_is_heard(100, 0)]
