owner: worker_lost names the reason

worker_lost was written alike for a worker whose process has exited, one that has restarted, and one whose lease ended in silence, so a task that crashes workers could not be told from hosts that were only silent. Counted by reason, too.

--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -2,6 +2,8 @@
 
 use toucanquay_model::graph::{Id, State, Task};
 
+use super::Loss;
+
 /// Change of the scheduler's state that is worth logging.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -32,10 +34,12 @@
         /// Name of the host that the attempt ran on. The next attempt prefers other hosts.
         host: String,
     },
-    /// A worker is gone, or its lease has ended while its agent was disconnected.
+    /// The attempts on a worker are lost.
     WorkerLost {
         /// Name of the worker's host.
         host: String,
+        /// Reason of the loss.
+        reason: Loss,
         /// Number of attempts that were lost with the worker.
         attempts: usize,
     },
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Event, Run, Scheduler,
+    Event, Loss, Run, Scheduler,
     key::{HostKey, JobKey, RunKey},
     task::Phase,
 };
@@ -64,7 +64,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.handle_worker_loss(key, now);
+            self.handle_worker_loss(key, Loss::Silent, now);
         }
     }
 
@@ -76,13 +76,13 @@
             let is_gone = !is_agent_restarted && host.worker.is_some();
             host.worker = None;
             if is_gone {
-                self.handle_worker_loss(key, now);
+                self.handle_worker_loss(key, Loss::Exited, now);
             }
             return;
         };
         if host.worker_incarnation != worker.incarnation {
             if host.worker_incarnation != 0 {
-                self.handle_worker_loss(key, now);
+                self.handle_worker_loss(key, Loss::Restarted, now);
             }
             self.hosts[key].worker_incarnation = worker.incarnation;
         }
@@ -102,10 +102,11 @@
     }
 
     /// Resets the state of a worker whose process has ended and releases all its attempts.
-    fn handle_worker_loss(&mut self, key: HostKey, now: Time) {
+    fn handle_worker_loss(&mut self, key: HostKey, reason: Loss, now: Time) {
         let host = &mut self.hosts[key];
         self.events.push(Event::WorkerLost {
             host: host.name.clone(),
+            reason,
             attempts: host.runs.len(),
         });
         host.worker = None;
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -230,8 +230,14 @@
                 info!(log, "task_failed"; "task" => %task, "failures" => failures, "host" => host,
                     "epoch" => epoch);
             }
-            SchedulerEvent::WorkerLost { host, attempts } => {
-                warn!(log, "worker_lost"; "host" => host, "attempts" => attempts, "epoch" => epoch);
+            SchedulerEvent::WorkerLost {
+                host,
+                reason,
+                attempts,
+            } => {
+                meters::count_worker_lost(reason);
+                warn!(log, "worker_lost"; "host" => host, "reason" => ?reason,
+                    "attempts" => attempts, "epoch" => epoch);
             }
             SchedulerEvent::Draining { host, moved } => {
                 info!(log, "worker_draining"; "host" => host, "moved" => moved, "epoch" => epoch);
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -4,6 +4,7 @@
 
 use metrics::{counter, gauge, histogram};
 use tokio::time::Instant;
+use toucanquay_control::scheduler::Loss;
 use toucanquay_model::session::Ending;
 
 /// Records a store call by kind and outcome, and its duration except for watches, which wait for
@@ -51,6 +52,12 @@
     counter!("toucanquay_task_ends_total", "ending" => ending).increment(1);
 }
 
+/// Counts a worker whose attempts are lost, by reason.
+pub fn count_worker_lost(reason: Loss) {
+    let reason = format!("{reason:?}").to_lowercase();
+    counter!("toucanquay_workers_lost_total", "reason" => reason).increment(1);
+}
+
 /// Counts a takeover of ownership.
 pub fn count_takeover() {
     counter!("toucanquay_takeovers_total").increment(1);
