--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -18,7 +18,10 @@
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
-    session::{AttemptStatus, End, Orders, Phase, Profile, Rejection, Start, Stop, Update, Worker},
+    session::{
+        AttemptStatus, Crash, End, Orders, Phase, Profile, Rejection, Start, Stop, Suspect, Update,
+        Worker,
+    },
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
 
@@ -35,6 +38,9 @@
 /// processors in use cover the same time.
 const SAMPLE_DELAY_MICROS: u64 = 300_000;
 
+/// Maximum number of crashes that are kept for the owner. Older ones are dropped.
+const CRASHES_MAX: usize = 8;
+
 /// Task and number of an attempt.
 type AttemptKey = (Task, u64);
 
@@ -67,6 +73,8 @@
     ends: Vec<End>,
     last_listed_end: u64,
     acknowledged: u64,
+    /// Crashes of the worker that the owner has not acknowledged.
+    crashes: Vec<Crash>,
     /// Interference between images. Its keys are assigned by the owner.
     model: InterferenceModel,
 }
@@ -94,6 +102,7 @@
             ends: Vec::new(),
             last_listed_end: 0,
             acknowledged: 0,
+            crashes: Vec::new(),
             model: InterferenceModel::default(),
         }
     }
@@ -127,13 +136,18 @@
     /// Processes the deregistration of the worker, which exits.
     pub fn deregister_worker(&mut self, id: &str) {
         if self.worker_id == id {
-            self.mark_worker_exited();
+            self.end_incarnation();
         }
     }
 
-    /// Records that the worker's process has exited, because its address refuses connections or it
-    /// has deregistered.
+    /// Records that the worker's process has exited, because its address refuses connections. It has
+    /// crashed unless it was draining.
     pub fn mark_worker_exited(&mut self) {
+        self.record_crash();
+        self.end_incarnation();
+    }
+
+    fn end_incarnation(&mut self) {
         self.worker = None;
         self.has_worker_exited = true;
         self.runs.clear();
@@ -271,6 +285,9 @@
         for end in list.finished {
             self.record_end(end, now);
         }
+        for state in self.runs.values_mut() {
+            state.outlive_start(self.settings.start_risk_micros, now);
+        }
         let sample_valid_at = self.samples_invalidated_at.plus_micros(SAMPLE_DELAY_MICROS);
         let is_sample = is_renewed && now >= sample_valid_at;
         self.has_sample |= is_sample;
@@ -322,6 +339,7 @@
                 gauge: state.gauge.current(),
                 gauge_min: state.gauge.min_average(),
                 pace_percent: state.pace_percent,
+                has_survived_start: state.has_survived_start,
             });
         Update {
             host: self.settings.host.clone(),
@@ -336,6 +354,7 @@
             worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
             runs: runs.collect(),
             ends: self.ends.clone(),
+            crashes: self.crashes.clone(),
         }
     }
 
@@ -371,17 +390,26 @@
 
     /// Returns a value that differs after each change that must be reported to the owner at once.
     #[must_use]
-    pub fn digest(&self) -> (Incarnation, u64, usize, usize, bool) {
+    pub fn digest(&self) -> (Incarnation, u64, usize, usize, usize, bool) {
         let rejected = |state: &&AttemptState| !state.is_on_worker();
+        let probed = |state: &&AttemptState| state.is_probe && state.is_suspect();
         (
             self.incarnation,
             self.last_listed_end,
             self.runs.len(),
             self.runs.values().filter(rejected).count(),
+            self.runs.values().filter(probed).count(),
             self.listed_at.is_some(),
         )
     }
 
+    /// Returns whether the owner waits to learn whether the worker outlives a start.
+    #[must_use]
+    pub fn has_probe(&self) -> bool {
+        let mut states = self.runs.values();
+        states.any(|state| state.is_probe && state.is_suspect())
+    }
+
     /// Returns the worker, if it is known.
     #[must_use]
     pub const fn worker(&self) -> Option<&Worker> {
@@ -416,7 +444,36 @@
         self.epoch > 0 && self.fenced_epoch >= self.epoch
     }
 
+    /// Records a crash of the worker, with the attempts that may have caused it.
+    fn record_crash(&mut self) {
+        if self
+            .worker
+            .as_ref()
+            .is_some_and(|worker| worker.is_draining)
+        {
+            return;
+        }
+        let suspects = self.runs.iter().filter(|(_, state)| state.is_suspect());
+        let suspects: Vec<Suspect> = suspects
+            .map(|((task, attempt), _)| Suspect {
+                task: *task,
+                attempt: *attempt,
+            })
+            .collect();
+        if suspects.is_empty() {
+            return;
+        }
+        if self.crashes.len() == CRASHES_MAX {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(Crash {
+            worker: self.incarnation,
+            suspects,
+        });
+    }
+
     fn begin_incarnation(&mut self, incarnation: Incarnation) {
+        self.record_crash();
         self.incarnation = incarnation;
         self.worker = None;
         self.has_worker_exited = false;
@@ -434,6 +491,8 @@
     }
 
     fn acknowledge(&mut self, orders: &Orders) {
+        self.crashes
+            .retain(|crash| crash.worker > orders.crashes_acknowledged);
         if orders.worker == self.incarnation {
             self.acknowledged = self.acknowledged.max(orders.acknowledged);
             self.ends.retain(|end| end.number > self.acknowledged);
@@ -491,7 +550,7 @@
         if self.runs.contains_key(&key) {
             return;
         }
-        let mut state = AttemptState::starting(start.profile);
+        let mut state = AttemptState::starting(start.profile, start.is_probe, now);
         let rejection = if is_other_incarnation {
             Some(Rejection::OtherLife)
         } else {
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -33,6 +33,14 @@
     /// `None` while no call about the attempt has a definite outcome.
     pub(super) outcome_known_at: Option<Time>,
     pub(super) is_listed: bool,
+    /// When the start was ordered.
+    pub(super) started_at: Time,
+    /// Whether the owner waits to learn whether the worker outlives the start.
+    pub(super) is_probe: bool,
+    /// Whether the attempt is a suspect if the worker crashes now.
+    pub(super) is_at_risk: bool,
+    /// Whether a list has shown the attempt long enough after its start.
+    pub(super) has_survived_start: bool,
     /// Number of the first update that contained the rejection.
     pub(super) reported_in: Option<u64>,
 }
@@ -41,8 +49,14 @@
     /// Pace of an attempt when it starts, in percent.
     pub(super) const FULL_PACE_PERCENT: u8 = 100;
 
-    pub(super) fn starting(profile: Profile) -> Self {
-        Self::new(Phase::Starting, Some(profile))
+    pub(super) fn starting(profile: Profile, is_probe: bool, now: Time) -> Self {
+        Self {
+            started_at: now,
+            is_probe,
+            is_at_risk: true,
+            has_survived_start: false,
+            ..Self::new(Phase::Starting, Some(profile))
+        }
     }
 
     /// Returns the state of an attempt that was discovered on the worker, or that an earlier
@@ -65,6 +79,10 @@
             stop_at: Time::NEVER,
             outcome_known_at: None,
             is_listed: false,
+            started_at: Time::ZERO,
+            is_probe: false,
+            is_at_risk: false,
+            has_survived_start: true,
             reported_in: None,
         }
     }
@@ -80,6 +98,20 @@
         }
     }
 
+    /// Records that the worker lives at `now`, and whether it has outlived the start by
+    /// `risk_micros`.
+    pub(super) const fn outlive_start(&mut self, risk_micros: u64, now: Time) {
+        if now.as_micros() >= self.started_at.plus_micros(risk_micros).as_micros() {
+            self.is_at_risk = false;
+            self.has_survived_start |= self.is_listed;
+        }
+    }
+
+    /// Returns whether the attempt may have caused a crash of the worker.
+    pub(super) const fn is_suspect(&self) -> bool {
+        self.is_on_worker() && self.is_at_risk
+    }
+
     pub(super) const fn is_on_worker(&self) -> bool {
         !matches!(self.phase, Phase::Rejected(_))
     }
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -20,6 +20,8 @@
     pub start_outcome_micros: u64,
     /// Time after which a stop without an outcome is repeated, in microseconds.
     pub retry_micros: u64,
+    /// Time from its start for which an attempt is a suspect if the worker crashes, in microseconds.
+    pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
     pub unavailable_retry_micros: u64,
     /// Time after which an answered stop is repeated if the attempt is still on the worker, in
@@ -38,6 +40,7 @@
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
+            start_risk_micros: 250_000,
             unavailable_retry_micros: 100_000,
             stop_confirmation_micros: 2_000_000,
         }
--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -11,6 +11,8 @@
 mod candidates;
 mod choice;
 mod commit;
+mod crash_record;
+mod crashes;
 mod ending;
 mod event;
 mod headroom;
@@ -23,6 +25,7 @@
 mod loss;
 mod orders;
 mod placement;
+mod probe;
 mod rank;
 mod record_queue;
 mod restored;
@@ -49,12 +52,14 @@
 use toucanquay_policy::image_interference::InterferenceModel;
 
 pub use commit::Commit;
+use crash_record::CrashRecord;
 pub use event::Event;
 use host::Host;
 use job::Job;
 use key::{HostKey, JobKey, RunKey};
 pub use load::Load;
 pub use loss::Loss;
+use probe::Probe;
 use record_queue::RecordQueue;
 pub use restored::RestoredJob;
 use run::Run;
@@ -84,6 +89,10 @@
     runs: SlotMap<RunKey, Run>,
     interference: InterferenceModel,
     waiting_jobs: BTreeSet<JobKey>,
+    /// Probes by host.
+    probes: BTreeMap<HostKey, Probe>,
+    /// A task has become a suspect since the last commit.
+    has_unrecorded_suspects: bool,
     timers: BTreeSet<(Time, JobKey)>,
     is_placement_due: bool,
     /// Time of the next placement round if none is due before and tasks are waiting.
@@ -133,6 +142,8 @@
             runs: SlotMap::with_key(),
             interference: InterferenceModel::default(),
             waiting_jobs: BTreeSet::new(),
+            probes: BTreeMap::new(),
+            has_unrecorded_suspects: false,
             timers: BTreeSet::new(),
             is_placement_due: true,
             next_placement_at: Time::ZERO,
@@ -196,6 +207,7 @@
     /// old jobs.
     pub fn tick(&mut self, now: Time) {
         self.expire_hosts(now);
+        self.expire_probes(now);
         self.fire_timers(now);
         if !self.awaited_hosts.is_empty() && now >= self.takeover_complete_at {
             self.awaited_hosts.clear();
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -58,6 +58,19 @@
 
     /// Returns how well a host suits a task of a stage, or `None` if the task must not run there.
     pub(super) fn host_score(&self, key: HostKey, stage: StageRef<'_>, now: Time) -> Option<f64> {
+        if self.probes.contains_key(&key) {
+            return None;
+        }
+        self.fitting_score(key, stage, now)
+    }
+
+    /// Returns how well a host suits a task of a stage, whether or not it is kept free for a probe.
+    pub(super) fn fitting_score(
+        &self,
+        key: HostKey,
+        stage: StageRef<'_>,
+        now: Time,
+    ) -> Option<f64> {
         self.hosts_scored.update(|count| count + 1);
         let host = &self.hosts[key];
         let score = self.score(host, stage)?;
--- a/crates/control/src/scheduler/commit.rs
+++ b/crates/control/src/scheduler/commit.rs
@@ -54,7 +54,10 @@
         let hosts: Vec<HostKey> = self.hosts.keys().collect();
         for key in hosts {
             self.acknowledge_ends(key);
+            self.acknowledge_crashes(key);
         }
+        // Suspect tasks are not placed until the suspicion is recorded.
+        self.is_placement_due |= std::mem::take(&mut self.has_unrecorded_suspects);
     }
 
     /// Requeues the records of the last commit, which the store rejected because of a revision
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -30,7 +30,10 @@
         }
         match end.ending {
             Ending::Done => self.finish_task(key, place, host, now),
-            Ending::Failed => self.handle_failure(key, place, end.attempt, host, now),
+            Ending::Failed => {
+                self.clear_suspect(key, place);
+                self.handle_failure(key, place, end.attempt, host, now);
+            }
             Ending::Stopped | Ending::Expired | Ending::Broken | Ending::Alone | Ending::Lost => {}
         }
         if end.checkpoint.is_some() {
@@ -47,6 +50,7 @@
         if let Some(host) = self.hosts.get_mut(run.host) {
             host.remove_run(key, &run);
         }
+        self.end_probe(run.host, key);
         self.mark_host_changed(run.host);
         self.is_placement_due = true;
         let Some(job) = self.jobs.get_mut(run.job) else {
--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -43,6 +43,24 @@
         /// Number of attempts that were lost with the worker.
         attempts: usize,
     },
+    /// A worker crashed soon after it had started an attempt.
+    Suspected {
+        /// Task of the attempt.
+        task: Task,
+        /// Number of the attempt.
+        attempt: u64,
+        /// Name of the worker's host.
+        host: String,
+        /// Number of workers that have crashed soon after they had started the task.
+        crashes: usize,
+        /// Number of suspects that this crash counts for.
+        suspects: usize,
+    },
+    /// A worker has outlived the start of a suspect task.
+    Cleared {
+        /// Task that is no longer a suspect.
+        task: Task,
+    },
     /// A worker has begun to drain.
     Draining {
         /// Name of the worker's host.
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    Run,
+    CrashRecord, Run,
     headroom::Headroom,
     key::{JobKey, RunKey},
 };
@@ -65,6 +65,16 @@
     /// Ends that are not acknowledged: the number of the end, its job, and the version of the job
     /// that must be recorded before the end is acknowledged.
     pub(super) unacknowledged_ends: VecDeque<(u64, JobKey, u64)>,
+    /// Incarnation of the last crashed worker that has been processed.
+    pub(super) last_crash: Incarnation,
+    /// When the last crash with suspects was reported.
+    pub(super) crashed_at: Option<Time>,
+    /// Incarnation of the last crashed worker whose suspects are recorded.
+    pub(super) crashes_acknowledged: Incarnation,
+    /// The same, as acknowledged in orders.
+    pub(super) crashes_acknowledged_sent: Incarnation,
+    /// Crashes that are not acknowledged.
+    pub(super) unacknowledged_crashes: VecDeque<CrashRecord>,
     /// Distinct jobs that have failed on the worker since the last success.
     pub(super) failing_jobs: SmallVec<[JobKey; 4]>,
     pub(super) avoid_until: Time,
@@ -103,6 +113,11 @@
             acknowledged: 0,
             acknowledged_sent: 0,
             unacknowledged_ends: VecDeque::new(),
+            last_crash: 0,
+            crashed_at: None,
+            crashes_acknowledged: 0,
+            crashes_acknowledged_sent: 0,
+            unacknowledged_crashes: VecDeque::new(),
             failing_jobs: SmallVec::new(),
             avoid_until: Time::ZERO,
             changed_in: 0,
@@ -155,5 +170,6 @@
             || !self.profiles.is_empty()
             || !self.effects.is_empty()
             || self.acknowledged > self.acknowledged_sent
+            || self.crashes_acknowledged > self.crashes_acknowledged_sent
     }
 }
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -98,6 +98,7 @@
         for task_progress in progress.tallies {
             if let Some(task) = self.task_mut(task_progress.place) {
                 task.failed_attempts = task_progress.failed;
+                task.crashed_attempts = task_progress.crashed;
                 task.checkpoint = task_progress.checkpoint;
             }
         }
@@ -117,10 +118,14 @@
         for (place, task) in self.tasks_by_place() {
             if task.phase == Phase::Done {
                 progress.done.push(place);
-            } else if !task.failed_attempts.is_empty() || task.checkpoint.is_some() {
+            } else if !task.failed_attempts.is_empty()
+                || task.is_suspect()
+                || task.checkpoint.is_some()
+            {
                 progress.tallies.push(TaskProgress {
                     place,
                     failed: task.failed_attempts.clone(),
+                    crashed: task.crashed_attempts.clone(),
                     checkpoint: task.checkpoint.clone(),
                 });
             }
--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -20,6 +20,7 @@
         host.effects.clear();
         host.effects_sent.clear();
         host.acknowledged_sent = 0;
+        host.crashes_acknowledged_sent = 0;
     }
 
     /// Ends the session with a host's agent.
@@ -60,6 +61,7 @@
         host.orders_sent += 1;
         host.orders_sent_at = now;
         host.acknowledged_sent = host.acknowledged;
+        host.crashes_acknowledged_sent = host.crashes_acknowledged;
         let orders = Orders {
             epoch: self.epoch,
             number: host.orders_sent,
@@ -67,6 +69,7 @@
             stamp: host.update_stamp,
             worker: host.worker_incarnation,
             acknowledged: host.acknowledged,
+            crashes_acknowledged: host.crashes_acknowledged,
             starts: std::mem::take(&mut host.starts),
             stops: std::mem::take(&mut host.stops),
             profiles: std::mem::take(&mut host.profiles),
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -94,6 +94,7 @@
             let is_placed = if step.is_gang {
                 self.place_gang(stage, now)
             } else {
+                self.place_probes(stage, now);
                 self.place_stage(stage, now)
             };
             if !is_placed {
@@ -112,6 +113,7 @@
         for index in 0..stage.step.tasks {
             let Some(avoided_host) = self
                 .waiting_task(stage, index, now)
+                .filter(|task| !task.is_suspect())
                 .map(|task| task.avoided_host)
             else {
                 continue;
@@ -216,19 +218,21 @@
         self.is_placement_due = is_due;
     }
 
-    fn waiting_task(&self, stage: StageRef<'_>, index: u32, now: Time) -> Option<&Task> {
-        let stages = &self.jobs.get(stage.job)?.stages;
-        let task = stages.get(stage.index)?.tasks.get(index as usize)?;
+    /// Returns a task if it may be placed.
+    pub(super) fn waiting_task(&self, stage: StageRef<'_>, index: u32, now: Time) -> Option<&Task> {
+        let job = self.jobs.get(stage.job)?;
+        let task = job.stages.get(stage.index)?.tasks.get(index as usize)?;
+        let is_recorded = job.recorded_version >= task.suspected_in;
         let is_waiting = task.phase == Phase::Waiting && task.not_before <= now;
-        is_waiting.then_some(task)
+        (is_waiting && is_recorded).then_some(task)
     }
 
-    const fn next_attempt(&mut self) -> u64 {
+    pub(super) const fn next_attempt(&mut self) -> u64 {
         self.last_attempt += 1;
         self.epoch * ATTEMPTS_PER_EPOCH + self.last_attempt
     }
 
-    fn start_task(
+    pub(super) fn start_task(
         &mut self,
         stage: StageRef<'_>,
         index: u32,
@@ -252,8 +256,10 @@
         let task = job.task_id(place);
         let payload = job.payload.clone();
         let mut checkpoint = None;
+        let mut is_probe = false;
         if let Some(state) = job.task_mut(place) {
             state.phase = Phase::Running(run);
+            is_probe = state.is_suspect();
             checkpoint.clone_from(&state.checkpoint);
         }
         let key = host;
@@ -265,6 +271,7 @@
             payload,
             checkpoint,
             profile,
+            is_probe,
         });
         self.send_effects(key);
         run
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -33,6 +33,8 @@
     /// was listed in the first update of a later session.
     pub(super) orders_number: Option<u64>,
     pub(super) is_stopping: bool,
+    /// The worker has outlived the start.
+    pub(super) has_survived_start: bool,
     pub(super) done_percent: u8,
     /// Latency of a sensitive task in milliseconds, or else processors in use in thousandths, as
     /// reported by the worker.
@@ -69,6 +71,7 @@
             started_at: now,
             orders_number: None,
             is_stopping: false,
+            has_survived_start: false,
             done_percent: 0,
             gauge: 0,
             image,
@@ -81,6 +84,7 @@
     /// Updates the attempt from the worker's report.
     pub(super) fn apply_report(&mut self, reported: &session::AttemptStatus, now: Time) {
         self.done_percent = reported.done_percent;
+        self.has_survived_start = reported.has_survived_start;
         self.gauge = reported.gauge;
         // The first report precedes the first measurement.
         if self.idle_milli > 0 && now >= self.started_at.plus_micros(FIRST_MEASUREMENT_MICROS) {
--- a/crates/control/src/scheduler/task.rs
+++ b/crates/control/src/scheduler/task.rs
@@ -14,6 +14,11 @@
     pub(super) phase: Phase,
     /// Numbers of the failed attempts; of a perpetual task, only the latest ones.
     pub(super) failed_attempts: SmallVec<[u64; 2]>,
+    /// Numbers of the attempts that are suspects of the crashes of their workers, since the last
+    /// one that was outlived by its worker.
+    pub(super) crashed_attempts: SmallVec<[u64; 2]>,
+    /// Version of the job that must be recorded before the task is started again.
+    pub(super) suspected_in: u64,
     pub(super) checkpoint: Option<String>,
     pub(super) not_before: Time,
     /// Host on which the last failed attempt ran.
@@ -21,6 +26,11 @@
 }
 
 impl Task {
+    /// Returns whether a worker has crashed soon after it had started the task.
+    pub(super) fn is_suspect(&self) -> bool {
+        !self.crashed_attempts.is_empty()
+    }
+
     /// Counts a failed attempt. Returns `false` if it has already been counted.
     pub(super) fn count_failure(&mut self, attempt: u64) -> bool {
         if self.failed_attempts.contains(&attempt) {
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -30,6 +30,7 @@
         host.update_stamp = update.stamp;
         host.lease_end_bound = self.settings.lease_end_bound(now);
         self.apply_worker(key, update, is_agent_restarted, now);
+        self.apply_crashes(key, update, now);
         if update.worker.is_some() {
             self.apply_ends(key, update, now);
             self.apply_runs(key, update, now);
@@ -44,6 +45,7 @@
                 self.mark_host_changed(key);
             }
             self.acknowledge_ends(key);
+            self.acknowledge_crashes(key);
             if update.is_settled && self.awaited_hosts.remove(&update.host) {
                 self.is_placement_due = true;
             }
@@ -212,8 +214,12 @@
             return;
         };
         run.apply_report(reported, now);
-        let (job, place) = (run.job, run.place);
-        let Some(job) = self.jobs.get_mut(job) else {
+        let (job_key, place, host) = (run.job, run.place, run.host);
+        if reported.has_survived_start {
+            self.end_probe(host, key);
+            self.clear_suspect(job_key, place);
+        }
+        let Some(job) = self.jobs.get_mut(job_key) else {
             return;
         };
         if reported.phase == RunPhase::Running {
@@ -250,6 +256,7 @@
         run.orders_number = Some(0);
         // Until this attempt has ended, the task must not start elsewhere.
         run.is_stopping = reported.phase == RunPhase::Stopping;
+        run.has_survived_start = reported.has_survived_start;
         let run = self.runs.insert(run);
         job.add_run();
         if let Some(task) = job.task_mut(place) {
@@ -268,6 +275,11 @@
         });
         host.add_run(run, &step);
         self.send_profile(run, stop);
+        if reported.has_survived_start {
+            self.clear_suspect(job_key, place);
+        } else if self.is_suspect(job_key, place) {
+            self.begin_probe(key, Some(run), now);
+        }
         true
     }
 
--- /dev/null
+++ b/crates/control/tests/crashes.rs
@@ -0,0 +1,353 @@
+//! Tests of tasks that crash the workers that start them.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use graph::{
+    WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, empty_list, empty_orders,
+    end, heartbeat, listed, orders, owner, runner, start, step, task, update, worker,
+};
+use rstest::rstest;
+use toucanquay_control::{
+    runner::{CallOutcome, Heartbeat, Runner},
+    scheduler::{RestoredJob, Scheduler, Settings},
+};
+use toucanquay_model::{
+    Time,
+    graph::{Id, Progress, State, Task, TaskProgress},
+    session::{AttemptStatus, Crash, Ending, Orders, Phase, Start, Suspect, Update, Worker},
+};
+
+/// Returns a runner that was told to start a task at 1 ms.
+fn runner_with_start() -> Runner {
+    let mut runner = runner(1);
+    let orders = Orders {
+        starts: vec![start(task(1, 0, 0), 7)],
+        ..empty_orders(1, 1, at(0))
+    };
+    runner.apply_orders(&orders, at(1));
+    runner
+}
+
+/// Returns the crashes that the runner reports.
+fn reported_crashes(runner: &mut Runner) -> Vec<Crash> {
+    runner.next_update(at(1_000)).crashes
+}
+
+/// Returns a crash of the test worker with these suspects.
+fn crash(suspects: &[&Start]) -> Crash {
+    let suspect = |start: &&Start| Suspect {
+        task: start.task,
+        attempt: start.attempt,
+    };
+    Crash {
+        worker: WORKER_INCARNATION,
+        suspects: suspects.iter().map(suspect).collect(),
+    }
+}
+
+/// Returns an update from a host whose worker has crashed.
+fn crashed(host: &str, number: u64, suspects: &[&Start]) -> Update {
+    Update {
+        worker: None,
+        crashes: vec![crash(suspects)],
+        ..update(host, number)
+    }
+}
+
+/// Returns the status of an attempt that has just been started.
+fn fresh(start: &Start) -> AttemptStatus {
+    AttemptStatus {
+        has_survived_start: false,
+        ..attempt_status(start.task, start.attempt, Phase::Running)
+    }
+}
+
+/// Returns the hosts that get starts, with these.
+fn started(scheduler: &mut Scheduler, hosts: &[&str], now: Time) -> Vec<(String, Vec<Start>)> {
+    let starts = hosts
+        .iter()
+        .map(|host| ((*host).to_owned(), orders(scheduler, host, now).starts));
+    starts.filter(|(_, starts)| !starts.is_empty()).collect()
+}
+
+/// Returns the scheduler of an owner with three hosts and a job of one task, whose first worker has
+/// crashed after the start, and the host and the start of the second attempt.
+fn scheduler_with_a_probe() -> (Scheduler, String, Start) {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let (host, starts) = started(&mut scheduler, &hosts, at(1)).remove(0);
+    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    commit_changes(&mut scheduler, 20, at(200));
+    let (host, mut starts) = started(&mut scheduler, &hosts, at(201)).remove(0);
+    (scheduler, host, starts.remove(0))
+}
+
+/// Guards against a crash whose cause can't be found because nobody reports what had just started.
+#[rstest]
+#[case::unanswered(None)]
+#[case::answered(Some(CallOutcome::Done))]
+fn attempt_that_was_started_just_before_a_crash_is_a_suspect(#[case] outcome: Option<CallOutcome>) {
+    let mut runner = runner_with_start();
+    if let Some(outcome) = outcome {
+        runner.record_start_outcome(task(1, 0, 0), 7, outcome, at(5));
+    }
+    runner.mark_worker_exited();
+
+    let crashes = reported_crashes(&mut runner);
+
+    assert_eq!(crashes, [crash(&[&start(task(1, 0, 0), 7)])]);
+}
+
+/// Guards against a crash that is missed because the worker is back before a call fails.
+#[test]
+fn crash_is_noticed_by_the_next_incarnation() {
+    let mut runner = runner_with_start();
+    runner.record_heartbeat(Heartbeat {
+        worker: Worker {
+            incarnation: WORKER_INCARNATION + 1,
+            ..worker()
+        },
+        ..heartbeat(1)
+    });
+
+    let crashes = reported_crashes(&mut runner);
+
+    assert_eq!(crashes.len(), 1);
+}
+
+/// Guards against blaming a task for the exit of a worker that drained or deregistered, or that it
+/// had run on for long.
+#[test]
+fn planned_exit_has_no_suspects() {
+    let mut draining = runner_with_start();
+    draining.record_heartbeat(Heartbeat {
+        worker: Worker {
+            is_draining: true,
+            ..worker()
+        },
+        ..heartbeat(2)
+    });
+    draining.mark_worker_exited();
+    let mut deregistered = runner_with_start();
+    deregistered.deregister_worker("w");
+    let mut outlived = runner_with_start();
+    let mut list = empty_list(at(300));
+    list.running.push(listed(task(1, 0, 0), 7));
+    outlived.apply_list(list, at(300));
+    outlived.mark_worker_exited();
+
+    let crashes =
+        [draining, deregistered, outlived].map(|mut runner| reported_crashes(&mut runner));
+
+    assert_eq!(crashes, [const { Vec::new() }; 3]);
+}
+
+/// Guards against blaming an attempt whose start was refused, or is absent although the worker has
+/// lived on.
+#[test]
+fn attempt_that_never_ran_is_no_suspect() {
+    let mut refused = runner_with_start();
+    refused.record_start_outcome(task(1, 0, 0), 7, CallOutcome::Refused, at(5));
+    refused.mark_worker_exited();
+    let mut absent = runner_with_start();
+    absent.apply_list(empty_list(at(300)), at(300));
+    absent.mark_worker_exited();
+
+    let crashes = [refused, absent].map(|mut runner| reported_crashes(&mut runner));
+
+    assert_eq!(crashes, [const { Vec::new() }; 2]);
+}
+
+/// Guards against the loss of a crash that the owner has not recorded yet.
+#[test]
+fn crash_is_reported_until_it_is_acknowledged() {
+    let mut runner = runner_with_start();
+    runner.mark_worker_exited();
+    runner.apply_orders(&empty_orders(1, 2, at(0)), at(10));
+    let before = reported_crashes(&mut runner).len();
+    let acknowledgement = Orders {
+        crashes_acknowledged: WORKER_INCARNATION,
+        ..empty_orders(1, 3, at(0))
+    };
+    runner.apply_orders(&acknowledgement, at(20));
+
+    let after = reported_crashes(&mut runner).len();
+
+    assert_eq!((before, after), (1, 0));
+}
+
+/// Guards against a count that is lost with its owner: a suspect task is not started again before
+/// its crash is recorded.
+#[test]
+fn suspect_waits_until_its_crash_is_recorded() {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let (host, starts) = started(&mut scheduler, &hosts, at(1)).remove(0);
+    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    let unrecorded = started(&mut scheduler, &hosts, at(150)).len();
+    let unacknowledged = orders(&mut scheduler, &host, at(150)).crashes_acknowledged;
+    commit_changes(&mut scheduler, 20, at(200));
+
+    let recorded = started(&mut scheduler, &hosts, at(201));
+    let acknowledged = orders(&mut scheduler, &host, at(202)).crashes_acknowledged;
+
+    assert_eq!((unrecorded, unacknowledged), (0, 0));
+    assert!(recorded[0].1[0].is_probe);
+    assert_eq!(acknowledged, WORKER_INCARNATION);
+}
+
+/// Guards against a task that crashes each worker that starts it and is started without limit.
+#[test]
+fn task_that_was_alone_under_the_second_crash_is_given_up() {
+    let (mut scheduler, host, probe) = scheduler_with_a_probe();
+
+    scheduler.update(&crashed(&host, 2, &[&probe]), at(300));
+    commit_changes(&mut scheduler, 21, at(400));
+
+    assert_eq!(scheduler.job_state(Id::new(1)), Some(State::Failed));
+}
+
+/// Guards against giving up a sound task that was beside another suspect when two workers crashed.
+#[test]
+fn task_with_other_suspects_is_not_given_up_after_two_crashes() {
+    let (mut scheduler, host, probe) = scheduler_with_a_probe();
+    scheduler.accept(Id::new(2), accepted_job(vec![step(1)]), at(210));
+    let other = Start {
+        task: task(2, 0, 0),
+        ..probe.clone()
+    };
+
+    scheduler.update(&crashed(&host, 2, &[&probe, &other]), at(300));
+    commit_changes(&mut scheduler, 21, at(400));
+
+    assert_ne!(scheduler.job_state(Id::new(1)), Some(State::Failed));
+    assert_ne!(scheduler.job_state(Id::new(2)), Some(State::Failed));
+}
+
+/// Guards against tasks that are lost, or blamed, because they start beside a suspect.
+#[test]
+fn nothing_else_is_started_beside_a_probe() {
+    let (mut scheduler, host, probe) = scheduler_with_a_probe();
+    scheduler.accept(Id::new(2), accepted_job(vec![step(24)]), at(210));
+    let during = orders(&mut scheduler, &host, at(220)).starts.len();
+    let mut survived = update(&host, 3);
+    survived.runs.push(AttemptStatus {
+        has_survived_start: true,
+        ..fresh(&probe)
+    });
+    survived.applied = 9;
+    scheduler.update(&survived, at(600));
+
+    let after = orders(&mut scheduler, &host, at(601)).starts.len();
+
+    assert_eq!(during, 0);
+    assert!(after > 0);
+}
+
+/// Guards against giving up a task for crashes with which it had nothing to do: its worker has
+/// outlived a start in between, or the task has ended on it.
+#[rstest]
+#[case::outlived(true)]
+#[case::failed(false)]
+fn task_whose_worker_lives_on_is_no_longer_a_suspect(#[case] is_running: bool) {
+    let (mut scheduler, host, probe) = scheduler_with_a_probe();
+    let mut survived = update(&host, 3);
+    survived.applied = 9;
+    if is_running {
+        survived.runs.push(AttemptStatus {
+            has_survived_start: true,
+            ..fresh(&probe)
+        });
+    } else {
+        let end = end(1, probe.task, probe.attempt, Ending::Failed);
+        survived.ends.push(end);
+    }
+    scheduler.update(&survived, at(600));
+
+    let progress = scheduler.next_commit(at(700)).expect("a change to record");
+
+    let tallies = &progress.records[0].2.tallies;
+    assert!(tallies.iter().all(|tally| tally.crashed.is_empty()));
+}
+
+/// Guards against a count that starts anew with each owner.
+#[test]
+fn crashes_are_counted_across_owners() {
+    let mut scheduler = Scheduler::new(Settings::default(), 2, [], at(0));
+    scheduler.extend_ownership(at(10_000));
+    let place = toucanquay_model::graph::Place {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let tally = TaskProgress {
+        place,
+        failed: [].into_iter().collect(),
+        crashed: [7].into_iter().collect(),
+        checkpoint: None,
+    };
+    let restored = RestoredJob {
+        progress: Progress {
+            tallies: vec![tally],
+            ..Progress::default()
+        },
+        revision: 3,
+    };
+    scheduler.restore(Id::new(1), accepted_job(vec![step(1)]), restored, at(0));
+    for host in ["h1", "h2", "h3"] {
+        scheduler.connect(host);
+        scheduler.update(&update(host, 1), at(1));
+    }
+    let (host, starts) = started(&mut scheduler, &["h1", "h2", "h3"], at(2)).remove(0);
+
+    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    commit_changes(&mut scheduler, 20, at(200));
+
+    assert_eq!(scheduler.job_state(Id::new(1)), Some(State::Failed));
+}
+
+/// Guards against suspecting the tasks of a host that was only silent.
+#[test]
+fn task_of_a_silent_host_is_no_suspect() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    orders(&mut scheduler, "h1", at(1));
+    scheduler.disconnect("h1");
+    scheduler.tick(at(7_000));
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(7_000));
+
+    let again = orders(&mut scheduler, "h2", at(7_001)).starts;
+
+    assert!(!again[0].is_probe);
+}
+
+/// Guards against a suspect that is placed among starts whose outcome is open.
+#[test]
+fn probe_waits_until_the_worker_has_outlived_other_starts() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let first = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    scheduler.accept(Id::new(2), accepted_job(vec![step(1)]), at(2));
+    let beside = orders(&mut scheduler, "h1", at(3)).starts.remove(0);
+    let mut restarted = update("h1", 2);
+    restarted.applied = 9;
+    restarted.crashes = vec![crash(&[&first])];
+    restarted.runs.push(fresh(&beside));
+    scheduler.update(&restarted, at(100));
+    commit_changes(&mut scheduler, 20, at(200));
+    let early = orders(&mut scheduler, "h1", at(201)).starts;
+    let mut outlived = restarted.clone();
+    outlived.number = 3;
+    outlived.runs[0].has_survived_start = true;
+    scheduler.update(&outlived, at(500));
+
+    let late = orders(&mut scheduler, "h1", at(501)).starts;
+
+    let tasks: Vec<Task> = late.iter().map(|start| start.task).collect();
+    assert!(early.is_empty());
+    assert_eq!(tasks, [first.task]);
+}
--- a/crates/control/tests/fleet/host.rs
+++ b/crates/control/tests/fleet/host.rs
@@ -101,6 +101,7 @@
                 0
             },
             pace_percent: 100,
+            has_survived_start: true,
         };
         Some(Update {
             host: self.name.clone(),
@@ -114,6 +115,7 @@
             worker: Some(self.worker.clone()),
             runs: self.attempts.iter().map(status).collect(),
             ends: self.ends.clone(),
+            crashes: Vec::new(),
         })
     }
 
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -119,6 +119,7 @@
         worker: Some(worker()),
         runs: Vec::new(),
         ends: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
@@ -133,6 +134,7 @@
         gauge: 0,
         gauge_min: 0,
         pace_percent: 100,
+        has_survived_start: true,
     }
 }
 
@@ -213,6 +215,7 @@
             occupied: cores(2),
             ..Profile::default()
         },
+        is_probe: false,
     }
 }
 
--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -31,6 +31,18 @@
 /// Processors of a worker.
 const PROCESSORS: u32 = 16;
 
+/// Time from the start of a task that crashes its worker until the crash, in milliseconds.
+const CRASH_DELAY_MS: u64 = 10;
+
+/// Number of crashes under a task after which it may be given up.
+const CRASHES_MIN: usize = 2;
+
+/// Number of crashes under a task after which it may be started only [`STARTS_MAX`] times more.
+const CRASHES_MAX: usize = 3;
+
+/// Number of starts of a task after [`CRASHES_MAX`] workers have crashed under it.
+const STARTS_MAX: usize = 2;
+
 /// Probability that a busy worker turns a call away, in percent.
 const TURNED_AWAY_PERCENT: u32 = 60;
 
@@ -65,6 +77,8 @@
     partitioned_until: Time,
     /// Until then, the worker turns most calls away without doing anything.
     busy_until: Time,
+    /// When a task that crashes the worker does so.
+    crash_at: Time,
     next_list_at: Time,
     next_update_at: Time,
 }
@@ -76,14 +90,16 @@
     progress: Progress,
     revision: u64,
     is_cancelled: bool,
+    /// Task that crashes each worker that starts it.
+    deadly_task: Option<Task>,
 }
 
 /// State of a simulation.
 #[derive(Debug)]
 pub struct Simulation {
     rng: StdRng,
-    /// Random numbers for busy workers; `None` if no worker is ever busy.
-    busy_rng: Option<StdRng>,
+    /// Random numbers for busy workers and deadly tasks; `None` if there are none.
+    fault_rng: Option<StdRng>,
     now_ms: u64,
     epoch: u64,
     owner: Option<Scheduler>,
@@ -95,6 +111,10 @@
     revision: u64,
     done_tasks: BTreeSet<Task>,
     failure_counts: BTreeMap<Task, u32>,
+    /// Workers that have crashed while they ran each task.
+    crash_counts: BTreeMap<Task, usize>,
+    /// Starts of deadly tasks after too many workers have crashed under them.
+    late_starts: BTreeMap<Task, usize>,
     is_fault_free: bool,
     /// Number of injected faults.
     pub faults: u64,
@@ -102,6 +122,8 @@
     pub starts: u64,
     /// Number of stops that busy workers turned away.
     pub stops_turned_away: u64,
+    /// Number of workers that deadly tasks crashed.
+    pub deadly_crashes: u64,
 }
 
 impl Simulation {
@@ -109,7 +131,7 @@
     pub fn new(seed: u64, hosts: u64) -> Self {
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
-            busy_rng: None,
+            fault_rng: None,
             now_ms: 0,
             epoch: 0,
             owner: None,
@@ -121,10 +143,13 @@
             revision: 10,
             done_tasks: BTreeSet::new(),
             failure_counts: BTreeMap::new(),
+            crash_counts: BTreeMap::new(),
+            late_starts: BTreeMap::new(),
             is_fault_free: false,
             faults: 0,
             starts: 0,
             stops_turned_away: 0,
+            deadly_crashes: 0,
         };
         for number in 0..hosts {
             simulation.hosts.push(simulation.host(
@@ -136,9 +161,9 @@
         simulation
     }
 
-    /// Makes workers busy from time to time.
-    pub fn with_busy_workers(mut self, seed: u64) -> Self {
-        self.busy_rng = Some(StdRng::seed_from_u64(!seed));
+    /// Makes workers busy from time to time, and lets some tasks crash their workers.
+    pub fn with_busy_workers_and_deadly_tasks(mut self, seed: u64) -> Self {
+        self.fault_rng = Some(StdRng::seed_from_u64(!seed));
         self
     }
 
@@ -195,6 +220,7 @@
             session: None,
             partitioned_until: Time::ZERO,
             busy_until: Time::ZERO,
+            crash_at: Time::NEVER,
             next_list_at: Time::ZERO,
             next_update_at: Time::ZERO,
         }
@@ -208,6 +234,7 @@
         };
         let steps = vec![step(self.rng.random_range(1..6)), second];
         let record = JobRecord {
+            deadly_task: self.random_deadly_task(id),
             steps: steps.clone(),
             ..JobRecord::default()
         };
@@ -218,6 +245,17 @@
         }
     }
 
+    /// Returns the first task of one of the steps of a few jobs.
+    fn random_deadly_task(&mut self, job: Id) -> Option<Task> {
+        let rng = self.fault_rng.as_mut()?;
+        (rng.random_range(0..25) == 0).then(|| Task {
+            job,
+            occurrence: 0,
+            step: rng.random_range(0..2),
+            index: 0,
+        })
+    }
+
     /// Cancels a random job that has not ended.
     fn cancel_random_job(&mut self) {
         let active = self
@@ -257,7 +295,7 @@
 
     /// Makes a random worker busy for some time.
     fn occupy_worker(&mut self) {
-        let Some(rng) = &mut self.busy_rng else {
+        let Some(rng) = &mut self.fault_rng else {
             return;
         };
         if rng.random_range(0..150) != 0 {
@@ -271,7 +309,7 @@
     /// Returns whether a worker turns a call away.
     fn is_turned_away(&mut self, index: usize) -> bool {
         let is_busy = !self.is_fault_free && self.time() < self.hosts[index].busy_until;
-        let mut rng = self.busy_rng.as_mut().filter(|_| is_busy);
+        let mut rng = self.fault_rng.as_mut().filter(|_| is_busy);
         rng.as_mut()
             .is_some_and(|rng| rng.random_range(0..100) < TURNED_AWAY_PERCENT)
     }
@@ -279,7 +317,11 @@
     fn restart_agent(&mut self, index: usize) {
         let (name, process) = (self.hosts[index].name.clone(), self.new_incarnation());
         let worker = self.hosts[index].worker.clone();
-        let mut host = self.host(name, process, worker);
+        let mut host = Host {
+            busy_until: self.hosts[index].busy_until,
+            crash_at: self.hosts[index].crash_at,
+            ..self.host(name, process, worker)
+        };
         // Calls in flight still reach the worker, but their replies are lost.
         let is_request = |call: &Call| matches!(call, Call::Start(..) | Call::Stop(_));
         let calls = std::mem::take(&mut self.hosts[index].calls);
@@ -296,11 +338,65 @@
     }
 
     fn restart_worker(&mut self, index: usize) {
+        self.replace_worker(index);
+        self.hosts[index].runner.mark_worker_exited();
+    }
+
+    /// Ends the worker's process with all its attempts, and starts another one.
+    fn replace_worker(&mut self, index: usize) {
         let incarnation = self.new_incarnation();
         let host = &mut self.hosts[index];
+        let running = host.worker.running.keys().map(|(task, _)| *task);
+        let ended = host.worker.unacknowledged_ends().map(|end| end.task);
+        let starting = host.calls.iter().filter_map(|(_, _, call)| match call {
+            Call::Start(start, ..) => Some(start.task),
+            Call::Started(task, ..) => Some(*task),
+            _ => None,
+        });
+        // The agent can't tell an attempt that had just ended, or had not been started yet.
+        let tasks: BTreeSet<Task> = running.chain(ended).chain(starting).collect();
+        for task in tasks {
+            *self.crash_counts.entry(task).or_default() += 1;
+        }
         host.worker = SimulatedWorker::new(incarnation);
         host.calls.clear();
-        host.runner.mark_worker_exited();
+        host.crash_at = Time::NEVER;
+    }
+
+    /// Crashes a worker if it has started a deadly task. The agent notices the crash, or only the
+    /// next process.
+    fn crash_worker(&mut self, index: usize) {
+        if self.time() < self.hosts[index].crash_at {
+            return;
+        }
+        self.deadly_crashes += 1;
+        let is_noticed = self
+            .fault_rng
+            .as_mut()
+            .is_some_and(|rng| rng.random_bool(0.5));
+        if is_noticed {
+            self.restart_worker(index);
+        } else {
+            self.replace_worker(index);
+        }
+    }
+
+    /// Counts the start of a deadly task, which will crash the worker.
+    fn start_deadly_task(&mut self, index: usize, task: Task) {
+        if self.jobs[&task.job].deadly_task != Some(task) {
+            return;
+        }
+        let due = at(self.now_ms + CRASH_DELAY_MS);
+        let host = &mut self.hosts[index];
+        host.crash_at = host.crash_at.min(due);
+        if self.crash_counts.get(&task).copied().unwrap_or(0) >= CRASHES_MAX {
+            let starts = self.late_starts.entry(task).or_default();
+            *starts += 1;
+            assert!(
+                *starts <= STARTS_MAX,
+                "{task} is started again after {CRASHES_MAX} workers have crashed under it"
+            );
+        }
     }
 
     fn advance(&mut self) {
@@ -353,6 +449,7 @@
     }
 
     fn run_worker(&mut self, index: usize) {
+        self.crash_worker(index);
         let now = self.time();
         for (task, ending) in self.hosts[index].worker.advance(now) {
             if ending == Ending::Done {
@@ -389,6 +486,9 @@
                 let key = (start.task, start.attempt);
                 let worker = &mut self.hosts[index].worker;
                 let outcome = worker.start(key, epoch, lease_until, random, now);
+                if outcome == CallOutcome::Done {
+                    self.start_deadly_task(index, key.0);
+                }
                 let outcome = if is_lost {
                     CallOutcome::Unknown
                 } else {
@@ -677,13 +777,23 @@
         }
     }
 
-    /// Checks that a job is recorded as failed only if one of its tasks has used up all attempts.
+    /// Checks that a job is recorded as failed only if one of its tasks has used up all attempts, or
+    /// workers have crashed under it, and that a deadly task is never recorded as done.
     fn check_failed(&self) {
         let attempts_max = queue().attempts_max;
         for (id, record) in &self.jobs {
+            let is_deadly = record.deadly_task.is_some();
+            assert!(
+                !is_deadly || record.progress.state != State::Done,
+                "{id} is recorded as done, but a task crashes each worker"
+            );
             if record.progress.state != State::Failed {
                 continue;
             }
+            let crashes = self.crash_counts.iter().filter(|(task, _)| task.job == *id);
+            if crashes.map(|(_, crashes)| *crashes).max() >= Some(CRASHES_MIN) {
+                continue;
+            }
             let tasks = self
                 .failure_counts
                 .iter()
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns the ends that the worker still lists.
+    pub fn unacknowledged_ends(&self) -> impl Iterator<Item = &End> {
+        self.finished.iter()
+    }
+
     /// Advances the worker to `now`. Returns the tasks that are done or have failed.
     pub fn advance(&mut self, now: Time) -> Vec<(Task, Ending)> {
         let mut ended_tasks = Vec::new();
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -22,14 +22,16 @@
 
 fn simulate(seed: u64) -> Simulation {
     println!("TOUCANQUAY_GRAPH_SEED={seed}");
-    let mut simulation = Simulation::new(seed, 3 + seed % 4).with_busy_workers(seed);
+    let mut simulation =
+        Simulation::new(seed, 3 + seed % 4).with_busy_workers_and_deadly_tasks(seed);
     simulation.run(FAULTS_MS);
     simulation
 }
 
 /// Guards against tasks that run twice, overcommitted workers, steps that run out of order, and
 /// jobs that are lost or shown as done too early. Owners, companions and workers crash, pause and
-/// are partitioned meanwhile, workers turn calls away, and orders are executed late.
+/// are partitioned meanwhile, workers turn calls away, tasks crash their workers, and orders are
+/// executed late.
 #[test]
 fn invariants_hold_under_faults() {
     let first = env_number("TOUCANQUAY_GRAPH_SEED");
@@ -46,7 +48,13 @@
         .iter()
         .map(|simulation| simulation.stops_turned_away);
     let turned_away: u64 = turned_away.sum();
-    println!("{faults} faults, {starts} starts, {turned_away} stops turned away");
+    let crashes = simulations
+        .iter()
+        .map(|simulation| simulation.deadly_crashes);
+    let crashes: u64 = crashes.sum();
+    println!(
+        "{faults} faults, {starts} starts, {turned_away} stops turned away, {crashes} crashes"
+    );
     assert!(
         faults > 0 && starts > faults,
         "the simulations inject faults and start attempts"
@@ -55,6 +63,10 @@
         turned_away > 0 || first.is_some(),
         "busy workers turn stops away"
     );
+    assert!(
+        crashes > 0 || first.is_some(),
+        "deadly tasks crash their workers"
+    );
 }
 
 /// Guards against regressions that these seeds reveal: a start that reached a restarted worker (0),
--- a/crates/model/src/graph/task_progress.rs
+++ b/crates/model/src/graph/task_progress.rs
@@ -6,7 +6,7 @@
 
 use super::Place;
 
-/// Failed attempts and the last checkpoint of one task.
+/// Failed attempts, suspect attempts and the last checkpoint of one task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskProgress {
     /// Position of the task within the job that the record belongs to.
@@ -14,6 +14,9 @@
     /// Numbers of the failed attempts. They are listed, not counted, because the end of an attempt
     /// may be reported again after it was recorded.
     pub failed: SmallVec<[u64; 2]>,
+    /// Numbers of the attempts that are suspects of the crashes of their workers.
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    pub crashed: SmallVec<[u64; 2]>,
     /// Last checkpoint of an attempt that has ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
--- a/crates/model/src/session.rs
+++ b/crates/model/src/session.rs
@@ -4,6 +4,7 @@
 //! as an [`Update`] after every change, and at least once per heartbeat interval.
 
 mod attempt_status;
+mod crash;
 mod effect;
 mod end;
 mod ending;
@@ -12,10 +13,12 @@
 mod rejection;
 mod start;
 mod stop;
+mod suspect;
 mod update;
 mod worker;
 
 pub use attempt_status::{AttemptStatus, Phase};
+pub use crash::Crash;
 pub use effect::InterferenceEffect;
 pub use end::End;
 pub use ending::Ending;
@@ -24,5 +27,6 @@
 pub use rejection::Rejection;
 pub use start::Start;
 pub use stop::Stop;
+pub use suspect::Suspect;
 pub use update::Update;
 pub use worker::Worker;
--- a/crates/model/src/session/attempt_status.rs
+++ b/crates/model/src/session/attempt_status.rs
@@ -25,6 +25,9 @@
     pub gauge_min: u32,
     /// Share of full speed that the agent currently allows, in percent.
     pub pace_percent: u8,
+    /// Whether the worker has outlived the start of the attempt, so that the attempt is no longer a
+    /// suspect if the worker crashes.
+    pub has_survived_start: bool,
 }
 
 /// Phase of an attempt.
--- a/crates/model/src/session/orders.rs
+++ b/crates/model/src/session/orders.rs
@@ -23,6 +23,8 @@
     pub worker: Incarnation,
     /// Attempt ends up to this sequence number are recorded durably.
     pub acknowledged: u64,
+    /// Crashes of the worker up to this incarnation are recorded durably.
+    pub crashes_acknowledged: Incarnation,
     /// Attempts to start.
     pub starts: Vec<Start>,
     /// Attempts to stop.
--- a/crates/model/src/session/start.rs
+++ b/crates/model/src/session/start.rs
@@ -20,4 +20,7 @@
     pub checkpoint: Option<String>,
     /// Resource profile of the attempt.
     pub profile: Profile,
+    /// Whether the task is a suspect, so that the owner waits to learn whether the worker outlives
+    /// the start.
+    pub is_probe: bool,
 }
--- a/crates/model/src/session/update.rs
+++ b/crates/model/src/session/update.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AttemptStatus, End, Worker};
+use super::{AttemptStatus, Crash, End, Worker};
 use crate::{Epoch, Incarnation, Time};
 
 /// Complete state of a worker as known to its agent.
@@ -34,4 +34,6 @@
     pub runs: Vec<AttemptStatus>,
     /// Attempt ends that are not yet acknowledged.
     pub ends: Vec<End>,
+    /// Crashes of the worker that are not yet acknowledged.
+    pub crashes: Vec<Crash>,
 }
--- a/crates/model/tests/compact.rs
+++ b/crates/model/tests/compact.rs
@@ -28,6 +28,7 @@
         payload: Arc::from(payload),
         checkpoint: None,
         profile: Profile::default(),
+        is_probe: false,
     }
 }
 
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -17,8 +17,8 @@
 const LIST_WAIT_MS: u64 = 500;
 
 /// Long-poll timeout while attempts are paced by the latency that the worker reports, which it
-/// updates every 250 ms.
-const PACED_WAIT_MS: u64 = 125;
+/// updates every 250 ms, or while the owner waits to learn whether the worker outlives a start.
+const URGENT_WAIT_MS: u64 = 125;
 
 /// Time to wait for ended attempts to be acknowledged before the next list. A list returns at once
 /// while any are unacknowledged.
@@ -43,9 +43,14 @@
             // The wait ends early when the owner's acknowledgement arrives.
             let _ = timeout(ACKNOWLEDGEMENT_TIMEOUT, shared.list_needed.notified()).await;
         }
-        let wait_ms = match shared.runner().needs_pacing() {
-            true => PACED_WAIT_MS,
-            false => LIST_WAIT_MS,
+        let is_urgent = {
+            let runner = shared.runner();
+            runner.needs_pacing() || runner.has_probe()
+        };
+        let wait_ms = if is_urgent {
+            URGENT_WAIT_MS
+        } else {
+            LIST_WAIT_MS
         };
         match renew_lease(&shared, wait_ms).await {
             Reply::Attempts(list) => {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -239,6 +239,20 @@
                 warn!(log, "worker_lost"; "host" => host, "reason" => ?reason,
                     "attempts" => attempts, "epoch" => epoch);
             }
+            SchedulerEvent::Suspected {
+                task,
+                attempt,
+                host,
+                crashes,
+                suspects,
+            } => {
+                warn!(log, "task_suspected"; "task" => %task, "attempt" => attempt,
+                    "host" => host, "crashes" => crashes, "suspects" => suspects,
+                    "epoch" => epoch);
+            }
+            SchedulerEvent::Cleared { task } => {
+                info!(log, "task_cleared"; "task" => %task, "epoch" => epoch);
+            }
             SchedulerEvent::Draining { host, moved } => {
                 info!(log, "worker_draining"; "host" => host, "moved" => moved, "epoch" => epoch);
             }
@@ -265,6 +279,7 @@
                 meters::count_task_placed();
                 info!(self.shared.log, "task_placed"; "task" => %start.task,
                     "attempt" => start.attempt, "host" => name, "epoch" => self.epoch,
+                    "is_probe" => start.is_probe,
                     "milli" => start.profile.occupied.processors_milli,
                     "uses_idle" => start.profile.uses_idle,
                     "latency_target_ms" => start.profile.latency_target_ms);
--- a/crates/wire/src/delta/change.rs
+++ b/crates/wire/src/delta/change.rs
@@ -21,6 +21,8 @@
     pub gauge_min: u32,
     /// Allowed share of full speed, in percent.
     pub pace_percent: u8,
+    /// Whether the worker has outlived the start.
+    pub has_survived_start: bool,
 }
 
 impl Change {
@@ -34,6 +36,7 @@
             gauge: status.gauge,
             gauge_min: status.gauge_min,
             pace_percent: status.pace_percent,
+            has_survived_start: status.has_survived_start,
         }
     }
 
@@ -46,5 +49,6 @@
         status.gauge = self.gauge;
         status.gauge_min = self.gauge_min;
         status.pace_percent = self.pace_percent;
+        status.has_survived_start = self.has_survived_start;
     }
 }
--- a/crates/wire/src/delta/decoder.rs
+++ b/crates/wire/src/delta/decoder.rs
@@ -27,6 +27,7 @@
             last: Update {
                 runs: Vec::new(),
                 ends: Vec::new(),
+                crashes: Vec::new(),
                 ..first.clone()
             },
         }
@@ -59,6 +60,7 @@
         Ok(Update {
             runs: self.attempts.values().cloned().collect(),
             ends: delta.ends,
+            crashes: delta.crashes,
             ..self.last.clone()
         })
     }
--- a/crates/wire/src/delta/encoder.rs
+++ b/crates/wire/src/delta/encoder.rs
@@ -65,7 +65,9 @@
                 added.push((self.add(&status), status));
                 continue;
             };
-            let is_due = is_complete || sent.status.phase != status.phase;
+            let is_due = is_complete
+                || sent.status.phase != status.phase
+                || sent.status.has_survived_start != status.has_survived_start;
             if is_due && sent.status != status {
                 changed.push(Change::new(sent.slot, &sent.status, &status));
                 sent.status = status;
@@ -85,6 +87,7 @@
             changed,
             removed,
             ends,
+            crashes: update.crashes,
         }
     }
 
--- a/crates/wire/src/delta/message.rs
+++ b/crates/wire/src/delta/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use toucanquay_model::{
     Epoch, Time,
-    session::{AttemptStatus, End, Worker},
+    session::{AttemptStatus, Crash, End, Worker},
 };
 
 use super::Change;
@@ -33,4 +33,6 @@
     pub removed: Vec<u32>,
     /// Attempt ends that were not sent before.
     pub ends: Vec<End>,
+    /// Crashes of the worker that are not yet acknowledged.
+    pub crashes: Vec<Crash>,
 }
--- a/crates/wire/tests/delta.rs
+++ b/crates/wire/tests/delta.rs
@@ -29,6 +29,7 @@
         gauge,
         gauge_min: 3,
         pace_percent: 100,
+        has_survived_start: true,
     }
 }
 
@@ -66,6 +67,7 @@
         worker: Some(worker(1)),
         runs,
         ends,
+        crashes: Vec::new(),
     }
 }
 
