scheduler: release the tasks of a worker that ended with its agent

A host that loses power restarts its agent first. Its updates carry no worker until the next life of the worker announces itself. What callers would see: the tasks that ran there stay `running` and are started nowhere until the worker returns, however long that takes. If only the agent is reached and the worker never returns, they never run again.

Cause: the owner took silence for life. An update without a worker moved the bound of the lease, and only a disconnected host could expire. The orders that answered such an update extended the worker's lease as well, also past the 6.4 s after which a new owner stops waiting for the host.

An update without a worker now moves neither the bound nor the time stamp that leases count from, and a host without a worker expires like a disconnected one. No lease can outlast the bound, because no order extends it meanwhile.

--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -33,7 +33,8 @@
     /// The agent has restarted since the host's attempts were last compared with its update.
     pub(super) is_agent_restarted: bool,
     pub(super) update_number: u64,
-    /// Agent's own time when it sent the last processed update.
+    /// Agent's own time when it sent the last processed update; zero if that has no worker, so that
+    /// orders extend no lease.
     pub(super) update_stamp: Time,
     /// Time after which every lease of the host has ended, so that none of its attempts can still
     /// be running.
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -27,8 +27,14 @@
         host.is_agent_restarted |= is_agent_restarted;
         host.agent_incarnation = update.process;
         host.update_number = update.number;
-        host.update_stamp = update.stamp;
-        host.lease_end_bound = self.settings.lease_end_bound(now);
+        if update.worker.is_some() {
+            host.update_stamp = update.stamp;
+            host.lease_end_bound = self.settings.lease_end_bound(now);
+        } else {
+            // The orders must not extend a lease that the owner can't tell to be of use: the worker
+            // may have ended together with the former agent, and then nobody reports its end.
+            host.update_stamp = Time::ZERO;
+        }
         self.apply_worker(key, update, is_agent_restarted, now);
         if update.worker.is_some() {
             self.apply_ends(key, update, now);
@@ -50,10 +56,11 @@
         }
     }
 
-    /// Releases the attempts on disconnected hosts whose leases have ended.
+    /// Releases the attempts on hosts whose leases have ended: those that are disconnected, and
+    /// those whose agent doesn't know its worker.
     pub(super) fn expire_hosts(&mut self, now: Time) {
         let is_expired = |host: &super::Host| {
-            !host.is_connected
+            (!host.is_connected || host.worker.is_none())
                 && now >= host.lease_end_bound
                 && (host.worker.is_some() || !host.runs.is_empty())
         };
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
+    Time,
     graph::{Id, Progress, Schedule, State, Step},
     session::{Ending, Phase, Rejection},
 };
@@ -550,3 +551,36 @@
     assert_eq!(second.job_state(Id::new(1)), Some(State::Running));
     assert_eq!(again.starts.len(), 1);
 }
+
+/// Guards against tasks that wait for the return of a worker that ended together with its agent.
+#[rstest]
+#[case::while_the_lease_lasts(6_000, 0)]
+#[case::after_the_lease(6_900, 1)]
+fn task_of_a_worker_that_ended_with_its_agent_is_started_elsewhere(
+    #[case] millis: u64,
+    #[case] starts: usize,
+) {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(1));
+    scheduler.disconnect("h1");
+    scheduler.connect("h1");
+    let mut successor = update("h1", 1);
+    successor.process = 2;
+    successor.worker = None;
+    let mut elsewhere = 0;
+    let mut lease_begins = Vec::new();
+    for now in (400..=millis).step_by(100).map(at) {
+        scheduler.update(&successor, now);
+        successor.number += 1;
+        successor.stamp = now;
+        lease_begins.push(orders(&mut scheduler, "h1", now).stamp);
+        elsewhere += orders(&mut scheduler, "h2", now).starts.len();
+    }
+
+    assert_eq!(started.starts.len(), 1);
+    assert_eq!(elsewhere, starts);
+    assert!(lease_begins.iter().all(|begin| *begin == Time::ZERO));
+}
