scheduler: keep an expired job until its removal is confirmed

Cause: an order was taken as settled when it was sent. The owner forgot a job 180 s after its end and had its keys removed by one attempt. If the store answered 503 or 429, or not at all, the keys stayed. When the store then discarded its history (410 to the watch), the owner listed the accepted jobs anew, and one that it had forgotten counted as new, without the progress that says it is done.

As long as the keys exist, the job is known, so reading them again has no effect. This also repeats a removal that failed; until now only a later owner did.

Left: a list that is read before the removal and handled after its confirmation.

Evidence: `expired_job_that_is_still_stored_is_not_run_again` failed before with a second start of the task.

--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Removes jobs whose retention has passed. [`Self::take_expired_jobs`] returns them, so that
-    /// the caller can delete their records.
+    /// Collects the jobs whose retention has passed. [`Self::take_expired_jobs`] returns them, so
+    /// that the caller can delete their records.
     pub(super) fn sweep(&mut self, now: Time) {
         let retention = self.settings.retention_micros;
         let is_expired = |job: &Job| {
@@ -170,22 +170,26 @@
             let over_at = job.over_at.unwrap_or(Time::NEVER);
             is_recorded && now >= over_at.plus_micros(retention)
         };
-        let expired: Vec<JobKey> = self
+        let expired = self
             .jobs
-            .iter()
-            .filter(|(_, job)| is_expired(job) && job.active_runs().is_empty())
-            .map(|(key, _)| key)
-            .collect();
-        for key in expired {
-            if let Some(job) = self.jobs.remove(key) {
-                self.job_keys.remove(&job.id);
-                self.expired_jobs.push(job.id);
-            }
-        }
+            .values()
+            .filter(|job| is_expired(job) && job.active_runs().is_empty());
+        self.expired_jobs = expired.map(|job| job.id).collect();
     }
 
-    /// Returns the jobs that were removed since the last call and whose records can be deleted.
+    /// Returns the jobs whose records can be deleted. They are returned again after each sweep
+    /// until [`Self::forget_jobs`] confirms the deletion.
     pub fn take_expired_jobs(&mut self) -> Vec<Id> {
         std::mem::take(&mut self.expired_jobs)
     }
+
+    /// Forgets jobs whose records are deleted. A job must be known for as long as its records
+    /// exist: otherwise, one that is read again would count as new and run again.
+    pub fn forget_jobs(&mut self, ids: &[Id]) {
+        for id in ids {
+            if let Some(key) = self.job_keys.remove(id) {
+                self.jobs.remove(key);
+            }
+        }
+    }
 }
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -584,3 +584,27 @@
     assert_eq!(elsewhere, starts);
     assert!(lease_begins.iter().all(|begin| *begin == Time::ZERO));
 }
+
+/// Guards against running a job a second time that is read from the store again because its removal
+/// failed.
+#[test]
+fn expired_job_that_is_still_stored_is_not_run_again() {
+    let mut scheduler = owner(1, &["h1"]);
+    let job = accepted_job(vec![step(1)]);
+    scheduler.accept(Id::new(1), job.clone(), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    let attempt = started.starts[0].attempt;
+    let mut done = update("h1", 2);
+    done.applied = started.number;
+    done.ends.push(end(1, task(1, 0, 0), attempt, Ending::Done));
+    scheduler.update(&done, at(100));
+    commit_changes(&mut scheduler, 9, at(200));
+    scheduler.tick(at(200_000));
+    let expired = scheduler.take_expired_jobs();
+    scheduler.accept(Id::new(1), job, at(200_001));
+
+    let again = orders(&mut scheduler, "h1", at(200_002));
+
+    assert_eq!(expired, [Id::new(1)]);
+    assert!(again.starts.is_empty(), "{again:?}");
+}
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -140,6 +140,7 @@
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
+            Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
             Event::Superseded => self.is_superseded = true,
         }
     }
@@ -161,6 +162,7 @@
         if !expired.is_empty() {
             tokio::spawn(record::remove_jobs(
                 self.shared.clone(),
+                self.mailbox.clone(),
                 self.fence,
                 expired,
             ));
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -35,6 +35,8 @@
     CommitSucceeded(Revision),
     /// A commit of job records was rejected. Contains the current revisions of the records.
     CommitRejected(Vec<(Id, Revision)>),
+    /// The records of expired jobs were removed.
+    JobsRemoved(Vec<Id>),
     /// Another owner has taken over.
     Superseded,
 }
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -103,8 +103,13 @@
     Event::CommitRejected(ids.collect())
 }
 
-/// Removes the keys of expired jobs.
-pub(super) async fn remove_jobs(shared: Arc<Shared>, fence: Revision, ids: Vec<Id>) {
+/// Removes the keys of expired jobs, and reports the removals that succeeded to the owner.
+pub(super) async fn remove_jobs(
+    shared: Arc<Shared>,
+    mailbox: mpsc::Sender<Event>,
+    fence: Revision,
+    ids: Vec<Id>,
+) {
     for ids in ids.chunks(JOBS_PER_REMOVAL_MAX) {
         let mut transaction = Transaction::default().expect_revision(key::FENCE, fence);
         for id in ids {
@@ -112,9 +117,15 @@
             transaction = keys.into_iter().fold(transaction, Transaction::remove);
         }
         let deadline = Instant::now() + CALL_TIMEOUT;
-        if let Err(error) = shared.store.commit(transaction, deadline).await {
-            // The next owner finds the jobs in the store and removes them once they expire.
-            debug!(shared.log, "removal_failed"; "error" => %error);
+        match shared.store.commit(transaction, deadline).await {
+            Ok(Commit::Done(_)) => {
+                // Sending fails only if the owner has stopped.
+                let _ = mailbox.send(Event::JobsRemoved(ids.to_vec())).await;
+            }
+            // Another owner has taken over and removes the jobs.
+            Ok(Commit::Conflict(_)) => return,
+            // The owner removes the jobs again after its next sweep.
+            Err(error) => debug!(shared.log, "removal_failed"; "error" => %error),
         }
     }
 }
