treat sums of numbers from outside as saturating

What callers would see: one job, or one message of a worker, takes the owner down, and each of its successors that loads the job; without checks of overflow, a job of `u64::MAX` milliseconds counts as one of none, and a worker with much time left is evacuated at once.

A build with checks of overflow panics there; the release build wraps. In the companion the panic also poisons the lock of the runner.

A worker's start time at the upper end is the one case in which late messages of an ended life could count.

The release build was not run.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -139,7 +139,7 @@
         self.runs.clear();
         self.ends.clear();
         // Later messages of the same incarnation are delayed ones and must be ignored.
-        self.incarnation += 1;
+        self.incarnation = self.incarnation.saturating_add(1);
         self.reset_incarnation();
     }
 
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -188,7 +188,8 @@
             } else {
                 step.estimate_ms
             };
-            finish_ms.push(start_ms.max().copied().unwrap_or(0) + own_ms);
+            let start_ms = start_ms.max().copied().unwrap_or(0);
+            finish_ms.push(start_ms.saturating_add(own_ms));
         }
         self.remaining_path_ms = finish_ms.into_iter().max().unwrap_or(0);
     }
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -134,7 +134,7 @@
     fn evacuate(&mut self, key: HostKey, now: Time) {
         let host = &self.hosts[key];
         let remaining_ms = host.worker.as_ref().and_then(|worker| worker.remaining_ms);
-        let remaining_micros = remaining_ms.unwrap_or(0) * 1_000;
+        let remaining_micros = remaining_ms.unwrap_or(0).saturating_mul(1_000);
         let name = host.name.clone();
         let stops_before = host.stops.len();
         for run_key in host.runs.clone() {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -458,3 +458,20 @@
 
     assert!(!update.is_settled);
 }
+
+/// Guards against a companion that ends because its worker announces an absurd start time.
+#[test]
+fn absurd_incarnation_of_a_worker_is_handled() {
+    let mut runner = runner(1);
+    runner.record_heartbeat(Heartbeat {
+        worker: Worker {
+            incarnation: u64::MAX,
+            ..graph::worker()
+        },
+        ..heartbeat(1)
+    });
+
+    runner.deregister_worker("w");
+
+    assert!(runner.next_update(at(1)).worker.is_none());
+}
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -12,7 +12,7 @@
 use toucanquay_model::{
     Time,
     graph::{Id, Progress, Schedule, State, Step},
-    session::{Ending, Phase, Rejection},
+    session::{Ending, Phase, Rejection, Worker},
 };
 
 /// Returns the scheduler of an owner that has taken over a job with one task and does not wait for
@@ -608,3 +608,53 @@
     assert_eq!(expired, [Id::new(1)]);
     assert!(again.starts.is_empty(), "{again:?}");
 }
+
+/// Guards against an owner that ends because a worker announces an absurd remaining time.
+#[test]
+fn absurd_remaining_time_of_a_draining_worker_is_handled() {
+    let mut scheduler = owner(1, &["h1"]);
+    let checkpointed = Step {
+        has_checkpoints: true,
+        ..step(1)
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![checkpointed]), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    let mut running = update("h1", 2);
+    running.applied = started.number;
+    let attempt = started.starts[0].attempt;
+    let status = attempt_status(task(1, 0, 0), attempt, Phase::Running);
+    running.runs.push(status);
+    scheduler.update(&running, at(50));
+    let mut draining = running;
+    draining.number = 3;
+    draining.worker = Some(Worker {
+        is_draining: true,
+        remaining_ms: Some(u64::MAX),
+        ..worker()
+    });
+    scheduler.update(&draining, at(100));
+
+    let after = orders(&mut scheduler, "h1", at(101));
+
+    assert!(after.stops.is_empty(), "the task ends in time: {after:?}");
+}
+
+/// Guards against an owner that ends, or mistakes a long job for a short one, because of absurd
+/// estimates.
+#[test]
+fn absurd_estimates_of_a_job_are_handled() {
+    let mut scheduler = owner(1, &["h1"]);
+    let first = Step {
+        estimate_ms: u64::MAX,
+        ..step(1)
+    };
+    let second = Step {
+        after: [0].into_iter().collect(),
+        ..first.clone()
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![first, second]), at(0));
+
+    let started = orders(&mut scheduler, "h1", at(1));
+
+    assert_eq!(started.starts.len(), 1);
+}
--- a/crates/model/src/graph/job.rs
+++ b/crates/model/src/graph/job.rs
@@ -51,7 +51,8 @@
                 .after
                 .iter()
                 .filter_map(|index| finish_ms.get(usize::from(*index)));
-            finish_ms.push(dependency_finish_ms.max().copied().unwrap_or(0) + step.estimate_ms);
+            let start_ms = dependency_finish_ms.max().copied().unwrap_or(0);
+            finish_ms.push(start_ms.saturating_add(step.estimate_ms));
         }
         finish_ms.into_iter().max().unwrap_or(0)
     }
