entry: release the owner's role also after a lost renewal

What callers would see: after a planned stop of the owner, nothing is placed for 2 s instead of some milliseconds.

Cause: "try again" was merged with "yes" and with "no". The release was sent once. A conflict counted as released, although it only means that an earlier renewal was applied whose answer was lost; and a 503 or 429, after which nothing was done, ended the attempt.

The release now takes the present revision from a conflict, as renewals do, repeats after an error, and gives up when the term has expired anyway. The owner has stopped before the first attempt, so repeating can't make two owners act.

--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -8,7 +8,7 @@
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
-use toucanquay_model::{Epoch, Error, Revision, Time};
+use toucanquay_model::{Error, Revision, Time};
 
 use super::{Shared, candidates, owner, term::Term};
 use crate::{
@@ -262,12 +262,27 @@
         .await
 }
 
-async fn release(shared: &Shared, mut term: Term, revision: Revision) {
+/// Marks the key as released, so that another entry takes over at once. Retries until the outcome
+/// is known or the ownership has expired.
+async fn release(shared: &Shared, mut term: Term, mut revision: Revision) {
     term.is_released = true;
-    let epoch: Epoch = term.epoch;
-    match renew(shared, &term, revision).await {
-        Ok(_) => info!(shared.log, "ownership_released"; "epoch" => epoch),
-        Err(error) => warn!(shared.log, "release_failed"; "epoch" => epoch, "error" => %error),
+    let expires_at = shared.clock.now().plus_micros(OWNERSHIP_MICROS);
+    while shared.clock.now() < expires_at {
+        match renew(shared, &term, revision).await {
+            Ok(Commit::Done(_)) => {
+                info!(shared.log, "ownership_released"; "epoch" => term.epoch);
+                return;
+            }
+            Ok(Commit::Conflict(items)) => match own_revision(&items, &term) {
+                // An earlier renewal or release was applied although its response was lost.
+                Some(current) => revision = current,
+                None => return,
+            },
+            Err(error) => {
+                warn!(shared.log, "release_failed"; "epoch" => term.epoch, "error" => %error);
+                sleep(RETRY_DELAY).await;
+            }
+        }
     }
 }
 
