entry: end the registration of candidates before removing it

What callers would see: an entry that has left is still listed as a candidate for the owner's role. Smaller entries leave it a head start of 400 ms in each election until it returns, and the owner asks it every 5 s.

Cause: two tasks acted on one key. `drain` removed the registration while the task that lists the candidates ran on until the process ended, 2.6 s or more later. When its list fell into this time (one stop in four, with 10 s between lists), it found the registration missing and wrote it again.

One task now does both: it stops listing when the entry drains, and then removes the registration, so that no write of its own can follow.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -88,7 +88,7 @@
     pub async fn drain(&self) {
         info!(self.shared.log, "entry_draining");
         self.shared.drain.cancel();
-        let deregistered = candidates::deregister(&self.shared);
+        let deregistered = self.shared.deregistered.cancelled();
         let released = self.shared.released.cancelled();
         let handed_over = async { tokio::join!(deregistered, released) };
         let _ = timeout_at(Instant::now() + HANDOVER_TIMEOUT, handed_over).await;
--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use slog::{debug, info};
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, timeout};
 use toucanquay_model::Error;
 use toucanquay_wire::{
     Frame,
@@ -29,9 +29,9 @@
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Runs until the entry stops.
+/// Runs until the entry drains, and then removes its registration.
 pub(super) async fn run(shared: Arc<Shared>) {
-    loop {
+    while !shared.drain.is_cancelled() {
         let delay = match refresh(&shared).await {
             Ok(true) => LIST_INTERVAL,
             Ok(false) => FIRST_LIST_INTERVAL,
@@ -40,14 +40,22 @@
                 FIRST_LIST_INTERVAL
             }
         };
-        sleep(delay).await;
+        let drained = shared.drain.cancelled();
+        // It returns early when the entry drains.
+        let _ = timeout(delay, drained).await;
     }
+    deregister(&shared).await;
+    shared.deregistered.cancel();
 }
 
 /// Lists the candidates, and registers this entry unless it is listed. Returns whether it was
 /// listed.
 async fn refresh(shared: &Shared) -> Result<bool, Error> {
-    let (items, _) = shared.store.list(key::ENTRIES).await?;
+    let listing = shared.store.list(key::ENTRIES);
+    let Some(listed) = shared.drain.run_until_cancelled(listing).await else {
+        return Ok(false);
+    };
+    let (items, _) = listed?;
     let own_key = key::entry(&shared.settings.name);
     let own = own_candidate(shared);
     let candidates = items.iter().filter_map(|item| {
@@ -80,7 +88,7 @@
 }
 
 /// Removes the registration of this entry, which stops.
-pub(super) async fn deregister(shared: &Shared) {
+async fn deregister(shared: &Shared) {
     let removal = Transaction::default().remove(key::entry(&shared.settings.name));
     let deadline = Instant::now() + CALL_TIMEOUT;
     if let Err(error) = shared.store.commit(removal, deadline).await {
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -30,6 +30,8 @@
     pub(super) drain: CancellationToken,
     /// Cancelled after [`drain`](Self::drain), once ownership is released or if it wasn't held.
     pub(super) released: CancellationToken,
+    /// Cancelled after [`drain`](Self::drain), once the registration is removed.
+    pub(super) deregistered: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -57,6 +59,7 @@
             stop: CancellationToken::new(),
             drain: CancellationToken::new(),
             released: CancellationToken::new(),
+            deregistered: CancellationToken::new(),
             state: Mutex::default(),
         }
     }
