entry: repeat the removal of a silent host until its outcome is known

What callers would see: after one refused call, a host that is lost for good stays registered. Each later owner waits for it for 6.4 s before it restarts any task of older jobs; a task whose turn has come may wait 3 s (LOST).

Cause: an order was taken as settled when it was sent. The owner removed the address of a host after 20 s of silence by one attempt and forgot that it had to, whether the store did it, refused it (503, 429) or did not answer.

The removal is now repeated until its outcome is known. It names the revision of the registration, so that one that is carried out late does not remove the next registration, and it ends when the host is connected again.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -42,6 +42,8 @@
     sessions: HashMap<String, (Registration, JoinHandle<()>)>,
     /// Time since which each host without a session has been disconnected.
     disconnected_since: HashMap<String, Time>,
+    /// Removals of the registrations of silent hosts.
+    removals: HashMap<String, JoinHandle<()>>,
     background_tasks: Vec<JoinHandle<()>>,
     is_superseded: bool,
     gauges_due_at: Time,
@@ -80,6 +82,7 @@
             addresses: session::Addresses::default(),
             sessions: HashMap::new(),
             disconnected_since: HashMap::new(),
+            removals: HashMap::new(),
             is_superseded: false,
             gauges_due_at: Time::ZERO,
         };
@@ -120,6 +123,9 @@
                 info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
                 self.scheduler.connect(&name);
                 self.disconnected_since.remove(&name);
+                if let Some(removal) = self.removals.remove(&name) {
+                    removal.abort();
+                }
                 self.order_senders.insert(name, orders);
             }
             Event::Disconnected(name) => {
@@ -205,7 +211,8 @@
             info!(self.shared.log, "host_forgotten"; "host" => &host, "epoch" => self.epoch,
                 "silent_ms" => SILENT_HOST_TIMEOUT_MS);
             let (shared, fence) = (self.shared.clone(), self.fence);
-            tokio::spawn(record::remove_host(shared, fence, host));
+            let removal = tokio::spawn(record::remove_host(shared, fence, host.clone()));
+            self.removals.insert(host, removal);
         }
     }
 
@@ -334,7 +341,7 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        for task in &self.background_tasks {
+        for task in self.background_tasks.iter().chain(self.removals.values()) {
             task.abort();
         }
         for (_, task) in self.sessions.values() {
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -130,15 +130,43 @@
     }
 }
 
-/// Removes the registration of a host.
+/// Removes the registration of a host. Retries until it is removed, unless the host registers anew
+/// or another owner takes over.
 pub(super) async fn remove_host(shared: Arc<Shared>, fence: Revision, host: String) {
-    let transaction = Transaction::default().expect_revision(key::FENCE, fence);
+    let key = key::host(&host);
+    let mut removed_revision = None;
+    loop {
+        match try_remove_host(&shared, fence, &key, &mut removed_revision).await {
+            Ok(()) => return,
+            Err(error) => {
+                info!(shared.log, "forgetting_failed"; "host" => &host, "error" => %error);
+                sleep(RETRY_DELAY_MAX).await;
+            }
+        }
+    }
+}
+
+/// Removes a registration by its revision, so that a delayed removal can't affect a later one.
+async fn try_remove_host(
+    shared: &Shared,
+    fence: Revision,
+    key: &str,
+    removed_revision: &mut Option<Revision>,
+) -> Result<(), Error> {
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let commit = transaction.remove(key::host(&host));
-    if let Err(error) = shared.store.commit(commit, deadline).await {
-        // A later owner finds the registration and waits for the host for the duration of a lease.
-        info!(shared.log, "forgetting_failed"; "host" => host, "error" => %error);
+    let Some(item) = shared.store.get(key, deadline).await? else {
+        return Ok(());
+    };
+    if *removed_revision.get_or_insert(item.revision) != item.revision {
+        return Ok(());
     }
+    let transaction = Transaction::default()
+        .expect_revision(key::FENCE, fence)
+        .expect_revision(key, item.revision)
+        .remove(key);
+    // A conflict means that the host has registered anew or another owner has taken over.
+    shared.store.commit(transaction, deadline).await?;
+    Ok(())
 }
 
 fn encode(progress: &Progress) -> Vec<u8> {
