entry: give no orders to a host without a registration

What callers would see: around a change of the owner, a task runs on two workers at the same time (TWICE).

Cause: a new owner waits for the hosts that are registered, and restarts older tasks when these have reported. But the owner that removes the address of a host after 20 s of silence kept its session open for retries. When the host came back, it got tasks at once, while its companion restored the registration up to 15 s later. An owner that took over in between didn't know the host and started its tasks elsewhere, during their lease.

The removal of a registration now ends the session, as seen in the watch of the store, so that it has an order with later registrations. When it is removed, the host has been silent for longer than a lease. The next session begins with the next registration: a host that was silent for over 20 s may be used up to 15 s later than before.

Left: a removal in a history that the store has discarded isn't seen.

That two runs overlap was not played.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -119,6 +119,8 @@
         match event {
             Event::OwnershipExtended(until) => self.scheduler.extend_ownership(until),
             Event::ConfigurationChanged => self.apply_configuration(),
+            // The session was ended meanwhile.
+            Event::Connected(name, _) if !self.sessions.contains_key(&name) => {}
             Event::Connected(name, orders) => {
                 info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
                 self.scheduler.connect(&name);
@@ -144,6 +146,7 @@
             }
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
+            Event::HostRemoved(name) => self.forget_host(&name),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
             Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
@@ -308,6 +311,22 @@
         }
     }
 
+    /// Ends the session to a companion without a registration. A later owner would not wait for its
+    /// attempts.
+    fn forget_host(&mut self, name: &str) {
+        let Some((_, task)) = self.sessions.remove(name) else {
+            return;
+        };
+        task.abort();
+        self.scheduler.disconnect(name);
+        self.order_senders.remove(name);
+        self.disconnected_since.remove(name);
+        self.addresses
+            .lock()
+            .expect("the lock is never poisoned: no code panics while holding it")
+            .remove(name);
+    }
+
     /// Opens a session to a companion, replacing any session to a previous address.
     fn connect_host(&mut self, name: String, registration: Registration) {
         if self
@@ -317,11 +336,7 @@
         {
             return;
         }
-        if let Some((_, task)) = self.sessions.remove(&name) {
-            task.abort();
-            self.scheduler.disconnect(&name);
-            self.order_senders.remove(&name);
-        }
+        self.forget_host(&name);
         self.disconnected_since
             .insert(name.clone(), self.shared.clock.now());
         self.addresses
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -31,6 +31,8 @@
     Cancelled(Id),
     /// A companion was registered, or its registration has changed.
     HostRegistration(String, Registration),
+    /// The registration of a companion was removed.
+    HostRemoved(String),
     /// A commit of job records succeeded at this revision.
     CommitSucceeded(Revision),
     /// A commit of job records was rejected. Contains the current revisions of the records.
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -34,10 +34,19 @@
         let (id, accepted_job) = takeover::parse_accepted_job(item)?;
         Some(Event::Accepted(id, Box::new(accepted_job)))
     };
-    watch_prefix(&shared, &mailbox, key::INTAKE, start_revision, parse).await;
+    let ignore = |_key: &str| None;
+    watch_prefix(
+        &shared,
+        &mailbox,
+        key::INTAKE,
+        start_revision,
+        parse,
+        ignore,
+    )
+    .await;
 }
 
-/// Sends the registrations of companions to the owner until it stops.
+/// Sends the registrations of companions, and their removals, to the owner until it stops.
 pub(super) async fn watch_hosts(
     shared: Arc<Shared>,
     mailbox: mpsc::Sender<Event>,
@@ -47,7 +56,19 @@
         let (name, registration) = takeover::parse_host(item)?;
         Some(Event::HostRegistration(name, registration))
     };
-    watch_prefix(&shared, &mailbox, key::HOSTS, start_revision, parse).await;
+    let parse_removal = |key: &str| {
+        let name = key.strip_prefix(key::HOSTS)?;
+        Some(Event::HostRemoved(name.to_owned()))
+    };
+    watch_prefix(
+        &shared,
+        &mailbox,
+        key::HOSTS,
+        start_revision,
+        parse,
+        parse_removal,
+    )
+    .await;
 }
 
 async fn watch_prefix(
@@ -56,18 +77,25 @@
     prefix: &str,
     start_revision: Revision,
     parse: impl Fn(&Item) -> Option<Event>,
+    parse_removal: impl Fn(&str) -> Option<Event>,
 ) {
+    let parse_change = |change: &store::Event| match change {
+        store::Event::Written(item) => {
+            let event = parse(item);
+            if event.is_none() {
+                warn!(shared.log, "item_unreadable"; "key" => &item.key,
+                    "revision" => item.revision);
+            }
+            event
+        }
+        store::Event::Removed { key, .. } => parse_removal(key),
+    };
     let mut revision = Some(start_revision);
     loop {
-        match next_items(shared, prefix, revision).await {
-            Ok((items, next_revision)) => {
+        match next_changes(shared, prefix, revision).await {
+            Ok((changes, next_revision)) => {
                 revision = next_revision;
-                for item in &items {
-                    let Some(event) = parse(item) else {
-                        warn!(shared.log, "item_unreadable"; "key" => &item.key,
-                            "revision" => item.revision);
-                        continue;
-                    };
+                for event in changes.iter().filter_map(parse_change) {
                     if mailbox.send(event).await.is_err() {
                         return;
                     }
@@ -81,25 +109,20 @@
     }
 }
 
-/// Returns the items written since a revision, or all items if no revision is given.
-async fn next_items(
+/// Returns the changes since a revision, or all items if no revision is given.
+async fn next_changes(
     shared: &Shared,
     prefix: &str,
     revision: Option<Revision>,
-) -> Result<(Vec<Item>, Option<Revision>), Error> {
+) -> Result<(Vec<store::Event>, Option<Revision>), Error> {
     let Some(revision) = revision else {
         let (items, next_revision) = shared.store.list(prefix).await?;
-        return Ok((items, Some(next_revision)));
+        let changes = items.into_iter().map(store::Event::Written);
+        return Ok((changes.collect(), Some(next_revision)));
     };
     let deadline = Instant::now() + WATCH_TIMEOUT;
     match shared.store.watch(prefix, revision, deadline).await? {
-        Watch::Events { events, revision } => {
-            let written = events.into_iter().filter_map(|event| match event {
-                store::Event::Written(item) => Some(item),
-                store::Event::Removed { .. } => None,
-            });
-            Ok((written.collect(), Some(revision)))
-        }
+        Watch::Events { events, revision } => Ok((events, Some(revision))),
         Watch::Compacted => Ok((Vec::new(), None)),
     }
 }
