entry: repeat the removal of a stopping entry's registration

What callers would see: as with an entry that registers again while it stops: others leave the owner's role to an entry that has left, 400 ms in each election.

Cause: the removal was sent once, and a 503 or 429 ("nothing was done") or a lost answer counted as settled.

It is repeated until it is confirmed or the process ends.

--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use slog::{debug, info};
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout};
 use toucanquay_model::Error;
 use toucanquay_wire::{
     Frame,
@@ -26,6 +26,9 @@
 /// Interval between two lists until the first one that contains this entry.
 const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Delay before a failed removal is retried.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -87,16 +90,22 @@
     }
 }
 
-/// Removes the registration of this entry, which stops.
+/// Removes the registration of this entry, which stops. Retries until it is removed; otherwise, the
+/// other entries would leave this one a head start until it returns.
 async fn deregister(shared: &Shared) {
-    let removal = Transaction::default().remove(key::entry(&shared.settings.name));
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    if let Err(error) = shared.store.commit(removal, deadline).await {
-        // The other entries leave this one a head start until it returns.
+    while let Err(error) = remove_registration(shared).await {
         info!(shared.log, "candidate_not_removed"; "error" => %error);
+        sleep(RETRY_DELAY).await;
     }
 }
 
+async fn remove_registration(shared: &Shared) -> Result<(), Error> {
+    let removal = Transaction::default().remove(key::entry(&shared.settings.name));
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    shared.store.commit(removal, deadline).await?;
+    Ok(())
+}
+
 /// Returns whether one of the larger candidates is ready to become the owner.
 pub(super) async fn is_larger_candidate_ready(shared: &Shared) -> bool {
     for candidate in shared.larger_candidates() {
