companion: count only consecutive refused connections

What callers would see: the tasks of a worker that is alive start elsewhere while they run (TWICE), and the worker is not used again until its next life, because messages of its present one count as delayed.

Cause: two refused connections in a row mean that the worker's process has ended. An answer other than a list (503, 429, or none in time) between them didn't start the count anew, so an answer that means "try again" counted as none.

Each such answer now resets the count.

Evidence: `worker_that_answers_between_refused_connections_is_kept` failed before: the worker was reported as gone.

--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -59,7 +59,10 @@
                 }
                 let _ = timeout(RETRY_DELAY, shared.list_needed.notified()).await;
             }
-            Reply::Outcome(_) => sleep(RETRY_DELAY).await,
+            Reply::Outcome(_) => {
+                refusals = 0;
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/node/tests/companion.rs
@@ -0,0 +1,99 @@
+//! Tests of the companion process with a scripted worker.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+};
+
+use futures_util::FutureExt;
+use slog::{Discard, Logger, o};
+use tokio::time::{Duration, sleep, timeout};
+use toucanquay_control::runner::{AttemptList, CallOutcome, Heartbeat};
+use toucanquay_model::{Error, ErrorKind, Resources, Time, session};
+use toucanquay_node::{Clock, Companion, Store, Worker, companion, worker::Reply};
+use toucanquay_wire::{Client, Frame};
+
+/// Incarnation of the worker.
+const INCARNATION: u64 = 1_000;
+
+/// Returns a store that refuses all calls.
+fn refusing_store() -> Store {
+    Store::new(|_call, _deadline| async { Err(Error::new(ErrorKind::StoreUnavailable)) }.boxed())
+}
+
+/// Returns a worker whose first reply is an empty list. After that, it refuses every other
+/// connection.
+fn worker_that_refuses_every_other_connection() -> Worker {
+    let calls = AtomicUsize::new(0);
+    Worker::new(move |_call, _deadline| {
+        let reply = match calls.fetch_add(1, Ordering::Relaxed) {
+            0 => Reply::Attempts(empty_list(Clock.now())),
+            call if call % 2 == 1 => Reply::ConnectionRefused,
+            _ => Reply::Outcome(CallOutcome::Refused),
+        };
+        async move { reply }.boxed()
+    })
+}
+
+fn empty_list(called_at: Time) -> AttemptList {
+    AttemptList {
+        incarnation: INCARNATION,
+        called_at,
+        ..AttemptList::default()
+    }
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        id: "w".to_owned(),
+        sequence: 1,
+        worker: session::Worker {
+            incarnation: INCARNATION,
+            pool: "desk".to_owned(),
+            capacity: Resources::ZERO,
+            labels: Default::default(),
+            is_draining: false,
+            remaining_ms: None,
+        },
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
+    listener.local_addr().expect("the bound address")
+}
+
+/// Returns the worker in the first update of a session.
+async fn reported_worker(address: SocketAddr) -> Option<session::Worker> {
+    let client = Client::connect(address).await.expect("a connection");
+    let mut stream = client.open().await.expect("a stream");
+    let opened = stream.send(&Frame::Session(1)).await;
+    opened.expect("the session frame is sent");
+    let frame = timeout(Duration::from_secs(5), stream.recv()).await;
+    match frame.expect("an update within 5 s") {
+        Ok(Some(Frame::Update(update))) => update.worker,
+        other => panic!("not an update: {other:?}"),
+    }
+}
+
+/// Guards against a worker that answers between refused connections and is regarded as gone, so
+/// that its tasks start elsewhere while they run.
+#[tokio::test]
+async fn worker_that_answers_between_refused_connections_is_kept() {
+    let settings = companion::Settings {
+        name: "h".to_owned(),
+        process: 1,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let worker = worker_that_refuses_every_other_connection();
+    let log = Logger::root(Discard, o!());
+    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
+    let companion = companion.expect("the companion starts");
+    companion.record_heartbeat(heartbeat());
+    sleep(Duration::from_millis(1_500)).await;
+
+    let worker = reported_worker(address).await;
+
+    assert!(worker.is_some(), "the worker is regarded as gone");
+}
