companion: repeat the removal of a leaving host's registration

What callers would see: a host that has left stays registered, so an owner that takes over within the next 20 s waits 6.4 s for it before it restarts tasks of older jobs.

Cause: the removal was sent once; a 503 or 429 ("nothing was done") ended it, and a conflict, which means that another registration is in place, counted as removed.

It is repeated for up to 3 s, which leaves the rest of the grace period to the last call. If that fails, the owner still removes the host after 20 s of silence.

Evidence: `host_that_leaves_is_removed_although_the_store_refuses_once` failed before: the key existed after the exit.

--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -4,10 +4,14 @@
 
 use slog::{debug, info};
 use tokio::time::{Duration, Instant, sleep};
-use toucanquay_model::Error;
+use toucanquay_model::{Error, ErrorKind};
 
 use super::Shared;
-use crate::{entry::Registration, key, store::Transaction};
+use crate::{
+    entry::Registration,
+    key,
+    store::{Commit, Transaction},
+};
 
 /// Timeout of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -15,6 +19,10 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Time after which a stopping companion gives up the removal of its registration. It leaves the
+/// rest of the grace period to the last call.
+const REMOVAL_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Interval at which the registration is checked and, if missing, restored.
 const CHECK_INTERVAL: Duration = Duration::from_secs(15);
 
@@ -32,12 +40,18 @@
 }
 
 /// Removes the registration, so that no later owner waits for attempts that may run on this host.
+/// Retries until it is removed or [`REMOVAL_TIMEOUT`] has passed.
 pub(super) async fn deregister(shared: &Shared) {
-    match remove_registration(shared).await {
-        Ok(()) => info!(shared.log, "unregistered"),
-        // The owner removes the registration of a host that stays disconnected.
-        Err(error) => info!(shared.log, "unregistering_failed"; "error" => %error),
+    let give_up_at = Instant::now() + REMOVAL_TIMEOUT;
+    while let Err(error) = remove_registration(shared).await {
+        info!(shared.log, "unregistering_failed"; "error" => %error);
+        if Instant::now() >= give_up_at {
+            // The owner removes the registration of a host that stays disconnected.
+            return;
+        }
+        sleep(RETRY_DELAY).await;
     }
+    info!(shared.log, "unregistered");
 }
 
 async fn remove_registration(shared: &Shared) -> Result<(), Error> {
@@ -47,11 +61,12 @@
         return Ok(());
     };
     let transaction = Transaction::default().expect_revision(key.clone(), item.revision);
-    shared
-        .store
-        .commit(transaction.remove(key), deadline)
-        .await?;
-    Ok(())
+    let removal = transaction.remove(key);
+    match shared.store.commit(removal, deadline).await? {
+        Commit::Done(_) => Ok(()),
+        // A registration that was sent before the stop was applied only now.
+        Commit::Conflict(_) => Err(Error::new(ErrorKind::OutcomeUnknown)),
+    }
 }
 
 async fn register(shared: &Shared) -> Result<(), Error> {
