entry: give the role up when the owner has ended unexpectedly

What callers would see: after one unexpected error in the owner, nothing is placed, cancelled or recorded any more, and no other entry takes over, although all processes run and report themselves ready.

Cause: the owner runs in a task of its own, and the election renewed the term whether that task lived or not; an error in sending to it was dropped. A panic there ends the task, not the process.

The election now waits for the end of the task as well, and then releases the role. It stays away from the next election for 500 ms, so that another entry may take it.

No input that makes the release build panic there is known.

--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -42,6 +42,9 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay after an unexpected end of the owner before this entry takes part in an election again.
+const FAILURE_DELAY: Duration = Duration::from_millis(500);
+
 /// Last observed state of the owner's key.
 #[derive(Debug, Clone)]
 struct ObservedOwner {
@@ -212,6 +215,14 @@
                     "reason" => "an entry on a larger host is ready");
                 break;
             }
+            () = owner.ended() => {
+                warn!(shared.log, "owner_failed"; "epoch" => term.epoch);
+                owner.stop();
+                release(shared, term, revision).await;
+                // Leaves the role to another entry, if there is one.
+                sleep(FAILURE_DELAY).await;
+                return;
+            }
             () = shared.drain.cancelled() => break,
         }
         term.renewals += 1;
--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -58,6 +58,13 @@
         let _ = self.mailbox.send(Event::OwnershipExtended(until)).await;
     }
 
+    /// Waits until the owner's task has ended, which happens without [`stop`](Self::stop) only after
+    /// another owner has taken over or after an unexpected error.
+    pub(super) async fn ended(&self) {
+        // The task owns the receiving half.
+        self.mailbox.closed().await;
+    }
+
     /// Stops the owner.
     pub(super) fn stop(&self) {
         self.shared.set_mailbox(None);
