companion: ignore the deregistration of a worker's former life

What callers would see: after a worker has restarted under its former id, a deregistration of its former life that arrives late ends the use of the present one. Its tasks start elsewhere while they run (TWICE), and its heartbeats are ignored until the next life.

Cause: a deregistration was applied to whatever life had the id. Its body, which names the life as `born` does in all that a worker says of itself, was not read.

A deregistration that names an earlier life is now ignored. One without that field counts as before.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -124,11 +124,15 @@
         is_changed
     }
 
-    /// Processes the deregistration of the worker, which exits.
-    pub fn deregister_worker(&mut self, id: &str) {
-        if self.worker_id == id {
-            self.mark_worker_exited();
+    /// Processes the deregistration of the worker, which exits. A late one of a former incarnation
+    /// is ignored. Returns whether the worker has exited.
+    pub fn deregister_worker(&mut self, id: &str, incarnation: Option<Incarnation>) -> bool {
+        let is_current = incarnation.is_none_or(|incarnation| incarnation >= self.incarnation);
+        if self.worker_id != id || !is_current {
+            return false;
         }
+        self.mark_worker_exited();
+        true
     }
 
     /// Records that the worker's process has exited, because its address refuses connections or it
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -471,7 +471,7 @@
         ..heartbeat(1)
     });
 
-    runner.deregister_worker("w");
+    runner.deregister_worker("w", None);
 
     assert!(runner.next_update(at(1)).worker.is_none());
 }
--- a/crates/node/src/companion.rs
+++ b/crates/node/src/companion.rs
@@ -13,7 +13,7 @@
 use slog::{Logger, info, o};
 use tokio::time::{Duration, MissedTickBehavior, interval};
 use toucanquay_control::runner::Heartbeat;
-use toucanquay_model::Error;
+use toucanquay_model::{Error, Incarnation};
 use toucanquay_wire::Server;
 
 pub use settings::Settings;
@@ -72,10 +72,12 @@
         }
     }
 
-    /// Records that the worker announced its exit.
-    pub fn deregister_worker(&self, id: &str) {
-        self.shared.runner().deregister_worker(id);
-        info!(self.shared.log, "worker_left"; "worker" => id);
+    /// Records that the worker announced its exit. If the message names its incarnation, a late one
+    /// of a former incarnation is ignored.
+    pub fn deregister_worker(&self, id: &str, incarnation: Option<Incarnation>) {
+        let has_exited = self.shared.runner().deregister_worker(id, incarnation);
+        info!(self.shared.log, "worker_left"; "worker" => id, "incarnation" => incarnation,
+            "is_current" => has_exited);
         self.shared.update_needed.notify_one();
     }
 
