--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -133,11 +133,15 @@
         is_changed
     }
 
-    /// Processes the deregistration of the worker, which exits.
-    pub fn deregister_worker(&mut self, id: &str) {
-        if self.worker_id == id {
-            self.end_incarnation();
+    /// Processes the deregistration of the worker, which exits. A late one of a former incarnation
+    /// is ignored. Returns whether the worker has exited.
+    pub fn deregister_worker(&mut self, id: &str, incarnation: Option<Incarnation>) -> bool {
+        let is_current = incarnation.is_none_or(|incarnation| incarnation >= self.incarnation);
+        if self.worker_id != id || !is_current {
+            return false;
         }
+        self.end_incarnation();
+        true
     }
 
     /// Records that the worker's process has exited, because its address refuses connections. It has
@@ -153,7 +157,7 @@
         self.runs.clear();
         self.ends.clear();
         // Later messages of the same incarnation are delayed ones and must be ignored.
-        self.incarnation += 1;
+        self.incarnation = self.incarnation.saturating_add(1);
         self.reset_incarnation();
     }
 
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -27,8 +27,14 @@
         host.is_agent_restarted |= is_agent_restarted;
         host.agent_incarnation = update.process;
         host.update_number = update.number;
-        host.update_stamp = update.stamp;
-        host.lease_end_bound = self.settings.lease_end_bound(now);
+        if update.worker.is_some() {
+            host.update_stamp = update.stamp;
+            host.lease_end_bound = self.settings.lease_end_bound(now);
+        } else {
+            // The orders must not extend a lease that the owner can't tell to be of use: the worker
+            // may have ended together with the former agent, and then nobody reports its end.
+            host.update_stamp = Time::ZERO;
+        }
         self.apply_worker(key, update, is_agent_restarted, now);
         self.apply_crashes(key, update, now);
         if update.worker.is_some() {
@@ -52,10 +58,11 @@
         }
     }
 
-    /// Releases the attempts on disconnected hosts whose leases have ended.
+    /// Releases the attempts on hosts whose leases have ended: those that are disconnected, and
+    /// those whose agent doesn't know its worker.
     pub(super) fn expire_hosts(&mut self, now: Time) {
         let is_expired = |host: &super::Host| {
-            !host.is_connected
+            (!host.is_connected || host.worker.is_none())
                 && now >= host.lease_end_bound
                 && (host.worker.is_some() || !host.runs.is_empty())
         };
@@ -130,7 +137,7 @@
     fn evacuate(&mut self, key: HostKey, now: Time) {
         let host = &self.hosts[key];
         let remaining_ms = host.worker.as_ref().and_then(|worker| worker.remaining_ms);
-        let remaining_micros = remaining_ms.unwrap_or(0) * 1_000;
+        let remaining_micros = remaining_ms.unwrap_or(0).saturating_mul(1_000);
         let name = host.name.clone();
         let stops_before = host.stops.len();
         for run_key in host.runs.clone() {
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -131,7 +131,7 @@
     });
     draining.mark_worker_exited();
     let mut deregistered = runner_with_start();
-    deregistered.deregister_worker("w");
+    deregistered.deregister_worker("w", None);
     let mut outlived = runner_with_start();
     let mut list = empty_list(at(300));
     list.running.push(listed(task(1, 0, 0), 7));
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -10,8 +10,9 @@
 use rstest::rstest;
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
+    Time,
     graph::{Id, Progress, Schedule, State, Step},
-    session::{Ending, Phase, Rejection, Stop},
+    session::{Ending, Phase, Rejection, Stop, Worker},
 };
 
 /// Returns the scheduler of an owner that has taken over a job with one task and does not wait for
@@ -596,3 +597,110 @@
     assert_eq!(second.job_state(Id::new(1)), Some(State::Running));
     assert_eq!(again.starts.len(), 1);
 }
+
+/// Guards against tasks that wait for the return of a worker that ended together with its agent.
+#[rstest]
+#[case::while_the_lease_lasts(6_000, 0)]
+#[case::after_the_lease(6_900, 1)]
+fn task_of_a_worker_that_ended_with_its_agent_is_started_elsewhere(
+    #[case] millis: u64,
+    #[case] starts: usize,
+) {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(1));
+    scheduler.disconnect("h1");
+    scheduler.connect("h1");
+    let mut successor = update("h1", 1);
+    successor.process = 2;
+    successor.worker = None;
+    let mut elsewhere = 0;
+    let mut lease_begins = Vec::new();
+    for now in (400..=millis).step_by(100).map(at) {
+        scheduler.update(&successor, now);
+        successor.number += 1;
+        successor.stamp = now;
+        lease_begins.push(orders(&mut scheduler, "h1", now).stamp);
+        elsewhere += orders(&mut scheduler, "h2", now).starts.len();
+    }
+
+    assert_eq!(started.starts.len(), 1);
+    assert_eq!(elsewhere, starts);
+    assert!(lease_begins.iter().all(|begin| *begin == Time::ZERO));
+}
+
+/// Guards against running a job a second time that is read from the store again because its removal
+/// failed.
+#[test]
+fn expired_job_that_is_still_stored_is_not_run_again() {
+    let mut scheduler = owner(1, &["h1"]);
+    let job = accepted_job(vec![step(1)]);
+    scheduler.accept(Id::new(1), job.clone(), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    let attempt = started.starts[0].attempt;
+    let mut done = update("h1", 2);
+    done.applied = started.number;
+    done.ends.push(end(1, task(1, 0, 0), attempt, Ending::Done));
+    scheduler.update(&done, at(100));
+    commit_changes(&mut scheduler, 9, at(200));
+    scheduler.tick(at(200_000));
+    let expired = scheduler.take_expired_jobs();
+    scheduler.accept(Id::new(1), job, at(200_001));
+
+    let again = orders(&mut scheduler, "h1", at(200_002));
+
+    assert_eq!(expired, [Id::new(1)]);
+    assert!(again.starts.is_empty(), "{again:?}");
+}
+
+/// Guards against an owner that ends because a worker announces an absurd remaining time.
+#[test]
+fn absurd_remaining_time_of_a_draining_worker_is_handled() {
+    let mut scheduler = owner(1, &["h1"]);
+    let checkpointed = Step {
+        has_checkpoints: true,
+        ..step(1)
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![checkpointed]), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    let mut running = update("h1", 2);
+    running.applied = started.number;
+    let attempt = started.starts[0].attempt;
+    let status = attempt_status(task(1, 0, 0), attempt, Phase::Running);
+    running.runs.push(status);
+    scheduler.update(&running, at(50));
+    let mut draining = running;
+    draining.number = 3;
+    draining.worker = Some(Worker {
+        is_draining: true,
+        remaining_ms: Some(u64::MAX),
+        ..worker()
+    });
+    scheduler.update(&draining, at(100));
+
+    let after = orders(&mut scheduler, "h1", at(101));
+
+    assert!(after.stops.is_empty(), "the task ends in time: {after:?}");
+}
+
+/// Guards against an owner that ends, or mistakes a long job for a short one, because of absurd
+/// estimates.
+#[test]
+fn absurd_estimates_of_a_job_are_handled() {
+    let mut scheduler = owner(1, &["h1"]);
+    let first = Step {
+        estimate_ms: u64::MAX,
+        ..step(1)
+    };
+    let second = Step {
+        after: [0].into_iter().collect(),
+        ..first.clone()
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![first, second]), at(0));
+
+    let started = orders(&mut scheduler, "h1", at(1));
+
+    assert_eq!(started.starts.len(), 1);
+}
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -8,7 +8,7 @@
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
-use toucanquay_model::{Epoch, Error, Revision, Time};
+use toucanquay_model::{Error, Revision, Time};
 
 use super::{Shared, candidates, owner, term::Term};
 use crate::{
@@ -42,6 +42,9 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay after an unexpected end of the owner before this entry takes part in an election again.
+const FAILURE_DELAY: Duration = Duration::from_millis(500);
+
 /// Last observed state of the owner's key.
 #[derive(Debug, Clone)]
 struct ObservedOwner {
@@ -212,6 +215,14 @@
                     "reason" => "an entry on a larger host is ready");
                 break;
             }
+            () = owner.ended() => {
+                warn!(shared.log, "owner_failed"; "epoch" => term.epoch);
+                owner.stop();
+                release(shared, term, revision).await;
+                // Leaves the role to another entry, if there is one.
+                sleep(FAILURE_DELAY).await;
+                return;
+            }
             () = shared.drain.cancelled() => break,
         }
         term.renewals += 1;
@@ -262,12 +273,27 @@
         .await
 }
 
-async fn release(shared: &Shared, mut term: Term, revision: Revision) {
+/// Marks the key as released, so that another entry takes over at once. Retries until the outcome
+/// is known or the ownership has expired.
+async fn release(shared: &Shared, mut term: Term, mut revision: Revision) {
     term.is_released = true;
-    let epoch: Epoch = term.epoch;
-    match renew(shared, &term, revision).await {
-        Ok(_) => info!(shared.log, "ownership_released"; "epoch" => epoch),
-        Err(error) => warn!(shared.log, "release_failed"; "epoch" => epoch, "error" => %error),
+    let expires_at = shared.clock.now().plus_micros(OWNERSHIP_MICROS);
+    while shared.clock.now() < expires_at {
+        match renew(shared, &term, revision).await {
+            Ok(Commit::Done(_)) => {
+                info!(shared.log, "ownership_released"; "epoch" => term.epoch);
+                return;
+            }
+            Ok(Commit::Conflict(items)) => match own_revision(&items, &term) {
+                // An earlier renewal or release was applied although its response was lost.
+                Some(current) => revision = current,
+                None => return,
+            },
+            Err(error) => {
+                warn!(shared.log, "release_failed"; "epoch" => term.epoch, "error" => %error);
+                sleep(RETRY_DELAY).await;
+            }
+        }
     }
 }
 
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -42,6 +42,8 @@
     sessions: HashMap<String, (Registration, JoinHandle<()>)>,
     /// Time since which each host without a session has been disconnected.
     disconnected_since: HashMap<String, Time>,
+    /// Removals of the registrations of silent hosts.
+    removals: HashMap<String, JoinHandle<()>>,
     background_tasks: Vec<JoinHandle<()>>,
     is_superseded: bool,
     gauges_due_at: Time,
@@ -80,6 +82,7 @@
             addresses: session::Addresses::default(),
             sessions: HashMap::new(),
             disconnected_since: HashMap::new(),
+            removals: HashMap::new(),
             is_superseded: false,
             gauges_due_at: Time::ZERO,
         };
@@ -116,10 +119,15 @@
         match event {
             Event::OwnershipExtended(until) => self.scheduler.extend_ownership(until),
             Event::ConfigurationChanged => self.apply_configuration(),
+            // The session was ended meanwhile.
+            Event::Connected(name, _) if !self.sessions.contains_key(&name) => {}
             Event::Connected(name, orders) => {
                 info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
                 self.scheduler.connect(&name);
                 self.disconnected_since.remove(&name);
+                if let Some(removal) = self.removals.remove(&name) {
+                    removal.abort();
+                }
                 self.order_senders.insert(name, orders);
             }
             Event::Disconnected(name) => {
@@ -138,8 +146,10 @@
             }
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
+            Event::HostRemoved(name) => self.forget_host(&name),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
+            Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
             Event::Superseded => self.is_superseded = true,
         }
     }
@@ -161,6 +171,7 @@
         if !expired.is_empty() {
             tokio::spawn(record::remove_jobs(
                 self.shared.clone(),
+                self.mailbox.clone(),
                 self.fence,
                 expired,
             ));
@@ -203,7 +214,8 @@
             info!(self.shared.log, "host_forgotten"; "host" => &host, "epoch" => self.epoch,
                 "silent_ms" => SILENT_HOST_TIMEOUT_MS);
             let (shared, fence) = (self.shared.clone(), self.fence);
-            tokio::spawn(record::remove_host(shared, fence, host));
+            let removal = tokio::spawn(record::remove_host(shared, fence, host.clone()));
+            self.removals.insert(host, removal);
         }
     }
 
@@ -320,6 +332,22 @@
         }
     }
 
+    /// Ends the session to a companion without a registration. A later owner would not wait for its
+    /// attempts.
+    fn forget_host(&mut self, name: &str) {
+        let Some((_, task)) = self.sessions.remove(name) else {
+            return;
+        };
+        task.abort();
+        self.scheduler.disconnect(name);
+        self.order_senders.remove(name);
+        self.disconnected_since.remove(name);
+        self.addresses
+            .lock()
+            .expect("the lock is never poisoned: no code panics while holding it")
+            .remove(name);
+    }
+
     /// Opens a session to a companion, replacing any session to a previous address.
     fn connect_host(&mut self, name: String, registration: Registration) {
         if self
@@ -329,11 +357,7 @@
         {
             return;
         }
-        if let Some((_, task)) = self.sessions.remove(&name) {
-            task.abort();
-            self.scheduler.disconnect(&name);
-            self.order_senders.remove(&name);
-        }
+        self.forget_host(&name);
         self.disconnected_since
             .insert(name.clone(), self.shared.clock.now());
         self.addresses
@@ -353,7 +377,7 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        for task in &self.background_tasks {
+        for task in self.background_tasks.iter().chain(self.removals.values()) {
             task.abort();
         }
         for (_, task) in self.sessions.values() {
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -103,8 +103,13 @@
     Event::CommitRejected(ids.collect())
 }
 
-/// Removes the keys of expired jobs.
-pub(super) async fn remove_jobs(shared: Arc<Shared>, fence: Revision, ids: Vec<Id>) {
+/// Removes the keys of expired jobs, and reports the removals that succeeded to the owner.
+pub(super) async fn remove_jobs(
+    shared: Arc<Shared>,
+    mailbox: mpsc::Sender<Event>,
+    fence: Revision,
+    ids: Vec<Id>,
+) {
     for ids in ids.chunks(JOBS_PER_REMOVAL_MAX) {
         let mut transaction = Transaction::default().expect_revision(key::FENCE, fence);
         for id in ids {
@@ -112,22 +117,56 @@
             transaction = keys.into_iter().fold(transaction, Transaction::remove);
         }
         let deadline = Instant::now() + CALL_TIMEOUT;
-        if let Err(error) = shared.store.commit(transaction, deadline).await {
-            // The next owner finds the jobs in the store and removes them once they expire.
-            debug!(shared.log, "removal_failed"; "error" => %error);
+        match shared.store.commit(transaction, deadline).await {
+            Ok(Commit::Done(_)) => {
+                // Sending fails only if the owner has stopped.
+                let _ = mailbox.send(Event::JobsRemoved(ids.to_vec())).await;
+            }
+            // Another owner has taken over and removes the jobs.
+            Ok(Commit::Conflict(_)) => return,
+            // The owner removes the jobs again after its next sweep.
+            Err(error) => debug!(shared.log, "removal_failed"; "error" => %error),
         }
     }
 }
 
-/// Removes the registration of a host.
+/// Removes the registration of a host. Retries until it is removed, unless the host registers anew
+/// or another owner takes over.
 pub(super) async fn remove_host(shared: Arc<Shared>, fence: Revision, host: String) {
-    let transaction = Transaction::default().expect_revision(key::FENCE, fence);
+    let key = key::host(&host);
+    let mut removed_revision = None;
+    loop {
+        match try_remove_host(&shared, fence, &key, &mut removed_revision).await {
+            Ok(()) => return,
+            Err(error) => {
+                info!(shared.log, "forgetting_failed"; "host" => &host, "error" => %error);
+                sleep(RETRY_DELAY_MAX).await;
+            }
+        }
+    }
+}
+
+/// Removes a registration by its revision, so that a delayed removal can't affect a later one.
+async fn try_remove_host(
+    shared: &Shared,
+    fence: Revision,
+    key: &str,
+    removed_revision: &mut Option<Revision>,
+) -> Result<(), Error> {
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let commit = transaction.remove(key::host(&host));
-    if let Err(error) = shared.store.commit(commit, deadline).await {
-        // A later owner finds the registration and waits for the host for the duration of a lease.
-        info!(shared.log, "forgetting_failed"; "host" => host, "error" => %error);
+    let Some(item) = shared.store.get(key, deadline).await? else {
+        return Ok(());
+    };
+    if *removed_revision.get_or_insert(item.revision) != item.revision {
+        return Ok(());
     }
+    let transaction = Transaction::default()
+        .expect_revision(key::FENCE, fence)
+        .expect_revision(key, item.revision)
+        .remove(key);
+    // A conflict means that the host has registered anew or another owner has taken over.
+    shared.store.commit(transaction, deadline).await?;
+    Ok(())
 }
 
 fn encode(progress: &Progress) -> Vec<u8> {
