scheduler: try a start that a worker refused on another host

Cause: a refused start left no trace, so the best host stayed the best. The task now prefers other hosts, as it does after a failure.

Test: start_that_a_worker_refused_is_tried_elsewhere failed before.

--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Makes a task prefer other hosts.
+    pub(super) fn avoid_host(&mut self, key: JobKey, place: Place, host: HostKey) {
+        if let Some(task) = self.jobs.get_mut(key).and_then(|job| job.task_mut(place)) {
+            task.avoided_host = Some(host);
+        }
+    }
+
     fn current_run(&self, key: JobKey, place: Place) -> Option<RunKey> {
         match self.jobs.get(key)?.task(place)?.phase {
             Phase::Running(run) => Some(run),
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -210,10 +210,13 @@
                 Rejection::Stopped | Rejection::SameTask => 0,
                 _ => self.settings.retry_delay_micros,
             };
-            let placed = self.runs.get(key).map(|run| (run.job, run.place));
+            let placed = self.runs.get(key).map(|run| (run.job, run.place, run.host));
             self.release_run(key, now);
-            if let Some((job, place)) = placed {
+            if let Some((job, place, host)) = placed {
                 self.delay_task(job, place, now.plus_micros(delay_micros));
+                if reason == Rejection::Refused {
+                    self.avoid_host(job, place, host);
+                }
             }
             return;
         }
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -239,6 +239,28 @@
     assert_eq!(profiles, [(attempt, start.profile)]);
 }
 
+/// Guards against a task that is started again and again on a worker that has no time for it.
+#[test]
+fn start_that_a_worker_refused_is_tried_elsewhere() {
+    let hosts = ["h1", "h2"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let first = hosts.map(|host| orders(&mut scheduler, host, at(1)));
+    let refusing = usize::from(first[0].starts.is_empty());
+    let start = &first[refusing].starts[0];
+    let mut refused = update(hosts[refusing], 2);
+    refused.applied = first[refusing].number;
+    let rejected = Phase::Rejected(Rejection::Refused);
+    refused
+        .runs
+        .push(attempt_status(start.task, start.attempt, rejected));
+    scheduler.update(&refused, at(10));
+
+    let second = hosts.map(|host| orders(&mut scheduler, host, at(100)).starts.len());
+
+    assert_eq!((second[refusing], second[1 - refusing]), (0, 1));
+}
+
 /// Guards against profiles that were lost with a session that broke before it delivered them.
 #[test]
 fn profiles_are_sent_again_in_the_next_session() {
