scheduler: count only confirmed starts as crashes, isolate suspect gangs, and end idle reservations

- BUDGET again when a start takes effect over 250 ms after its order: the time ran from the order, not from the worker's confirmation.
- A start that was not confirmed counted as a crash under its task.
- A suspect gang started beside new tasks.
It waits for hosts whose workers have outlived their starts, if there are any, and keeps them for itself.
- Attempts that a restarted companion found, or was told to stop, cleared their tasks without having survived anything.
- Suspects of jobs that had ended made the rest look alone.
- A companion gives no room away while it doesn't know what runs on its worker.

Suspects are placed before other tasks in each round.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -459,9 +459,10 @@
         }
         let suspects = self.runs.iter().filter(|(_, state)| state.is_suspect());
         let suspects: Vec<Suspect> = suspects
-            .map(|((task, attempt), _)| Suspect {
+            .map(|((task, attempt), state)| Suspect {
                 task: *task,
                 attempt: *attempt,
+                is_started: state.begun_at.is_some(),
             })
             .collect();
         if suspects.is_empty() {
@@ -554,7 +555,7 @@
         if self.runs.contains_key(&key) {
             return;
         }
-        let mut state = AttemptState::starting(start.profile, start.is_probe, now);
+        let mut state = AttemptState::starting(start.profile, start.is_probe);
         let rejection = if is_other_incarnation {
             Some(Rejection::OtherLife)
         } else {
@@ -584,6 +585,11 @@
         if others.any(|((task, _), state)| *task == start.task && state.is_on_worker()) {
             return Some(Rejection::SameTask);
         }
+        let mut states = self.runs.values();
+        if states.any(|state| state.is_on_worker() && state.profile.is_none()) {
+            // The owner has yet to describe what was found on the worker.
+            return Some(Rejection::NoRoom);
+        }
         let occupied = self.occupied().plus(&start.profile.occupied);
         (!occupied.fits(&worker.capacity)).then_some(Rejection::NoRoom)
     }
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -33,13 +33,11 @@
     /// `None` while no call about the attempt has a definite outcome.
     pub(super) outcome_known_at: Option<Time>,
     pub(super) is_listed: bool,
-    /// When the start was ordered.
-    pub(super) started_at: Time,
+    /// When an answer or a list first showed that the worker had begun the attempt.
+    pub(super) begun_at: Option<Time>,
     /// Whether the owner waits to learn whether the worker outlives the start.
     pub(super) is_probe: bool,
-    /// Whether the attempt is a suspect if the worker crashes now.
-    pub(super) is_at_risk: bool,
-    /// Whether a list has shown the attempt long enough after its start.
+    /// Whether a list has shown the attempt long enough after the worker had begun it.
     pub(super) has_survived_start: bool,
     /// Number of the first update that contained the rejection.
     pub(super) reported_in: Option<u64>,
@@ -49,12 +47,9 @@
     /// Pace of an attempt when it starts, in percent.
     pub(super) const FULL_PACE_PERCENT: u8 = 100;
 
-    pub(super) fn starting(profile: Profile, is_probe: bool, now: Time) -> Self {
+    pub(super) fn starting(profile: Profile, is_probe: bool) -> Self {
         Self {
-            started_at: now,
             is_probe,
-            is_at_risk: true,
-            has_survived_start: false,
             ..Self::new(Phase::Starting, Some(profile))
         }
     }
@@ -79,16 +74,16 @@
             stop_at: Time::NEVER,
             outcome_known_at: None,
             is_listed: false,
-            started_at: Time::ZERO,
+            begun_at: None,
             is_probe: false,
-            is_at_risk: false,
-            has_survived_start: true,
+            has_survived_start: false,
             reported_in: None,
         }
     }
 
     /// Records that the attempt is on the worker.
-    pub(super) const fn confirm_running(&mut self, now: Time) {
+    pub(super) fn confirm_running(&mut self, now: Time) {
+        self.begun_at.get_or_insert(now);
         if matches!(self.phase, Phase::Starting) {
             self.phase = Phase::Running;
             self.stop_at = Time::NEVER;
@@ -98,18 +93,16 @@
         }
     }
 
-    /// Records that the worker lives at `now`, and whether it has outlived the start by
-    /// `risk_micros`.
-    pub(super) const fn outlive_start(&mut self, risk_micros: u64, now: Time) {
-        if now.as_micros() >= self.started_at.plus_micros(risk_micros).as_micros() {
-            self.is_at_risk = false;
-            self.has_survived_start |= self.is_listed;
-        }
+    /// Records whether the worker, which lives at `now`, has outlived the start by `risk_micros`.
+    pub(super) fn outlive_start(&mut self, risk_micros: u64, now: Time) {
+        let risk_end = self.begun_at.map(|at| at.plus_micros(risk_micros));
+        let is_over = risk_end.is_some_and(|end| now >= end);
+        self.has_survived_start |= self.is_listed && is_over;
     }
 
     /// Returns whether the attempt may have caused a crash of the worker.
     pub(super) const fn is_suspect(&self) -> bool {
-        self.is_on_worker() && self.is_at_risk
+        self.is_on_worker() && !self.has_survived_start
     }
 
     pub(super) const fn is_on_worker(&self) -> bool {
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -20,7 +20,8 @@
     pub start_outcome_micros: u64,
     /// Time after which a stop without an outcome is repeated, in microseconds.
     pub retry_micros: u64,
-    /// Time from its start for which an attempt is a suspect if the worker crashes, in microseconds.
+    /// Time for which an attempt that the worker has begun is a suspect if the worker crashes, in
+    /// microseconds.
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
     pub unavailable_retry_micros: u64,
--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -91,8 +91,12 @@
     waiting_jobs: BTreeSet<JobKey>,
     /// Probes by host.
     probes: BTreeMap<HostKey, Probe>,
-    /// A task has become a suspect since the last commit.
-    has_unrecorded_suspects: bool,
+    /// Jobs that may have suspect tasks.
+    suspect_jobs: BTreeSet<JobKey>,
+    /// Number of tasks that one probe may start.
+    probe_tasks_max: usize,
+    /// Jobs with suspect tasks, and the versions that must be recorded before these are placed.
+    unrecorded_suspects: Vec<(JobKey, u64)>,
     timers: BTreeSet<(Time, JobKey)>,
     is_placement_due: bool,
     /// Time of the next placement round if none is due before and tasks are waiting.
@@ -143,7 +147,9 @@
             interference: InterferenceModel::default(),
             waiting_jobs: BTreeSet::new(),
             probes: BTreeMap::new(),
-            has_unrecorded_suspects: false,
+            suspect_jobs: BTreeSet::new(),
+            probe_tasks_max: 1,
+            unrecorded_suspects: Vec::new(),
             timers: BTreeSet::new(),
             is_placement_due: true,
             next_placement_at: Time::ZERO,
--- a/crates/control/src/scheduler/candidates.rs
+++ b/crates/control/src/scheduler/candidates.rs
@@ -22,6 +22,14 @@
         self.heap.push(Candidate { score, host });
     }
 
+    /// Drops the hosts that don't meet a condition, unless none meets it.
+    pub(super) fn prefer(&mut self, is_preferred: impl Fn(HostKey) -> bool) {
+        let mut candidates = self.heap.iter();
+        if candidates.any(|candidate| is_preferred(candidate.host)) {
+            self.heap.retain(|candidate| is_preferred(candidate.host));
+        }
+    }
+
     /// Removes and returns the best host for a task. The host that the task avoids is returned only
     /// if no other one is nearly as good.
     pub(super) fn pop(&mut self, avoided: Option<HostKey>) -> Option<HostKey> {
--- a/crates/control/src/scheduler/commit.rs
+++ b/crates/control/src/scheduler/commit.rs
@@ -56,8 +56,7 @@
             self.acknowledge_ends(key);
             self.acknowledge_crashes(key);
         }
-        // Suspect tasks are not placed until the suspicion is recorded.
-        self.is_placement_due |= std::mem::take(&mut self.has_unrecorded_suspects);
+        self.release_recorded_suspects();
     }
 
     /// Requeues the records of the last commit, which the store rejected because of a revision
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -31,7 +31,7 @@
         match end.ending {
             Ending::Done => self.finish_task(key, place, host, now),
             Ending::Failed => {
-                self.clear_suspect(key, place);
+                self.outlive_start(key, place, end.attempt);
                 self.handle_failure(key, place, end.attempt, host, now);
             }
             Ending::Stopped | Ending::Expired | Ending::Broken | Ending::Alone | Ending::Lost => {}
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -99,6 +99,7 @@
             if let Some(task) = self.task_mut(task_progress.place) {
                 task.failed_attempts = task_progress.failed;
                 task.crashed_attempts = task_progress.crashed;
+                task.suspected_attempts = task_progress.suspected;
                 task.checkpoint = task_progress.checkpoint;
             }
         }
@@ -126,6 +127,7 @@
                     place,
                     failed: task.failed_attempts.clone(),
                     crashed: task.crashed_attempts.clone(),
+                    suspected: task.suspected_attempts.clone(),
                     checkpoint: task.checkpoint.clone(),
                 });
             }
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -29,8 +29,12 @@
         if job.state.is_over() {
             job.over_at = Some(now);
         }
+        let has_suspects = job.tasks_by_place().any(|(_, task)| task.is_suspect());
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
+        if has_suspects {
+            self.suspect_jobs.insert(key);
+        }
         if self.early_cancellations.remove(&id) {
             self.cancel_job(key, now);
         }
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -25,6 +25,15 @@
 /// Interval between searches of all hosts for a stage that fits nowhere, in microseconds.
 const FULL_SEARCH_INTERVAL_MICROS: u64 = 500_000;
 
+/// Part of the waiting tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// Suspect tasks, and gangs with one.
+    Suspects,
+    /// All other tasks.
+    Others,
+}
+
 impl Scheduler {
     /// Places as many waiting tasks as possible, in the order of their jobs.
     pub(super) fn place_waiting_tasks(&mut self, now: Time) {
@@ -34,8 +43,21 @@
         self.is_placement_due = false;
         self.placement_round += 1;
         self.next_placement_at = now.plus_micros(PLACEMENT_INTERVAL_MICROS);
-        for key in self.placement_order(now) {
-            self.place_job(key, now);
+        let order = self.placement_order(now);
+        if !self.suspect_jobs.is_empty() {
+            self.size_probes(now);
+            // Other tasks would occupy the hosts that suspects need for themselves.
+            for key in order
+                .iter()
+                .filter(|key| self.suspect_jobs.contains(key))
+                .copied()
+                .collect::<Vec<_>>()
+            {
+                self.place_job(key, Part::Suspects, now);
+            }
+        }
+        for key in order {
+            self.place_job(key, Part::Others, now);
         }
         let jobs = &self.jobs;
         self.waiting_jobs
@@ -64,7 +86,8 @@
         order.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn place_job(&mut self, key: JobKey, now: Time) {
+    /// Places a part of the waiting tasks of a job.
+    fn place_job(&mut self, key: JobKey, part: Part, now: Time) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
@@ -91,11 +114,16 @@
                 image: self.interference.image_key(image),
                 accepts_any_speed: self.jobs[key].runs == 0,
             };
-            let is_placed = if step.is_gang {
-                self.place_gang(stage, now)
-            } else {
-                self.place_probes(stage, now);
-                self.place_stage(stage, now)
+            let is_suspect = self.has_suspect(stage);
+            let is_placed = match part {
+                Part::Suspects if !is_suspect => continue,
+                Part::Suspects if !step.is_gang => {
+                    self.place_probes(stage, now);
+                    continue;
+                }
+                Part::Others if step.is_gang && is_suspect => continue,
+                _ if step.is_gang => self.place_gang(stage, now),
+                _ => self.place_stage(stage, now),
             };
             if !is_placed {
                 self.record_shortage(stage, now);
@@ -144,6 +172,10 @@
         }
         let attempt = self.next_attempt();
         let mut candidates = self.candidates(stage, None, now);
+        let is_suspect = self.has_suspect(stage);
+        if is_suspect {
+            candidates.prefer(|host| self.has_outlived_starts(&self.hosts[host]));
+        }
         let mut started: Vec<RunKey> = Vec::with_capacity(stage.step.tasks as usize);
         for index in 0..stage.step.tasks {
             let host = self
@@ -161,6 +193,9 @@
             started.push(self.start_task(stage, index, host, attempt, now));
             self.readd_host(&mut candidates, host, stage, now);
         }
+        if is_suspect {
+            self.begin_gang_probe(&started, now);
+        }
         true
     }
 
@@ -232,6 +267,16 @@
         self.epoch * ATTEMPTS_PER_EPOCH + self.last_attempt
     }
 
+    /// Returns the position of a task of a stage within its job.
+    pub(super) fn place(&self, stage: StageRef<'_>, index: u32) -> Place {
+        let steps = self.jobs[stage.job].spec.steps.len();
+        Place {
+            occurrence: u32::try_from(stage.index / steps).unwrap_or(u32::MAX),
+            step: u16::try_from(stage.index % steps).unwrap_or(u16::MAX),
+            index,
+        }
+    }
+
     pub(super) fn start_task(
         &mut self,
         stage: StageRef<'_>,
@@ -241,12 +286,7 @@
         now: Time,
     ) -> RunKey {
         let (key, step) = (stage.job, stage.step);
-        let steps = self.jobs[key].spec.steps.len();
-        let place = Place {
-            occurrence: u32::try_from(stage.index / steps).unwrap_or(u32::MAX),
-            step: u16::try_from(stage.index % steps).unwrap_or(u16::MAX),
-            index,
-        };
+        let place = self.place(stage, index);
         let image = self.image_key(step);
         let run = Run::new(key, place, attempt, host, step, image, now);
         let run = self.runs.insert(run);
--- a/crates/control/src/scheduler/task.rs
+++ b/crates/control/src/scheduler/task.rs
@@ -17,6 +17,10 @@
     /// Numbers of the attempts that are suspects of the crashes of their workers, since the last
     /// one that was outlived by its worker.
     pub(super) crashed_attempts: SmallVec<[u64; 2]>,
+    /// Numbers of the attempts that their workers may not have begun when they crashed.
+    pub(super) suspected_attempts: SmallVec<[u64; 2]>,
+    /// Number of the last attempt whose start was outlived by its worker.
+    pub(super) outlived_attempt: u64,
     /// Version of the job that must be recorded before the task is started again.
     pub(super) suspected_in: u64,
     pub(super) checkpoint: Option<String>,
@@ -26,9 +30,32 @@
 }
 
 impl Task {
-    /// Returns whether a worker has crashed soon after it had started the task.
+    /// Returns whether a worker has crashed soon after it had started the task, or may have.
     pub(super) fn is_suspect(&self) -> bool {
-        !self.crashed_attempts.is_empty()
+        self.suspicions() > 0
+    }
+
+    /// Returns the number of crashes for which the task is a suspect.
+    pub(super) fn suspicions(&self) -> usize {
+        self.crashed_attempts.len() + self.suspected_attempts.len()
+    }
+
+    /// Returns the numbers of the attempts that are suspects.
+    pub(super) fn suspects(&self) -> impl Iterator<Item = u64> {
+        let suspected = self.suspected_attempts.iter();
+        self.crashed_attempts.iter().chain(suspected).copied()
+    }
+
+    /// Records that a worker has outlived the start of an attempt. Returns whether the task was a
+    /// suspect until then.
+    pub(super) fn outlive_start(&mut self, attempt: u64) -> bool {
+        self.outlived_attempt = self.outlived_attempt.max(attempt);
+        if !self.is_suspect() || self.suspects().any(|suspect| suspect > attempt) {
+            return false;
+        }
+        self.suspected_attempts.clear();
+        self.crashed_attempts.clear();
+        true
     }
 
     /// Counts a failed attempt. Returns `false` if it has already been counted.
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -227,7 +227,7 @@
         let (job_key, place, host) = (run.job, run.place, run.host);
         if reported.has_survived_start {
             self.end_probe(host, key);
-            self.clear_suspect(job_key, place);
+            self.outlive_start(job_key, place, reported.attempt);
         }
         let Some(job) = self.jobs.get_mut(job_key) else {
             return;
@@ -286,9 +286,9 @@
         host.add_run(run, &step);
         self.send_profile(run, stop);
         if reported.has_survived_start {
-            self.clear_suspect(job_key, place);
+            self.outlive_start(job_key, place, reported.attempt);
         } else if self.is_suspect(job_key, place) {
-            self.begin_probe(key, Some(run), now);
+            self.begin_probe(key, (job_key, place), Some(run), 1, now);
         }
         true
     }
--- a/crates/model/src/graph/task_progress.rs
+++ b/crates/model/src/graph/task_progress.rs
@@ -14,9 +14,12 @@
     /// Numbers of the failed attempts. They are listed, not counted, because the end of an attempt
     /// may be reported again after it was recorded.
     pub failed: SmallVec<[u64; 2]>,
-    /// Numbers of the attempts that are suspects of the crashes of their workers.
+    /// Numbers of the attempts that had just begun when their workers crashed.
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub crashed: SmallVec<[u64; 2]>,
+    /// Numbers of the attempts that may have begun when their workers crashed.
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    pub suspected: SmallVec<[u64; 2]>,
     /// Last checkpoint of an attempt that has ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
--- a/crates/model/src/session/suspect.rs
+++ b/crates/model/src/session/suspect.rs
@@ -11,4 +11,6 @@
     pub task: Task,
     /// Number of the attempt, as in its [`Start`](super::Start).
     pub attempt: u64,
+    /// Whether the worker had confirmed the start. Otherwise it may not have begun the attempt.
+    pub is_started: bool,
 }
