companion: a list with an unreadable row shows no attempt as absent

What callers would see: one row of the worker's lists that can't be read makes a live attempt look gone. The owner starts its task elsewhere while it runs (TWICE). If the row is an end, it is acknowledged together with later ends, and a task that is done runs again.

Cause: unreadable rows were skipped, and the rest was taken for the complete list.

A list with an unreadable row is now partial. Its attempts and ends count, and the call renews the lease as before, but it resolves no absent attempt, doesn't settle the companion and doesn't make it report the worker: the owner takes the first update's attempts for all that run there. Acknowledgements are cumulative, so the ends after an unreadable one wait for a list in which it can be read.

If a row stays unreadable, the ends after it wait until the worker's next life. Counting them would acknowledge the unreadable one.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -55,8 +55,8 @@
     last_applied: u64,
     last_update: u64,
     lease_until: Time,
-    /// Highest epoch of a call that this incarnation of the worker has answered. It ignores calls
-    /// of lower epochs.
+    /// Highest epoch of a call that this incarnation of the worker has answered with a complete
+    /// list. It ignores calls of lower epochs.
     fenced_epoch: Epoch,
     worker: Option<Worker>,
     worker_id: String,
@@ -65,6 +65,8 @@
     last_heartbeat: u64,
     incarnation: Incarnation,
     listed_at: Option<Time>,
+    /// Whether a complete list has shown what this incarnation of the worker runs.
+    has_complete_list: bool,
     /// When an attempt that uses idle processors last started or ended.
     samples_invalidated_at: Time,
     /// Whether renewed gauges that cover the current attempts were listed since the last update.
@@ -96,6 +98,7 @@
             last_heartbeat: 0,
             incarnation: 0,
             listed_at: None,
+            has_complete_list: false,
             samples_invalidated_at: Time::ZERO,
             has_sample: false,
             runs: BTreeMap::new(),
@@ -277,7 +280,10 @@
             return Vec::new();
         }
         self.listed_at = Some(list.called_at);
-        self.fenced_epoch = self.fenced_epoch.max(list.epoch);
+        if !list.is_partial {
+            self.has_complete_list = true;
+            self.fenced_epoch = self.fenced_epoch.max(list.epoch);
+        }
         let called_at = list.called_at;
         for state in self.runs.values_mut() {
             state.is_listed = false;
@@ -295,7 +301,9 @@
         let sample_valid_at = self.samples_invalidated_at.plus_micros(SAMPLE_DELAY_MICROS);
         let is_sample = is_renewed && now >= sample_valid_at;
         self.has_sample |= is_sample;
-        self.resolve_unlisted(called_at);
+        if !list.is_partial {
+            self.resolve_unlisted(called_at);
+        }
         if is_sample {
             self.update_model();
         }
@@ -354,8 +362,8 @@
             applied: self.last_applied,
             is_settled: self.is_settled(),
             has_sample: std::mem::take(&mut self.has_sample),
-            // The worker is reported only once a list has shown what it runs.
-            worker: self.worker.clone().filter(|_| self.listed_at.is_some()),
+            // The worker is reported only once a complete list has shown what it runs.
+            worker: self.worker.clone().filter(|_| self.has_complete_list),
             runs: runs.collect(),
             ends: self.ends.clone(),
             crashes: self.crashes.clone(),
@@ -403,7 +411,7 @@
             self.runs.len(),
             self.runs.values().filter(rejected).count(),
             self.runs.values().filter(probed).count(),
-            self.listed_at.is_some(),
+            self.has_complete_list,
         )
     }
 
@@ -491,6 +499,7 @@
         self.last_listed_end = 0;
         self.acknowledged = 0;
         self.listed_at = None;
+        self.has_complete_list = false;
         self.fenced_epoch = 0;
     }
 
@@ -617,7 +626,7 @@
         }
     }
 
-    /// Resolves the attempts that a list requested at `called_at` would show if they were on the
+    /// Resolves the attempts that a complete list requested at `called_at` would show if they were on the
     /// worker, but doesn't.
     fn resolve_unlisted(&mut self, called_at: Time) {
         self.runs.retain(|_, state| {
--- a/crates/control/src/runner/attempt_list.rs
+++ b/crates/control/src/runner/attempt_list.rs
@@ -15,6 +15,9 @@
     pub called_at: Time,
     /// Running attempts.
     pub running: Vec<ListedAttempt>,
-    /// Ends that are not acknowledged, ordered by number.
+    /// Ends that are not acknowledged, ordered by number and without gaps.
     pub finished: Vec<End>,
+    /// Whether attempts may be missing from both lists, because the worker's reply can't be read
+    /// in full.
+    pub is_partial: bool,
 }
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -190,6 +190,7 @@
         called_at,
         running: Vec::new(),
         finished: Vec::new(),
+        is_partial: false,
     }
 }
 
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -126,6 +126,7 @@
             called_at,
             running: running.collect(),
             finished: self.finished.clone(),
+            is_partial: false,
         }
     }
 
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -55,7 +55,13 @@
         match renew_lease(&shared, wait_ms).await {
             Reply::Attempts(list) => {
                 refusals = 0;
+                let is_partial = list.is_partial;
                 handle_list(&shared, list);
+                if is_partial {
+                    // The worker returns unacknowledged ends at once, also those that can't be
+                    // read.
+                    sleep(RETRY_DELAY).await;
+                }
             }
             Reply::ConnectionRefused => {
                 refusals += 1;
