store: skip an entry that can't be read instead of failing the list

What callers would see: one entry whose value isn't Base64 or has another type stops the whole system. No owner finishes its takeover, so no job runs, and a new configuration is never used.

Cause: a page or a watch was decoded as a whole. One unreadable entry failed it, and it was retried from the same revision for ever.

An entry that can't be read is now skipped and logged; the others hold. A page names the keys of the skipped items, for callers to whom such an item isn't the same as none: an entry doesn't take the owner's key for free, and a takeover fails while a progress record can't be read, as both did before. The items of a failed transaction are still read all or none, since a missing one would mean that the key doesn't exist.

--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -58,7 +58,7 @@
     let Some(listed) = shared.drain.run_until_cancelled(listing).await else {
         return Ok(false);
     };
-    let (items, _) = listed?;
+    let items = listed?.items;
     let own_key = key::entry(&shared.settings.name);
     let own = own_candidate(shared);
     let candidates = items.iter().filter_map(|item| {
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -8,7 +8,7 @@
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
-use toucanquay_model::{Error, Revision, Time};
+use toucanquay_model::{Error, ErrorKind, Revision, Time};
 
 use super::{Shared, candidates, owner, term::Term};
 use crate::{
@@ -77,6 +77,10 @@
     let deadline = Instant::now() + CALL_TIMEOUT;
     let page = shared.store.page(key::OWNER, "", deadline).await?;
     shared.record_store_response();
+    if page.unreadable.iter().any(|key| key == key::OWNER) {
+        // The key is in use, and the epoch of its holder is unknown.
+        return Err(Error::new(ErrorKind::Protocol).field(key::OWNER));
+    }
     record_owner(shared, observed, page.items.first());
     let mut revision = page.revision;
     loop {
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Duration, sleep};
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
-    Epoch, Error, Revision,
+    Epoch, Error, ErrorKind, Revision,
     graph::{AcceptedJob, Id},
 };
 
@@ -42,16 +42,21 @@
 
 async fn try_load(shared: &Shared, epoch: Epoch, fence: Revision) -> Result<LoadedState, Error> {
     let store = &shared.store;
-    let (host_items, hosts_revision) = store.list(key::HOSTS).await?;
-    let (intake_items, intake_revision) = store.list(key::INTAKE).await?;
-    let (progress_items, _) = store.list(key::PROGRESS).await?;
-    let hosts: Vec<(String, Registration)> = host_items.iter().filter_map(parse_host).collect();
+    let host_list = store.list(key::HOSTS).await?;
+    let intake = store.list(key::INTAKE).await?;
+    let progress_list = store.list(key::PROGRESS).await?;
+    if !progress_list.unreadable.is_empty() {
+        // The jobs of these records would run again.
+        return Err(Error::new(ErrorKind::Protocol).field(key::PROGRESS));
+    }
+    let hosts = host_list.items.iter().filter_map(parse_host);
+    let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
     let names = hosts.iter().map(|(name, _)| name.clone());
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
-    let mut progress = progress_by_job(&progress_items);
-    for item in &intake_items {
+    let mut progress = progress_by_job(&progress_list.items);
+    for item in &intake.items {
         if let Some(id) = parse_id(item, key::CANCELS) {
             scheduler.cancel(id, now);
         }
@@ -69,12 +74,12 @@
         }
     }
     info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active_jobs(),
-        "hosts" => hosts.len(), "revision" => intake_revision);
+        "hosts" => hosts.len(), "revision" => intake.revision);
     Ok(LoadedState {
         scheduler,
         hosts,
-        intake_revision,
-        hosts_revision,
+        intake_revision: intake.revision,
+        hosts_revision: host_list.revision,
     })
 }
 
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -116,9 +116,9 @@
     revision: Option<Revision>,
 ) -> Result<(Vec<store::Event>, Option<Revision>), Error> {
     let Some(revision) = revision else {
-        let (items, next_revision) = shared.store.list(prefix).await?;
-        let changes = items.into_iter().map(store::Event::Written);
-        return Ok((changes.collect(), Some(next_revision)));
+        let list = shared.store.list(prefix).await?;
+        let changes = list.items.into_iter().map(store::Event::Written);
+        return Ok((changes.collect(), Some(list.revision)));
     };
     let deadline = Instant::now() + WATCH_TIMEOUT;
     match shared.store.watch(prefix, revision, deadline).await? {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,7 +15,7 @@
 pub use call::Call;
 pub use event::Event;
 pub use item::Item;
-pub use reply::{Commit, Page, Reply, Watch};
+pub use reply::{Commit, List, Page, Reply, Watch};
 pub use transaction::Transaction;
 
 /// Timeout for reading one page. A page of 1 MB takes more than a second over a link of 10 Mbit/s,
@@ -83,33 +83,32 @@
         }
     }
 
-    /// Returns all items whose key has the prefix, and the revision after which to watch in order
-    /// not to miss changes.
+    /// Returns all items whose key has the prefix.
     ///
     /// [`PAGE_TIMEOUT`] applies to each page, not to the whole list.
     ///
     /// # Errors
     ///
     /// Returns the store's error.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
-        let first = self.page(prefix, "", Instant::now() + PAGE_TIMEOUT).await?;
+    pub async fn list(&self, prefix: &str) -> Result<List, Error> {
+        let mut page = self.page(prefix, "", Instant::now() + PAGE_TIMEOUT).await?;
         // The pages aren't a consistent snapshot. A watch from the first page's revision reports
         // the changes made while the others were read.
-        let revision = first.revision;
-        let mut items = first.items;
-        let mut has_more = first.has_more;
-        while has_more {
-            let after = items
-                .last()
-                .map(|item| item.key.clone())
-                .unwrap_or_default();
-            let page = self
+        let mut list = List {
+            revision: page.revision,
+            ..List::default()
+        };
+        loop {
+            let after = page.last_key().filter(|_| page.has_more).map(str::to_owned);
+            list.items.extend(page.items);
+            list.unreadable.extend(page.unreadable);
+            let Some(after) = after else {
+                return Ok(list);
+            };
+            page = self
                 .page(prefix, &after, Instant::now() + PAGE_TIMEOUT)
                 .await?;
-            has_more = page.has_more && !page.items.is_empty();
-            items.extend(page.items);
         }
-        Ok((items, revision))
     }
 
     /// Waits until the deadline for changes after a revision to keys with the prefix.
--- a/crates/node/src/store/reply.rs
+++ b/crates/node/src/store/reply.rs
@@ -22,12 +22,35 @@
 pub struct Page {
     /// Items sorted by key.
     pub items: Vec<Item>,
+    /// Keys of the items that can't be read. Empty for an item whose key can't be read.
+    pub unreadable: Vec<String>,
     /// More items follow the last one.
     pub has_more: bool,
     /// Revision of the store when the page was read.
     pub revision: Revision,
 }
 
+impl Page {
+    /// Returns the last key that can be read.
+    pub(super) fn last_key(&self) -> Option<&str> {
+        let last_item = self.items.last().map(|item| item.key.as_str());
+        let unreadable = self.unreadable.iter().map(String::as_str);
+        let keys = unreadable.filter(|key| !key.is_empty()).chain(last_item);
+        keys.max()
+    }
+}
+
+/// All items by prefix.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct List {
+    /// Items sorted by key.
+    pub items: Vec<Item>,
+    /// Keys of the items that can't be read. Empty for an item whose key can't be read.
+    pub unreadable: Vec<String>,
+    /// Revision after which to watch in order not to miss changes.
+    pub revision: Revision,
+}
+
 /// Changes since a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Watch {
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -31,6 +31,7 @@
         let matches = |item: &&Item| item.key.starts_with(prefix) && item.key.as_str() > after;
         Page {
             items: self.items.values().filter(matches).cloned().collect(),
+            unreadable: Vec::new(),
             has_more: false,
             revision: self.revision,
         }
