takeover: await a host whose registration can't be read

What callers would see: the tasks on a host whose registration can't be read start elsewhere while they run (TWICE), at the next takeover.

Cause: a new owner waits for the hosts that the store lists before it starts older tasks, and a host with an unreadable registration wasn't among them.

The owner now waits for every listed host. It has no address for one whose registration can't be read, so the wait ends with the lease on that host, and the host is logged.

--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -11,7 +11,10 @@
 };
 
 use super::{Registration, Shared};
-use crate::{key, store::Item};
+use crate::{
+    key,
+    store::{Item, List},
+};
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -52,7 +55,7 @@
     let hosts = host_list.items.iter().filter_map(parse_host);
     let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
-    let names = hosts.iter().map(|(name, _)| name.clone());
+    let names = host_names(shared, &host_list);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
     let mut progress = progress_by_job(&progress_list.items);
@@ -95,6 +98,19 @@
     items.iter().filter_map(restored).collect()
 }
 
+/// Returns the names of all registered hosts. Tasks may also run on a host whose registration can't
+/// be read.
+fn host_names(shared: &Shared, list: &List) -> Vec<String> {
+    let unreadable_items = list.items.iter().filter(|item| parse_host(item).is_none());
+    let unreadable_keys = unreadable_items.map(|item| &item.key);
+    for key in unreadable_keys.chain(&list.unreadable) {
+        warn!(shared.log, "host_unreadable"; "key" => key);
+    }
+    let keys = list.items.iter().map(|item| &item.key);
+    let name = |key: &String| key.strip_prefix(key::HOSTS).unwrap_or_default().to_owned();
+    keys.chain(&list.unreadable).map(name).collect()
+}
+
 /// Parses the host name and the registration of a companion.
 pub(super) fn parse_host(item: &Item) -> Option<(String, Registration)> {
     let name = item.key.strip_prefix(key::HOSTS)?;
