takeover: withhold a job whose progress can't be read

Cause: an unreadable record counted as no record, so the job began anew. (A record that isn't Base64 stopped every takeover.)

The owner now withholds such a job: it logs job_withheld at each takeover and starts none of the job's tasks, also when the store is listed again or the client repeats its submission. The job reads as `running`; a later owner reads the record anew. Attempts of the job that still run are stopped, as those of an unknown job are. The alternative, a takeover that fails until the record is readable, was rejected: one bad record would stop all jobs. Starting the job anew would repeat finished work, and reporting it as failed would claim an end that never happened. Only if the key of an unreadable record is unreadable, too, does the takeover fail, since it may be any job's.

--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -122,7 +122,14 @@
     deadline: Instant,
 ) -> Result<Option<State>, Error> {
     let store = &shared.store;
-    if let Some(item) = store.get(&key::progress(id), deadline).await?
+    let progress_item = match store.get(&key::progress(id), deadline).await {
+        Err(error) if error.kind() == ErrorKind::Protocol => {
+            debug!(shared.log, "progress_unreadable"; "job" => %id, "error" => %error);
+            None
+        }
+        found => found?,
+    };
+    if let Some(item) = progress_item
         && let Ok(progress) = serde_json::from_slice::<Progress>(&item.value)
         && progress.state.is_over()
     {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -1,6 +1,9 @@
 //! Event loop that runs the scheduler.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use slog::{info, warn};
 use tokio::{
@@ -9,7 +12,11 @@
     time::{Duration, Instant, sleep_until},
 };
 use toucanquay_control::scheduler::{Event as SchedulerEvent, Scheduler};
-use toucanquay_model::{Epoch, Revision, Time, graph::AcceptedJob, session::Orders};
+use toucanquay_model::{
+    Epoch, Revision, Time,
+    graph::{AcceptedJob, Id},
+    session::Orders,
+};
 use toucanquay_wire::graph::{Query, Reply};
 
 use super::Event;
@@ -35,6 +42,8 @@
     shared: Arc<Shared>,
     mailbox: mpsc::Sender<Event>,
     scheduler: Scheduler,
+    /// Jobs that must not run because their progress can't be read.
+    withheld_jobs: HashSet<Id>,
     epoch: Epoch,
     fence: Revision,
     order_senders: HashMap<String, mpsc::Sender<Orders>>,
@@ -76,6 +85,7 @@
             shared,
             mailbox,
             scheduler,
+            withheld_jobs: loaded.withheld_jobs,
             epoch,
             fence,
             order_senders: HashMap::new(),
@@ -142,7 +152,7 @@
             Event::Accepted(id, accepted_job) => {
                 self.scheduler
                     .set_wall_clock(self.shared.clock.unix_ms(), now);
-                self.scheduler.accept(id, *accepted_job, now);
+                self.accept(id, *accepted_job, now);
             }
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
@@ -154,6 +164,13 @@
         }
     }
 
+    /// Adds a persisted job, which may be announced more than once, unless it is withheld.
+    fn accept(&mut self, id: Id, accepted_job: AcceptedJob, now: Time) {
+        if !self.withheld_jobs.contains(&id) {
+            self.scheduler.accept(id, accepted_job, now);
+        }
+    }
+
     /// Advances the scheduler to the current time and starts the resulting commits and orders.
     fn advance(&mut self) {
         let now = self.shared.clock.now();
@@ -309,7 +326,7 @@
             }
             Query::Accepted { id, record } => {
                 if let Ok(accepted_job) = serde_json::from_slice::<AcceptedJob>(&record) {
-                    self.scheduler.accept(id, accepted_job, now);
+                    self.accept(id, accepted_job, now);
                 }
                 Reply::Noted
             }
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -1,6 +1,6 @@
 //! Loads a new owner's state from the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use slog::{info, warn};
 use tokio::time::{Duration, sleep};
@@ -24,6 +24,8 @@
 pub(super) struct LoadedState {
     pub(super) scheduler: Scheduler,
     pub(super) hosts: Vec<(String, Registration)>,
+    /// Jobs that must not run because their progress can't be read.
+    pub(super) withheld_jobs: HashSet<Id>,
     /// Revision after which to watch accepted jobs and cancellations.
     pub(super) intake_revision: Revision,
     /// Revision after which to watch the registrations of companions.
@@ -48,17 +50,14 @@
     let host_list = store.list(key::HOSTS).await?;
     let intake = store.list(key::INTAKE).await?;
     let progress_list = store.list(key::PROGRESS).await?;
-    if !progress_list.unreadable.is_empty() {
-        // The jobs of these records would run again.
-        return Err(Error::new(ErrorKind::Protocol).field(key::PROGRESS));
-    }
     let hosts = host_list.items.iter().filter_map(parse_host);
     let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
     let names = host_names(shared, &host_list);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
-    let mut progress = progress_by_job(&progress_list.items);
+    let mut progress = progress_by_job(&progress_list)?;
+    let mut withheld_jobs = HashSet::new();
     for item in &intake.items {
         if let Some(id) = parse_id(item, key::CANCELS) {
             scheduler.cancel(id, now);
@@ -69,11 +68,20 @@
             }
             continue;
         };
-        if item.revision < fence {
-            let restored = progress.remove(&id).unwrap_or_default();
-            scheduler.restore(id, accepted_job, restored, now);
-        } else {
+        if item.revision >= fence {
             scheduler.accept(id, accepted_job, now);
+            continue;
+        }
+        match progress.remove(&id) {
+            Some(None) => {
+                warn!(shared.log, "job_withheld"; "job" => %id, "epoch" => epoch,
+                    "reason" => "its progress can't be read");
+                withheld_jobs.insert(id);
+            }
+            found => {
+                let restored = found.flatten().unwrap_or_default();
+                scheduler.restore(id, accepted_job, restored, now);
+            }
         }
     }
     info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active_jobs(),
@@ -81,21 +89,33 @@
     Ok(LoadedState {
         scheduler,
         hosts,
+        withheld_jobs,
         intake_revision: intake.revision,
         hosts_revision: host_list.revision,
     })
 }
 
-fn progress_by_job(items: &[Item]) -> HashMap<Id, RestoredJob> {
+/// Returns the recorded progress of jobs; `None` for a record that can't be read.
+///
+/// # Errors
+///
+/// [`ErrorKind::Protocol`] if it isn't known to which job an unreadable record belongs.
+fn progress_by_job(list: &List) -> Result<HashMap<Id, Option<RestoredJob>>, Error> {
+    if list.unreadable.iter().any(String::is_empty) {
+        return Err(Error::new(ErrorKind::Protocol).field(key::PROGRESS));
+    }
     let restored = |item: &Item| {
         let progress = serde_json::from_slice(&item.value).ok()?;
         let revision = item.revision;
-        Some((
-            parse_id(item, key::PROGRESS)?,
-            RestoredJob { progress, revision },
-        ))
+        Some(RestoredJob { progress, revision })
+    };
+    let readable = list.items.iter().map(|item| (&item.key, restored(item)));
+    let unreadable = list.unreadable.iter().map(|key| (key, None));
+    let with_id = |(key, restored): (&String, _)| {
+        let id = key.strip_prefix(key::PROGRESS)?.parse().ok()?;
+        Some((id, restored))
     };
-    items.iter().filter_map(restored).collect()
+    Ok(readable.chain(unreadable).filter_map(with_id).collect())
 }
 
 /// Returns the names of all registered hosts. Tasks may also run on a host whose registration can't
