--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -1,17 +1,20 @@
 //! Loads a new owner's state from the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use slog::{info, warn};
 use tokio::time::{Duration, sleep};
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
-    Epoch, Error, Revision,
+    Epoch, Error, ErrorKind, Revision,
     graph::{AcceptedJob, Id},
 };
 
 use super::{Registration, Shared};
-use crate::{key, store::Item};
+use crate::{
+    key,
+    store::{Item, List},
+};
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -21,6 +24,8 @@
 pub(super) struct LoadedState {
     pub(super) scheduler: Scheduler,
     pub(super) hosts: Vec<(String, Registration)>,
+    /// Jobs that must not run because their progress can't be read.
+    pub(super) withheld_jobs: HashSet<Id>,
     /// Revision after which to watch accepted jobs and cancellations.
     pub(super) intake_revision: Revision,
     /// Revision after which to watch the registrations of companions.
@@ -42,16 +47,18 @@
 
 async fn try_load(shared: &Shared, epoch: Epoch, fence: Revision) -> Result<LoadedState, Error> {
     let store = &shared.store;
-    let (host_items, hosts_revision) = store.list(key::HOSTS).await?;
-    let (intake_items, intake_revision) = store.list(key::INTAKE).await?;
-    let (progress_items, _) = store.list(key::PROGRESS).await?;
-    let hosts: Vec<(String, Registration)> = host_items.iter().filter_map(parse_host).collect();
+    let host_list = store.list(key::HOSTS).await?;
+    let intake = store.list(key::INTAKE).await?;
+    let progress_list = store.list(key::PROGRESS).await?;
+    let hosts = host_list.items.iter().filter_map(parse_host);
+    let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
-    let names = hosts.iter().map(|(name, _)| name.clone());
+    let names = host_names(shared, &host_list);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
-    let mut progress = progress_by_job(&progress_items);
-    for item in &intake_items {
+    let mut progress = progress_by_job(&progress_list)?;
+    let mut withheld_jobs = HashSet::new();
+    for item in &intake.items {
         if let Some(id) = parse_id(item, key::CANCELS) {
             scheduler.cancel(id, now);
         }
@@ -61,33 +68,67 @@
             }
             continue;
         };
-        if item.revision < fence {
-            let restored = progress.remove(&id).unwrap_or_default();
-            scheduler.restore(id, accepted_job, restored, now);
-        } else {
+        if item.revision >= fence {
             scheduler.accept(id, accepted_job, now);
+            continue;
+        }
+        match progress.remove(&id) {
+            Some(None) => {
+                warn!(shared.log, "job_withheld"; "job" => %id, "epoch" => epoch,
+                    "reason" => "its progress can't be read");
+                withheld_jobs.insert(id);
+            }
+            found => {
+                let restored = found.flatten().unwrap_or_default();
+                scheduler.restore(id, accepted_job, restored, now);
+            }
         }
     }
     info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active_jobs(),
-        "hosts" => hosts.len(), "revision" => intake_revision);
+        "hosts" => hosts.len(), "revision" => intake.revision);
     Ok(LoadedState {
         scheduler,
         hosts,
-        intake_revision,
-        hosts_revision,
+        withheld_jobs,
+        intake_revision: intake.revision,
+        hosts_revision: host_list.revision,
     })
 }
 
-fn progress_by_job(items: &[Item]) -> HashMap<Id, RestoredJob> {
+/// Returns the recorded progress of jobs; `None` for a record that can't be read.
+///
+/// # Errors
+///
+/// [`ErrorKind::Protocol`] if it isn't known to which job an unreadable record belongs.
+fn progress_by_job(list: &List) -> Result<HashMap<Id, Option<RestoredJob>>, Error> {
+    if list.unreadable.iter().any(String::is_empty) {
+        return Err(Error::new(ErrorKind::Protocol).field(key::PROGRESS));
+    }
     let restored = |item: &Item| {
         let progress = serde_json::from_slice(&item.value).ok()?;
         let revision = item.revision;
-        Some((
-            parse_id(item, key::PROGRESS)?,
-            RestoredJob { progress, revision },
-        ))
+        Some(RestoredJob { progress, revision })
+    };
+    let readable = list.items.iter().map(|item| (&item.key, restored(item)));
+    let unreadable = list.unreadable.iter().map(|key| (key, None));
+    let with_id = |(key, restored): (&String, _)| {
+        let id = key.strip_prefix(key::PROGRESS)?.parse().ok()?;
+        Some((id, restored))
     };
-    items.iter().filter_map(restored).collect()
+    Ok(readable.chain(unreadable).filter_map(with_id).collect())
+}
+
+/// Returns the names of all registered hosts. Tasks may also run on a host whose registration can't
+/// be read.
+fn host_names(shared: &Shared, list: &List) -> Vec<String> {
+    let unreadable_items = list.items.iter().filter(|item| parse_host(item).is_none());
+    let unreadable_keys = unreadable_items.map(|item| &item.key);
+    for key in unreadable_keys.chain(&list.unreadable) {
+        warn!(shared.log, "host_unreadable"; "key" => key);
+    }
+    let keys = list.items.iter().map(|item| &item.key);
+    let name = |key: &String| key.strip_prefix(key::HOSTS).unwrap_or_default().to_owned();
+    keys.chain(&list.unreadable).map(name).collect()
 }
 
 /// Parses the host name and the registration of a companion.
