scheduler: order a resolving stop again in each session

An agent restarts while a start of its former process is unanswered, its session breaks shortly afterwards, and the task is placed on another host although the old start is still carried out.

Cause: the stop that resolves such a start was ordered once. If the session broke before the agent had applied it, the first update of the next session did not list the attempt, and the agent had not restarted in between, or the orders with the stop had not been sent; either way the attempt was released.

An attempt that awaits its resolution is now marked. A first update that does not list it orders the stop again, whichever process sent the update. The mark ends with the attempt: when the agent reports it as rejected or ended, when the worker's incarnation changes, or when the lease ends. So the task waits until the worker has answered a stop, after which a late start can't take effect.

--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -33,6 +33,9 @@
     /// was listed in the first update of a later session.
     pub(super) orders_number: Option<u64>,
     pub(super) is_stopping: bool,
+    /// A former process of the agent may have sent the start, so that the attempt is only released
+    /// once its stop is answered.
+    pub(super) is_unresolved: bool,
     /// The worker has outlived the start.
     pub(super) has_survived_start: bool,
     pub(super) done_percent: u8,
@@ -71,6 +74,7 @@
             started_at: now,
             orders_number: None,
             is_stopping: false,
+            is_unresolved: false,
             has_survived_start: false,
             done_percent: 0,
             gauge: 0,
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -311,8 +311,9 @@
                 continue;
             }
             let was_sent = run.orders_number.is_some();
-            if is_first_update && is_agent_restarted && was_sent {
-                // A start that the agent sent before its restart may still reach the worker.
+            let is_unresolved = run.is_unresolved || (is_agent_restarted && was_sent);
+            if is_first_update && is_unresolved {
+                // A start that a former process of the agent sent may still reach the worker.
                 self.resolve_by_stop(run_key, Stop { task, attempt });
             } else if is_first_update
                 || run
@@ -351,12 +352,14 @@
     }
 
     /// Orders a stop of an attempt whose start may still take effect. The attempt is released once
-    /// the agent has answered the stop.
+    /// the agent has answered the stop, which may be lost with a session and is ordered again in the
+    /// next one.
     fn resolve_by_stop(&mut self, key: RunKey, stop: Stop) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         run.is_stopping = true;
+        run.is_unresolved = true;
         run.orders_number = None;
         self.hosts[run.host].stops.push(stop);
     }
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -596,3 +596,62 @@
     assert_eq!(second.job_state(Id::new(1)), Some(State::Running));
     assert_eq!(again.starts.len(), 1);
 }
+
+/// Guards against a task that runs twice: the stop that resolves a former process's start was lost
+/// with a session, and the attempt must not be released before it is answered.
+#[rstest]
+#[case::same_process(2)]
+#[case::next_process(3)]
+fn resolving_stop_is_ordered_again_in_the_next_session(#[case] next_process: u64) {
+    let mut scheduler = owner(1, &["h1", "h2"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let started = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(1)));
+    let placed = started
+        .iter()
+        .position(|orders| !orders.starts.is_empty())
+        .expect("one host has a start");
+    let name = ["h1", "h2"][placed];
+    let attempt = started[placed].starts[0].attempt;
+    let mut successor = update(name, 1);
+    for (process, millis) in [(2, 400), (next_process, 500)] {
+        scheduler.disconnect(name);
+        scheduler.connect(name);
+        successor.process = process;
+        successor.number += 1;
+        scheduler.update(&successor, at(millis));
+    }
+
+    let resolving = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(501)));
+
+    assert!(resolving.iter().all(|orders| orders.starts.is_empty()));
+    assert_eq!(resolving[placed].stops.len(), 1);
+    assert_eq!(resolving[placed].stops[0].attempt, attempt);
+}
+
+/// Guards against the same loss after the orders were sent but before the agent applied them.
+#[test]
+fn resolving_stop_that_was_sent_but_not_applied_is_ordered_again() {
+    let mut scheduler = owner(1, &["h1", "h2"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let started = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(1)));
+    let placed = started
+        .iter()
+        .position(|orders| !orders.starts.is_empty())
+        .expect("one host has a start");
+    let name = ["h1", "h2"][placed];
+    let mut successor = update(name, 1);
+    successor.process = 2;
+    for millis in [400, 500] {
+        scheduler.disconnect(name);
+        scheduler.connect(name);
+        successor.number += 1;
+        scheduler.update(&successor, at(millis));
+        if millis == 400 {
+            orders(&mut scheduler, name, at(401));
+        }
+    }
+
+    let resolving = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(501)));
+
+    assert!(resolving.iter().all(|orders| orders.starts.is_empty()));
+}
