companion: resolve an unanswered start by a stop only while it is starting

Cause: a start without an answer scheduled the stop that resolves it, whatever was known of the attempt by then. A list may have shown that it runs, the owner may have ordered its stop, or a stop and a list may have resolved it.

The stop is scheduled only while the attempt is starting. In each other phase something newer than the start's outcome is known, and a stop that is due has its own time.

Tests, all three failed before: attempt_that_is_listed_before_its_start_goes_unanswered_runs_on, resolved_attempt_stays_resolved_when_its_start_goes_unanswered, turned_away_stop_is_repeated_soon_although_the_start_goes_unanswered.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -226,10 +226,10 @@
             CallOutcome::Refused | CallOutcome::Unavailable if state.phase == Phase::Starting => {
                 state.phase = Phase::Rejected(Rejection::Refused);
             }
-            CallOutcome::Refused | CallOutcome::Unavailable => {}
-            CallOutcome::Unknown => {
+            CallOutcome::Unknown if state.phase == Phase::Starting => {
                 state.stop_at = now.plus_micros(self.settings.start_outcome_micros);
             }
+            CallOutcome::Refused | CallOutcome::Unavailable | CallOutcome::Unknown => {}
         }
         Vec::new()
     }
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -552,3 +552,61 @@
 
     assert!(!update.is_settled);
 }
+
+/// Guards against stopping a sound attempt because its start's answer was lost after a list had
+/// shown that it runs.
+#[test]
+fn attempt_that_is_listed_before_its_start_goes_unanswered_runs_on() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut list = empty_list(at(500));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(500));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    let mut list = empty_list(at(2_000));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(2_000));
+
+    let actions = runner.tick(at(2_300));
+
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Guards against a resolved attempt that becomes unresolved again because of its start's outcome.
+#[test]
+fn resolved_attempt_stays_resolved_when_its_start_goes_unanswered() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, 1, CallOutcome::Done, at(30));
+    runner.apply_list(empty_list(at(40)), at(50));
+    let resolved = phases(&mut runner, at(51));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+
+    let actions = runner.tick(at(2_300));
+
+    assert_eq!(resolved, [Phase::Rejected(Rejection::Stopped)]);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(phases(&mut runner, at(2_301)), resolved);
+}
+
+/// Guards against a stop that is repeated late because the outcome of the start came in between.
+#[test]
+fn turned_away_stop_is_repeated_soon_although_the_start_goes_unanswered() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(980));
+    runner.record_stop_outcome(task, 1, CallOutcome::Unavailable, at(990));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_001));
+
+    let actions = runner.tick(at(1_200));
+
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
