companion: repeat a refused stop

What callers see: a task runs twice. The stop that resolves a start without an answer is refused, the attempt is reported as stopped and its task is placed elsewhere, and then the start takes effect.

Cause: a refusal counted as proof that the attempt can't start any more. The worker carries out a stop also for an attempt that isn't there, and from then on rejects its start; it refuses a stop because of a higher epoch, a malformed call or another incarnation, and a refused connection is no answer at all. None of these says anything about a start that is still on its way.

Only a stop that was carried out settles an attempt. A new incarnation or an end removes the attempt, so that the repetition ends.

Test: unanswered_start_is_not_resolved_by_a_refused_stop failed before ([Rejected(Stopped)] instead of [Stopping]).

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -247,14 +247,14 @@
             return;
         };
         let retry_micros = match outcome {
-            // A refusal means that the worker is another incarnation or doesn't know the attempt; a
-            // list shows which.
-            CallOutcome::Done | CallOutcome::Refused => {
+            // The worker refuses each start of the attempt that arrives from now on.
+            CallOutcome::Done => {
                 state.outcome_known_at = Some(now);
                 self.settings.stop_confirmation_micros
             }
             CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
-            CallOutcome::Unknown => self.settings.retry_micros,
+            // A refusal proves nothing about a start that may still arrive.
+            CallOutcome::Refused | CallOutcome::Unknown => self.settings.retry_micros,
         };
         if state.phase == Phase::Stopping {
             state.stop_at = now.plus_micros(retry_micros);
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -18,14 +18,15 @@
     ///
     /// Until then, a list may show that the start took effect.
     pub start_outcome_micros: u64,
-    /// Time after which a stop without an outcome is repeated, in microseconds.
+    /// Time after which a stop or a pace that was refused or not answered is repeated, in
+    /// microseconds.
     pub retry_micros: u64,
     /// Time from its start for which an attempt is a suspect if the worker crashes, in microseconds.
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
     pub unavailable_retry_micros: u64,
-    /// Time after which an answered stop is repeated if the attempt is still on the worker, in
-    /// microseconds. It covers the time that a stop takes and the next list.
+    /// Time after which a stop that was carried out is repeated if the attempt is still on the worker,
+    /// in microseconds. It covers the time that a stop takes and the next list.
     pub stop_confirmation_micros: u64,
 }
 
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -610,3 +610,19 @@
 
     assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
 }
+
+/// Guards against a task that runs twice: a refused stop doesn't keep the start before it from
+/// taking effect.
+#[test]
+fn unanswered_start_is_not_resolved_by_a_refused_stop() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    runner.tick(at(2_300));
+    runner.record_stop_outcome(task, 1, CallOutcome::Refused, at(2_310));
+
+    runner.apply_list(empty_list(at(2_320)), at(2_330));
+
+    assert_eq!(phases(&mut runner, at(2_331)), [Phase::Stopping]);
+}
