companion: withdraw a former owner's stop that was not carried out

What callers see: sound work of a new owner is stopped and starts again elsewhere.

Cause: a stop that a former owner ordered, and that the worker refused because it already knew the new epoch, was repeated under the new epoch, so the worker carried it out although the new owner had not ordered it.

When a session of a higher epoch begins, an attempt that is listed as running and whose stop the worker has not carried out is running again. The new owner sees it so in its first update, and adopts it or orders its stop. Two kinds of stops stay: one that was carried out takes effect, also if the answer arrives after the session has begun, so the attempt is reported as stopping and its task is not started elsewhere; one of an attempt that is not listed resolves a start that may still take effect. All pending stops are of former epochs when an epoch begins, so no epoch has to be kept with them.

Tests: stop_of_a_former_owner_that_was_fenced_off_is_not_repeated_under_the_next_epoch failed before. attempt_whose_stop_was_carried_out_is_stopping_in_the_next_epoch and unanswered_start_is_resolved_in_the_next_epoch guard what stays; each of the three conditions taken out fails one of them.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -158,6 +158,9 @@
     }
 
     /// Begins a session with the owner of `epoch`. Returns `false` if a later owner is known.
+    ///
+    /// Stops of a former owner that the worker hasn't carried out are withdrawn if the attempt is
+    /// listed: the worker would carry out their repetition, whose epoch is the new one.
     pub fn begin_session(&mut self, epoch: Epoch) -> bool {
         if epoch < self.epoch {
             return false;
@@ -165,6 +168,9 @@
         if epoch > self.epoch {
             // Another owner assigns other keys to images.
             self.model = InterferenceModel::default();
+            for state in self.runs.values_mut() {
+                state.withdraw_stop();
+            }
         }
         self.epoch = epoch;
         self.last_applied = 0;
@@ -249,7 +255,7 @@
         let retry_micros = match outcome {
             // The worker refuses each start of the attempt that arrives from now on.
             CallOutcome::Done => {
-                state.outcome_known_at = Some(now);
+                state.confirm_stop(now);
                 self.settings.stop_confirmation_micros
             }
             CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -29,6 +29,8 @@
     pub(super) over_target_since: Option<Time>,
     /// When a stop is due.
     pub(super) stop_at: Time,
+    /// Whether the worker has carried out a stop, so that the attempt ends whoever ordered it.
+    pub(super) is_stop_confirmed: bool,
     /// A list that is requested at or after this time shows the attempt if it is on the worker.
     /// `None` while no call about the attempt has a definite outcome.
     pub(super) outcome_known_at: Option<Time>,
@@ -77,6 +79,7 @@
             load: InterferenceModel::prior_load(),
             over_target_since: None,
             stop_at: Time::NEVER,
+            is_stop_confirmed: false,
             outcome_known_at: None,
             is_listed: false,
             started_at: Time::ZERO,
@@ -98,6 +101,24 @@
         }
     }
 
+    /// Records that the worker has carried out a stop at `now`.
+    pub(super) const fn confirm_stop(&mut self, now: Time) {
+        self.is_stop_confirmed = true;
+        self.outcome_known_at = Some(now);
+        if matches!(self.phase, Phase::Running) {
+            self.phase = Phase::Stopping;
+        }
+    }
+
+    /// Withdraws the stop that a former owner ordered, so that the new owner decides. A stop that
+    /// was carried out can't be withdrawn, and one of a start that may still take effect is kept.
+    pub(super) const fn withdraw_stop(&mut self) {
+        if matches!(self.phase, Phase::Stopping) && self.is_listed && !self.is_stop_confirmed {
+            self.phase = Phase::Running;
+            self.stop_at = Time::NEVER;
+        }
+    }
+
     /// Records that the worker lives at `now`, and whether it has outlived the start by
     /// `risk_micros`.
     pub(super) const fn outlive_start(&mut self, risk_micros: u64, now: Time) {
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -25,8 +25,8 @@
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
     pub unavailable_retry_micros: u64,
-    /// Time after which a stop that was carried out is repeated if the attempt is still on the worker,
-    /// in microseconds. It covers the time that a stop takes and the next list.
+    /// Time after which a stop that was carried out is repeated if the attempt is still on the
+    /// worker, in microseconds. It covers the time that a stop takes and the next list.
     pub stop_confirmation_micros: u64,
 }
 
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -626,3 +626,72 @@
 
     assert_eq!(phases(&mut runner, at(2_331)), [Phase::Stopping]);
 }
+
+/// Guards against the stop of an attempt of the current owner that only a former owner ordered.
+#[test]
+fn stop_of_a_former_owner_that_was_fenced_off_is_not_repeated_under_the_next_epoch() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    let attempt = (2 << 32) + 1;
+    let mut list = empty_list(at(10));
+    list.running.push(listed(task, attempt));
+    runner.apply_list(list, at(10));
+    let mut orders = empty_orders(1, 1, at(20));
+    orders.stops.push(Stop { task, attempt });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, attempt, CallOutcome::Refused, at(30));
+    runner.begin_session(2);
+    let mut list = empty_list(at(2_500));
+    list.running.push(listed(task, attempt));
+    runner.apply_list(list, at(2_500));
+
+    let actions = runner.tick(at(2_500));
+
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Guards against a task that is started elsewhere while the worker stops it: a stop that was
+/// carried out takes effect, whichever owner ordered it.
+#[rstest]
+#[case::before_the_session(true)]
+#[case::after_the_session(false)]
+fn attempt_whose_stop_was_carried_out_is_stopping_in_the_next_epoch(#[case] is_before: bool) {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    let mut list = empty_list(at(10));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(10));
+    let mut orders = empty_orders(1, 1, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    if is_before {
+        runner.record_stop_outcome(task, 1, CallOutcome::Done, at(30));
+    }
+    runner.begin_session(2);
+    if !is_before {
+        runner.record_stop_outcome(task, 1, CallOutcome::Done, at(50));
+    }
+
+    let reported = phases(&mut runner, at(60));
+
+    assert_eq!(reported, [Phase::Stopping]);
+}
+
+/// Guards against a task that runs twice because a new owner's session ends the resolution of an
+/// unanswered start.
+#[test]
+fn unanswered_start_is_resolved_in_the_next_epoch() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    runner.tick(at(2_300));
+    runner.record_stop_outcome(task, 1, CallOutcome::Refused, at(2_310));
+    runner.begin_session(2);
+    let reported = phases(&mut runner, at(2_320));
+
+    let actions = runner.tick(at(2_900));
+
+    assert_eq!(reported, [Phase::Stopping]);
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
