companion: pace found attempts by the effects of their orders

What callers see: a latency target is missed after a companion's restart, until a list sets the paces anew.

The effects are merged first.

Test: pace_of_a_found_attempt_uses_the_effects_of_its_orders failed before.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -188,19 +188,11 @@
         let lease_until = orders.stamp.plus_micros(self.settings.lease_micros);
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
+        self.merge_effects(orders);
         for (stop, profile) in &orders.profiles {
             let key = (stop.task, stop.attempt);
             actions.extend(self.set_profile(key, *profile, now));
         }
-        for effect in &orders.effects {
-            let value = f64::from(effect.percent) / 100.0;
-            let deviation = f64::from(effect.deviation_percent) / 100.0;
-            self.model.merge_estimate(
-                effect.sensitive as usize,
-                effect.other as usize,
-                Estimate::new(value, deviation),
-            );
-        }
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
@@ -511,6 +503,18 @@
         });
     }
 
+    fn merge_effects(&mut self, orders: &Orders) {
+        for effect in &orders.effects {
+            let value = f64::from(effect.percent) / 100.0;
+            let deviation = f64::from(effect.deviation_percent) / 100.0;
+            self.model.merge_estimate(
+                effect.sensitive as usize,
+                effect.other as usize,
+                Estimate::new(value, deviation),
+            );
+        }
+    }
+
     /// Sets the profile of an attempt that was found on the worker. Returns the paces to set: an
     /// earlier companion process may have set another one.
     fn set_profile(&mut self, key: AttemptKey, profile: Profile, now: Time) -> Vec<Action> {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -695,3 +695,35 @@
     assert_eq!(reported, [Phase::Stopping]);
     assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
 }
+
+/// Guards against a pace that is set by estimates that the same orders replace.
+#[test]
+fn pace_of_a_found_attempt_uses_the_effects_of_its_orders() {
+    let with_effects = |is_separate: bool| {
+        let mut runner = runner(1);
+        let found = [sensitive_start(), idle_start(0, NOISY)];
+        let mut list = empty_list(at(10));
+        list.running.push(gauged(found[0].task, 45));
+        list.running.push(gauged(found[1].task, 1_000));
+        runner.apply_list(list, at(10));
+        let mut orders = empty_orders(1, 1, at(20));
+        orders.effects = shared_worker_orders().effects;
+        let profiles = found.map(|start| {
+            let attempt = Stop {
+                task: start.task,
+                attempt: 1,
+            };
+            (attempt, start.profile)
+        });
+        if is_separate {
+            runner.apply_orders(&orders, at(20));
+            orders = empty_orders(1, 2, at(20));
+        }
+        orders.profiles = profiles.to_vec();
+        let mut actions = runner.apply_orders(&orders, at(20));
+        actions.extend(runner.tick(at(100)));
+        actions
+    };
+
+    assert_eq!(with_effects(false), with_effects(true));
+}
