companion: set the pace of a found attempt once

What callers see: two equal pace calls for each attempt that a restarted companion finds, on a worker that may already be busy.

Cause: the pace was marked as due and also ordered at once unless it was full.

Test: pace_of_an_attempt_that_was_found_running_is_set_once failed before (2 calls).

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -15,12 +15,12 @@
 
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
     session::{
-        AttemptStatus, Crash, End, Orders, Phase, Profile, Rejection, Start, Stop, Suspect, Update,
-        Worker,
+        AttemptStatus, Crash, End, Orders, Phase, Rejection, Start, Stop, Suspect, Update, Worker,
     },
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
@@ -189,10 +189,7 @@
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
         self.merge_effects(orders);
-        for (stop, profile) in &orders.profiles {
-            let key = (stop.task, stop.attempt);
-            actions.extend(self.set_profile(key, *profile, now));
-        }
+        self.set_profiles(orders, now);
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
@@ -515,18 +512,23 @@
         }
     }
 
-    /// Sets the profile of an attempt that was found on the worker. Returns the paces to set: an
-    /// earlier companion process may have set another one.
-    fn set_profile(&mut self, key: AttemptKey, profile: Profile, now: Time) -> Vec<Action> {
-        let Some(state) = self.runs.get_mut(&key) else {
-            return Vec::new();
-        };
-        let is_first = state.profile.replace(profile).is_none();
-        if !is_first || !state.is_paced() {
-            return Vec::new();
+    /// Sets the profiles of attempts that were found on the worker. Their paces are due: an earlier
+    /// companion process may have set other ones.
+    fn set_profiles(&mut self, orders: &Orders, now: Time) {
+        let mut paced: SmallVec<[AttemptKey; 8]> = SmallVec::new();
+        for (found, profile) in &orders.profiles {
+            let key = (found.task, found.attempt);
+            let Some(state) = self.runs.get_mut(&key) else {
+                continue;
+            };
+            let is_first = state.profile.replace(*profile).is_none();
+            if is_first && state.is_paced() {
+                paced.push(key);
+            }
+        }
+        if !paced.is_empty() {
+            self.pace_found(&paced, now);
         }
-        state.pace_at = now;
-        self.start_pacing(key, now)
     }
 
     fn stop(&mut self, stop: Stop, actions: &mut Vec<Action>) {
--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -90,6 +90,13 @@
 
     /// Recomputes the paces for the current loads, and returns the calls that change them.
     pub(super) fn update_paces(&mut self, now: Time) -> Vec<Action> {
+        let changed = self.recompute_paces(now);
+        let action = |(key, percent)| self.pace_action(key, percent);
+        changed.into_iter().map(action).collect()
+    }
+
+    /// Recomputes the paces for the current loads, and returns those that have changed.
+    fn recompute_paces(&mut self, now: Time) -> Vec<(AttemptKey, u8)> {
         let is_over_target = self.runs.values().any(|state| {
             let since = state.over_target_since.unwrap_or(Time::NEVER);
             now >= since.plus_micros(OVER_TARGET_MICROS_MAX)
@@ -112,13 +119,11 @@
                 percent: &mut state.pace_percent,
             })
             .collect();
-        let changed = if is_over_target {
+        if is_over_target {
             pacer::pause_all(&mut attempts)
         } else {
             pacer::assign_paces(&mut attempts, &headrooms)
-        };
-        let action = |(key, percent)| self.pace_action(key, percent);
-        changed.into_iter().map(action).collect()
+        }
     }
 
     /// Recomputes the paces when an attempt that uses idle processors has started. The worker
@@ -139,6 +144,24 @@
         actions
     }
 
+    /// Recomputes the paces when attempts that use idle processors were found on the worker. The
+    /// paces that have changed are due, and so are those of the found attempts, which are unknown.
+    pub(super) fn pace_found(&mut self, found: &[AttemptKey], now: Time) {
+        for key in found {
+            if let Some(state) = self.runs.get_mut(key) {
+                state.pace_percent = 0;
+            }
+        }
+        self.invalidate_samples(now);
+        let changed = self.recompute_paces(now);
+        let changed = changed.iter().map(|(key, _)| key);
+        for key in changed.chain(found) {
+            if let Some(state) = self.runs.get_mut(key) {
+                state.pace_at = now;
+            }
+        }
+    }
+
     /// Processes the outcome of a call to set a pace. A pace that may not be set is due again.
     pub fn record_pace_outcome(
         &mut self,
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -727,3 +727,28 @@
 
     assert_eq!(with_effects(false), with_effects(true));
 }
+
+/// Guards against two calls for one pace of an attempt that was found running.
+#[test]
+fn pace_of_an_attempt_that_was_found_running_is_set_once() {
+    let mut runner = shared_worker();
+    report(&mut runner, 200, 1_000, 2_500);
+    let found = Stop {
+        task: task(1, 0, 7),
+        attempt: 1,
+    };
+    let mut list = empty_list(at(2_500));
+    for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1), found.task] {
+        list.running.push(gauged(task, 200));
+    }
+    runner.apply_list(list, at(2_500));
+    let mut orders = empty_orders(1, 2, at(2_510));
+    orders.profiles = vec![(found, idle_start(7, NOISY).profile)];
+    let mut actions = runner.apply_orders(&orders, at(2_510));
+    actions.extend(runner.tick(at(2_600)));
+
+    let is_found =
+        |action: &&Action| matches!(action, Action::Pace { task, .. } if *task == found.task);
+
+    assert_eq!(actions.iter().filter(is_found).count(), 1, "{actions:?}");
+}
