companion: one pace call in flight for each attempt

What callers see: a latency target that is missed, or a task that stands still, for as long as loads don't change: the worker has a pace that the companion replaced.

Cause: each change of a pace was sent at once, also while an earlier call for the same attempt was unanswered, and calls on different connections may overtake each other. The outcome of the earlier call then said nothing about the pace in force.

An attempt has one pace call in flight. A pace that changes meanwhile is due when the outcome arrives, whatever the outcome, as the state keeps the percentage that was sent. A call whose outcome is lost counts as unanswered after 3 s, and the pace is due again. An attempt whose last call set the wanted pace needs no call when its start's outcome arrives.

The fixtures of runner.rs and pacing.rs now record the outcome of each pace call, as the executor does: without outcomes no second call may follow.

--- a/crates/control/src/runner/action.rs
+++ b/crates/control/src/runner/action.rs
@@ -30,13 +30,3 @@
         latency_percent: Option<u32>,
     },
 }
-
-impl Action {
-    /// Returns the attempt whose pace is set, if the action sets one.
-    pub(super) const fn paced_attempt(&self) -> Option<(Task, u64)> {
-        match self {
-            Self::Pace { task, attempt, .. } => Some((*task, *attempt)),
-            Self::Start { .. } | Self::Stop(_) => None,
-        }
-    }
-}
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -20,8 +20,12 @@
     pub(super) gauge: GaugeEstimator,
     /// Pace that the attempt should have, in percent.
     pub(super) pace_percent: u8,
-    /// When the pace is due to be set again, because the last call may not have set it.
+    /// Pace of the last call that sets it, in percent.
+    pub(super) pace_sent_percent: Option<u8>,
+    /// When the pace is due to be set.
     pub(super) pace_at: Time,
+    /// Until when a call that sets the pace is in flight.
+    pub(super) pace_call_until: Time,
     /// Estimated load of a sensitive task: the busy share of its time in the absence of
     /// interference.
     pub(super) load: Estimate,
@@ -75,7 +79,9 @@
             done_percent: 0,
             gauge: GaugeEstimator::new(),
             pace_percent: Self::FULL_PACE_PERCENT,
+            pace_sent_percent: None,
             pace_at: Time::NEVER,
+            pace_call_until: Time::ZERO,
             load: InterferenceModel::prior_load(),
             over_target_since: None,
             stop_at: Time::NEVER,
@@ -147,6 +153,12 @@
         self.uses_idle() && self.phase == Phase::Running
     }
 
+    /// Returns whether a call that sets the pace is due. Calls may overtake each other, so that only
+    /// one is in flight.
+    pub(super) fn is_pace_due(&self, now: Time) -> bool {
+        now >= self.pace_at && now >= self.pace_call_until && self.is_paced()
+    }
+
     /// Returns the key that the owner assigned to the image.
     pub(super) fn image(&self) -> usize {
         self.profile
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -21,6 +21,9 @@
     /// Time after which a stop or a pace that was refused or not answered is repeated, in
     /// microseconds.
     pub retry_micros: u64,
+    /// Time for which a pace is not changed while a call that sets it has no outcome, in
+    /// microseconds. It exceeds the timeout of the call.
+    pub pace_call_micros: u64,
     /// Time from its start for which an attempt is a suspect if the worker crashes, in microseconds.
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
@@ -41,6 +44,7 @@
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
+            pace_call_micros: 3_000_000,
             start_risk_micros: 250_000,
             unavailable_retry_micros: 100_000,
             stop_confirmation_micros: 2_000_000,
--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -88,15 +88,16 @@
         )
     }
 
-    /// Recomputes the paces for the current loads, and returns the calls that change them.
+    /// Recomputes the paces for the current loads, and returns the calls that are due.
     pub(super) fn update_paces(&mut self, now: Time) -> Vec<Action> {
-        let changed = self.recompute_paces(now);
-        let action = |(key, percent)| self.pace_action(key, percent);
-        changed.into_iter().map(action).collect()
+        for key in self.recompute_paces(now) {
+            self.mark_pace_due(key, now);
+        }
+        self.due_paces(now)
     }
 
     /// Recomputes the paces for the current loads, and returns those that have changed.
-    fn recompute_paces(&mut self, now: Time) -> Vec<(AttemptKey, u8)> {
+    fn recompute_paces(&mut self, now: Time) -> Vec<AttemptKey> {
         let is_over_target = self.runs.values().any(|state| {
             let since = state.over_target_since.unwrap_or(Time::NEVER);
             now >= since.plus_micros(OVER_TARGET_MICROS_MAX)
@@ -119,11 +120,12 @@
                 percent: &mut state.pace_percent,
             })
             .collect();
-        if is_over_target {
+        let changed = if is_over_target {
             pacer::pause_all(&mut attempts)
         } else {
             pacer::assign_paces(&mut attempts, &headrooms)
-        }
+        };
+        changed.into_iter().map(|(key, _)| key).collect()
     }
 
     /// Recomputes the paces when an attempt that uses idle processors has started. The worker
@@ -133,15 +135,19 @@
             state.pace_percent = 0;
         }
         self.invalidate_samples(now);
-        let mut actions = self.update_paces(now);
-        let is_other = |action: &Action| action.paced_attempt() != Some(key);
-        actions.retain(is_other);
-        let current = self.runs.get(&key).map(|state| state.pace_percent);
-        let percent = current.unwrap_or(AttemptState::FULL_PACE_PERCENT);
-        if percent != AttemptState::FULL_PACE_PERCENT {
-            actions.push(self.pace_action(key, percent));
+        for changed in self.recompute_paces(now) {
+            if changed != key {
+                self.mark_pace_due(changed, now);
+            }
         }
-        actions
+        if let Some(state) = self.runs.get_mut(&key) {
+            let current = state.pace_sent_percent;
+            let current = current.unwrap_or(AttemptState::FULL_PACE_PERCENT);
+            if state.pace_percent != current {
+                state.pace_at = now;
+            }
+        }
+        self.due_paces(now)
     }
 
     /// Recomputes the paces when attempts that use idle processors were found on the worker. The
@@ -153,16 +159,19 @@
             }
         }
         self.invalidate_samples(now);
-        let changed = self.recompute_paces(now);
-        let changed = changed.iter().map(|(key, _)| key);
-        for key in changed.chain(found) {
-            if let Some(state) = self.runs.get_mut(key) {
-                state.pace_at = now;
-            }
+        for key in self.recompute_paces(now).iter().chain(found) {
+            self.mark_pace_due(*key, now);
         }
     }
 
-    /// Processes the outcome of a call to set a pace. A pace that may not be set is due again.
+    fn mark_pace_due(&mut self, key: AttemptKey, now: Time) {
+        if let Some(state) = self.runs.get_mut(&key) {
+            state.pace_at = now;
+        }
+    }
+
+    /// Processes the outcome of a call to set a pace. The pace is due again if it may not be set, or
+    /// if another one is needed by now.
     pub fn record_pace_outcome(
         &mut self,
         task: Task,
@@ -170,22 +179,30 @@
         outcome: CallOutcome,
         now: Time,
     ) {
-        let retry_micros = match outcome {
-            CallOutcome::Done => return,
-            CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
-            CallOutcome::Refused | CallOutcome::Unknown => self.settings.retry_micros,
+        let Some(state) = self.runs.get_mut(&(task, attempt)) else {
+            return;
+        };
+        state.pace_call_until = Time::ZERO;
+        let is_current = state.pace_sent_percent == Some(state.pace_percent);
+        state.pace_at = match outcome {
+            CallOutcome::Unavailable => now.plus_micros(self.settings.unavailable_retry_micros),
+            _ if !is_current => now,
+            CallOutcome::Done => Time::NEVER,
+            CallOutcome::Refused | CallOutcome::Unknown => {
+                now.plus_micros(self.settings.retry_micros)
+            }
         };
-        if let Some(state) = self.runs.get_mut(&(task, attempt)) {
-            state.pace_at = now.plus_micros(retry_micros);
-        }
     }
 
-    /// Returns the calls that set the paces that are due again.
+    /// Returns the calls that set the paces that are due.
     pub(super) fn due_paces(&mut self, now: Time) -> Vec<Action> {
         let mut due: SmallVec<[(AttemptKey, u8); 8]> = SmallVec::new();
         for (key, state) in &mut self.runs {
-            if now >= state.pace_at && state.is_paced() {
-                state.pace_at = Time::NEVER;
+            if state.is_pace_due(now) {
+                state.pace_sent_percent = Some(state.pace_percent);
+                state.pace_call_until = now.plus_micros(self.settings.pace_call_micros);
+                // If no outcome arrives, the pace is due again.
+                state.pace_at = state.pace_call_until;
                 due.push((*key, state.pace_percent));
             }
         }
--- a/crates/control/tests/pacing.rs
+++ b/crates/control/tests/pacing.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 use toucanquay_control::runner::{Action, CallOutcome, ListedAttempt, Runner};
 use toucanquay_model::{
+    Time,
     graph::Task,
     session::{InterferenceEffect, Orders, Profile, Start},
 };
@@ -109,15 +110,17 @@
         let actions = self
             .runner
             .record_start_outcome(task, 1, CallOutcome::Done, at(2));
-        self.apply_paces(actions);
+        self.apply_paces(actions, at(2));
     }
 
-    fn apply_paces(&mut self, actions: Vec<Action>) {
+    fn apply_paces(&mut self, actions: Vec<Action>, now: Time) {
         for action in actions {
             let Action::Pace { task, percent, .. } = action else {
                 panic!("expected a pace, got {action:?}");
             };
             self.neighbours[task.index as usize].1 = f64::from(percent) / 100.0;
+            self.runner
+                .record_pace_outcome(task, 1, CallOutcome::Done, now);
         }
     }
 
@@ -145,7 +148,7 @@
             });
         }
         let actions = self.runner.apply_list(list, at(millis));
-        self.apply_paces(actions);
+        self.apply_paces(actions, at(millis));
     }
 
     fn run(mut self) -> Measured {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -392,11 +392,28 @@
     let mut runner = runner(1);
     runner.apply_orders(&shared_worker_orders(), at(1));
     for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1)] {
-        runner.record_start_outcome(task, 1, CallOutcome::Done, at(2));
+        for action in runner.record_start_outcome(task, 1, CallOutcome::Done, at(2)) {
+            answer_pace(&mut runner, &action, at(2));
+        }
     }
     runner
 }
 
+/// Records that the worker has set a pace. Returns the index of the task and the pace.
+fn answer_pace(runner: &mut Runner, action: &Action, now: Time) -> (u32, u8) {
+    let Action::Pace {
+        task,
+        attempt,
+        percent,
+        ..
+    } = action
+    else {
+        panic!("expected a pace, got {action:?}");
+    };
+    runner.record_pace_outcome(*task, *attempt, CallOutcome::Done, now);
+    (task.index, *percent)
+}
+
 /// Reports `latency_ms` as the sensitive task's latency every 250 ms from `from_ms` until
 /// `until_ms`. Returns the last pace that was ordered for each neighbour.
 fn report(runner: &mut Runner, latency_ms: u32, from_ms: u64, until_ms: u64) -> BTreeMap<u32, u8> {
@@ -407,10 +424,8 @@
         list.running.push(gauged(task(1, 0, 0), 1_000));
         list.running.push(gauged(task(1, 0, 1), 1_000));
         for action in runner.apply_list(list, at(millis)) {
-            let Action::Pace { task, percent, .. } = action else {
-                panic!("expected a pace, got {action:?}");
-            };
-            paces.insert(task.index, percent);
+            let (index, percent) = answer_pace(runner, &action, at(millis));
+            paces.insert(index, percent);
         }
     }
     paces
@@ -752,3 +767,76 @@
 
     assert_eq!(actions.iter().filter(is_found).count(), 1, "{actions:?}");
 }
+
+/// Guards against pace calls for one attempt that overtake each other on the way to the worker.
+#[test]
+fn pace_is_not_changed_while_a_pace_call_is_unanswered() {
+    let mut runner = shared_worker();
+    let mut calls = 0;
+    for (from_ms, latency_ms) in [(1_000, 200), (2_500, FLOOR_MS)] {
+        for millis in (from_ms..from_ms + 1_500).step_by(250) {
+            let mut list = empty_list(at(millis));
+            list.running.push(gauged(task(2, 0, 0), latency_ms));
+            list.running.push(gauged(task(1, 0, 0), 1_000));
+            list.running.push(gauged(task(1, 0, 1), 1_000));
+            let actions = runner.apply_list(list, at(millis));
+            let is_call = |action: &&Action| matches!(action, Action::Pace { task: paced, .. } if *paced == task(1, 0, 0));
+            calls += actions.iter().filter(is_call).count();
+        }
+    }
+
+    assert_eq!(calls, 1);
+}
+
+/// Guards against an attempt that keeps a former pace because a call was unanswered when it changed,
+/// or because its outcome was lost.
+#[rstest]
+#[case::answered(Some(CallOutcome::Done), 3_000)]
+#[case::unanswered(Some(CallOutcome::Unknown), 3_000)]
+#[case::lost(None, 4_000)]
+fn pace_that_changed_during_a_call_is_set_after_it(
+    #[case] outcome: Option<CallOutcome>,
+    #[case] millis: u64,
+) {
+    let mut runner = shared_worker();
+    let paced = task(1, 0, 0);
+    let mut sent = None;
+    for (from_ms, until_ms, latency_ms) in [(1_000, 1_500, 200), (1_500, 3_000, FLOOR_MS)] {
+        for millis in (from_ms..until_ms).step_by(250) {
+            let mut list = empty_list(at(millis));
+            list.running.push(gauged(task(2, 0, 0), latency_ms));
+            list.running.push(gauged(paced, 1_000));
+            for action in runner.apply_list(list, at(millis)) {
+                sent = sent.or(Some(action));
+            }
+        }
+    }
+    if let Some(outcome) = outcome {
+        runner.record_pace_outcome(paced, 1, outcome, at(2_990));
+    }
+
+    let actions = runner.tick(at(millis));
+
+    let percent = |action: &Action| match action {
+        Action::Pace { task, percent, .. } if *task == paced => Some(*percent),
+        _ => None,
+    };
+    let sent = sent.as_ref().and_then(percent);
+    let set = actions.iter().find_map(percent);
+    assert!(sent.is_some() && set > sent, "{sent:?} {actions:?}");
+}
+
+/// Guards against an attempt that keeps a former pace because the outcome of the call was lost.
+#[test]
+fn pace_whose_outcome_was_lost_is_set_again() {
+    let mut runner = shared_worker();
+    let mut list = empty_list(at(1_000));
+    list.running.push(gauged(task(2, 0, 0), 200));
+    list.running.push(gauged(task(1, 0, 0), 1_000));
+    let first = runner.apply_list(list, at(1_000));
+
+    let actions = runner.tick(at(4_000));
+
+    assert_eq!(first.len(), 1);
+    assert_eq!(actions, first);
+}
