companion: confirm a pace while an unanswered call may still set another

What callers see: a paused neighbour that works again, or a task that stands still, seconds after a call to set its pace got no answer, until its pace changes next.

Cause: a call without an answer may be carried out up to 12 s later, after newer calls. Once a newer call was answered, the pace counted as set.

For 12 s after a call without an answer the wanted pace is set again every 2 s, the last time when these 12 s are over. So a late call holds for some 2 s at most.

Tests: pace_after_an_unanswered_call_is_confirmed_until_that_call_can_no_longer_take_effect failed before; pace_is_no_longer_confirmed_when_an_unanswered_call_can_take_no_effect bounds the calls: 8 at most, the last one within 2.1 s after the 12 s.

--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -26,6 +26,8 @@
     pub(super) pace_at: Time,
     /// Until when a call that sets the pace is in flight.
     pub(super) pace_call_until: Time,
+    /// Until when an unanswered call may still set its pace.
+    pub(super) pace_uncertain_until: Time,
     /// Estimated load of a sensitive task: the busy share of its time in the absence of
     /// interference.
     pub(super) load: Estimate,
@@ -82,6 +84,7 @@
             pace_sent_percent: None,
             pace_at: Time::NEVER,
             pace_call_until: Time::ZERO,
+            pace_uncertain_until: Time::ZERO,
             load: InterferenceModel::prior_load(),
             over_target_since: None,
             stop_at: Time::NEVER,
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -24,6 +24,11 @@
     /// Time for which a pace is not changed while a call that sets it has no outcome, in
     /// microseconds. It exceeds the timeout of the call.
     pub pace_call_micros: u64,
+    /// Time after which a call without an answer takes no effect any more, in microseconds.
+    pub late_call_micros: u64,
+    /// Interval at which a pace is set again while an unanswered call may still set another one, in
+    /// microseconds.
+    pub pace_confirmation_micros: u64,
     /// Time from its start for which an attempt is a suspect if the worker crashes, in microseconds.
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
@@ -45,6 +50,8 @@
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
             pace_call_micros: 3_000_000,
+            late_call_micros: 12_000_000,
+            pace_confirmation_micros: 2_000_000,
             start_risk_micros: 250_000,
             unavailable_retry_micros: 100_000,
             stop_confirmation_micros: 2_000_000,
--- a/crates/control/src/runner/sharing.rs
+++ b/crates/control/src/runner/sharing.rs
@@ -170,8 +170,8 @@
         }
     }
 
-    /// Processes the outcome of a call to set a pace. The pace is due again if it may not be set, or
-    /// if another one is needed by now.
+    /// Processes the outcome of a call to set a pace. The pace is due again if it may not be set, if
+    /// another one is needed by now, or if an unanswered call may still set another one.
     pub fn record_pace_outcome(
         &mut self,
         task: Task,
@@ -183,10 +183,16 @@
             return;
         };
         state.pace_call_until = Time::ZERO;
+        if outcome == CallOutcome::Unknown {
+            state.pace_uncertain_until = now.plus_micros(self.settings.late_call_micros);
+        }
         let is_current = state.pace_sent_percent == Some(state.pace_percent);
         state.pace_at = match outcome {
             CallOutcome::Unavailable => now.plus_micros(self.settings.unavailable_retry_micros),
             _ if !is_current => now,
+            CallOutcome::Done if now < state.pace_uncertain_until => {
+                now.plus_micros(self.settings.pace_confirmation_micros)
+            }
             CallOutcome::Done => Time::NEVER,
             CallOutcome::Refused | CallOutcome::Unknown => {
                 now.plus_micros(self.settings.retry_micros)
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -840,3 +840,44 @@
     assert_eq!(first.len(), 1);
     assert_eq!(actions, first);
 }
+
+/// Guards against a pace that an unanswered call changes seconds later, after newer calls.
+#[test]
+fn pace_after_an_unanswered_call_is_confirmed_until_that_call_can_no_longer_take_effect() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    let paused = task(1, 0, 0);
+    runner.record_pace_outcome(paused, 1, CallOutcome::Unknown, at(3_500));
+    let first = runner.tick(at(4_000));
+    runner.record_pace_outcome(paused, 1, CallOutcome::Done, at(4_010));
+
+    let later: Vec<Action> = (41..=80)
+        .flat_map(|tick| runner.tick(at(tick * 100)))
+        .collect();
+
+    assert_eq!(first.len(), 1);
+    assert!(!later.is_empty());
+}
+
+/// Guards against calls that go on once an unanswered call can no longer take effect.
+#[test]
+fn pace_is_no_longer_confirmed_when_an_unanswered_call_can_take_no_effect() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    runner.record_pace_outcome(task(1, 0, 0), 1, CallOutcome::Unknown, at(3_500));
+    let mut confirmed = Vec::new();
+    for millis in (3_600..40_000).step_by(100) {
+        for action in runner.tick(at(millis)) {
+            answer_pace(&mut runner, &action, at(millis));
+            confirmed.push(millis);
+        }
+    }
+
+    let last = confirmed.last().copied();
+
+    assert!(
+        last.is_some_and(|last| (15_500..17_600).contains(&last)),
+        "{confirmed:?}"
+    );
+    assert!(confirmed.len() <= 8, "{confirmed:?}");
+}
