control: workers of the randomised runs refuse stops of former epochs

The simulated worker carried out each stop, whatever its epoch, while it refused starts of lower epochs. The real one refuses both, so a stop of a former owner that arrives late has no effect.

--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -57,7 +57,7 @@
 #[derive(Debug, Clone)]
 enum Call {
     Start(Start, Time, u64),
-    Stop(Stop),
+    Stop(Stop, u64),
     Started(Task, u64, CallOutcome),
     Stopped(Task, u64, CallOutcome),
     Listed(AttemptList),
@@ -323,7 +323,7 @@
             ..self.host(name, process, worker)
         };
         // Calls in flight still reach the worker, but their replies are lost.
-        let is_request = |call: &Call| matches!(call, Call::Start(..) | Call::Stop(_));
+        let is_request = |call: &Call| matches!(call, Call::Start(..) | Call::Stop(..));
         let calls = std::mem::take(&mut self.hosts[index].calls);
         host.calls = calls
             .into_iter()
@@ -476,7 +476,7 @@
                 let outcome = CallOutcome::Unavailable;
                 self.schedule_reply(index, Call::Started(start.task, start.attempt, outcome));
             }
-            Call::Stop(stop) if self.is_turned_away(index) => {
+            Call::Stop(stop, _) if self.is_turned_away(index) => {
                 self.stops_turned_away += 1;
                 let outcome = CallOutcome::Unavailable;
                 self.schedule_reply(index, Call::Stopped(stop.task, stop.attempt, outcome));
@@ -496,8 +496,9 @@
                 };
                 self.schedule_reply(index, Call::Started(key.0, key.1, outcome));
             }
-            Call::Stop(stop) => {
-                let outcome = self.hosts[index].worker.stop(stop.task, stop.attempt, now);
+            Call::Stop(stop, epoch) => {
+                let key = (stop.task, stop.attempt);
+                let outcome = self.hosts[index].worker.stop(key, epoch, now);
                 let outcome = if is_lost {
                     CallOutcome::Unknown
                 } else {
@@ -596,7 +597,7 @@
                             Call::Stopped(task, attempt, CallOutcome::Unknown),
                         );
                     }
-                    self.schedule_call(index, millis, Call::Stop(stop));
+                    self.schedule_call(index, millis, Call::Stop(stop, epoch));
                 }
                 Action::Pace { .. } => {}
             }
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -91,7 +91,11 @@
     }
 
     /// Stops an attempt.
-    pub fn stop(&mut self, task: Task, attempt: u64, now: Time) -> CallOutcome {
+    pub fn stop(&mut self, (task, attempt): (Task, u64), epoch: u64, now: Time) -> CallOutcome {
+        if epoch < self.epoch {
+            return CallOutcome::Refused;
+        }
+        self.epoch = epoch;
         let closed = self.closed_attempts.entry(task).or_default();
         *closed = (*closed).max(attempt);
         for ((running, number), running_attempt) in &mut self.running {
