--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -15,12 +15,12 @@
 
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
     session::{
-        AttemptStatus, Crash, End, Orders, Phase, Profile, Rejection, Start, Stop, Suspect, Update,
-        Worker,
+        AttemptStatus, Crash, End, Orders, Phase, Rejection, Start, Stop, Suspect, Update, Worker,
     },
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
@@ -165,6 +165,9 @@
     }
 
     /// Begins a session with the owner of `epoch`. Returns `false` if a later owner is known.
+    ///
+    /// Stops of a former owner that the worker hasn't carried out are withdrawn if the attempt is
+    /// listed: the worker would carry out their repetition, whose epoch is the new one.
     pub fn begin_session(&mut self, epoch: Epoch) -> bool {
         if epoch < self.epoch {
             return false;
@@ -172,6 +175,9 @@
         if epoch > self.epoch {
             // Another owner assigns other keys to images.
             self.model = InterferenceModel::default();
+            for state in self.runs.values_mut() {
+                state.withdraw_stop();
+            }
         }
         self.epoch = epoch;
         self.last_applied = 0;
@@ -189,19 +195,8 @@
         let lease_until = orders.stamp.plus_micros(self.settings.lease_micros);
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
-        for (stop, profile) in &orders.profiles {
-            let key = (stop.task, stop.attempt);
-            actions.extend(self.set_profile(key, *profile, now));
-        }
-        for effect in &orders.effects {
-            let value = f64::from(effect.percent) / 100.0;
-            let deviation = f64::from(effect.deviation_percent) / 100.0;
-            self.model.merge_estimate(
-                effect.sensitive as usize,
-                effect.other as usize,
-                Estimate::new(value, deviation),
-            );
-        }
+        self.merge_effects(orders);
+        self.set_profiles(orders, now);
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
@@ -233,10 +228,10 @@
             CallOutcome::Refused | CallOutcome::Unavailable if state.phase == Phase::Starting => {
                 state.phase = Phase::Rejected(Rejection::Refused);
             }
-            CallOutcome::Refused | CallOutcome::Unavailable => {}
-            CallOutcome::Unknown => {
+            CallOutcome::Unknown if state.phase == Phase::Starting => {
                 state.stop_at = now.plus_micros(self.settings.start_outcome_micros);
             }
+            CallOutcome::Refused | CallOutcome::Unavailable | CallOutcome::Unknown => {}
         }
         Vec::new()
     }
@@ -254,14 +249,14 @@
             return;
         };
         let retry_micros = match outcome {
-            // A refusal means that the worker is another incarnation or doesn't know the attempt; a
-            // list shows which.
-            CallOutcome::Done | CallOutcome::Refused => {
-                state.outcome_known_at = Some(now);
+            // The worker refuses each start of the attempt that arrives from now on.
+            CallOutcome::Done => {
+                state.confirm_stop(now);
                 self.settings.stop_confirmation_micros
             }
             CallOutcome::Unavailable => self.settings.unavailable_retry_micros,
-            CallOutcome::Unknown => self.settings.retry_micros,
+            // A refusal proves nothing about a start that may still arrive.
+            CallOutcome::Refused | CallOutcome::Unknown => self.settings.retry_micros,
         };
         if state.phase == Phase::Stopping {
             state.stop_at = now.plus_micros(retry_micros);
@@ -519,18 +514,35 @@
         });
     }
 
-    /// Sets the profile of an attempt that was found on the worker. Returns the paces to set: an
-    /// earlier companion process may have set another one.
-    fn set_profile(&mut self, key: AttemptKey, profile: Profile, now: Time) -> Vec<Action> {
-        let Some(state) = self.runs.get_mut(&key) else {
-            return Vec::new();
-        };
-        let is_first = state.profile.replace(profile).is_none();
-        if !is_first || !state.is_paced() {
-            return Vec::new();
+    fn merge_effects(&mut self, orders: &Orders) {
+        for effect in &orders.effects {
+            let value = f64::from(effect.percent) / 100.0;
+            let deviation = f64::from(effect.deviation_percent) / 100.0;
+            self.model.merge_estimate(
+                effect.sensitive as usize,
+                effect.other as usize,
+                Estimate::new(value, deviation),
+            );
+        }
+    }
+
+    /// Sets the profiles of attempts that were found on the worker. Their paces are due: an earlier
+    /// companion process may have set other ones.
+    fn set_profiles(&mut self, orders: &Orders, now: Time) {
+        let mut paced: SmallVec<[AttemptKey; 8]> = SmallVec::new();
+        for (found, profile) in &orders.profiles {
+            let key = (found.task, found.attempt);
+            let Some(state) = self.runs.get_mut(&key) else {
+                continue;
+            };
+            let is_first = state.profile.replace(*profile).is_none();
+            if is_first && state.is_paced() {
+                paced.push(key);
+            }
+        }
+        if !paced.is_empty() {
+            self.pace_found(&paced, now);
         }
-        state.pace_at = now;
-        self.start_pacing(key, now)
     }
 
     fn stop(&mut self, stop: Stop, actions: &mut Vec<Action>) {
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -20,8 +20,14 @@
     pub(super) gauge: GaugeEstimator,
     /// Pace that the attempt should have, in percent.
     pub(super) pace_percent: u8,
-    /// When the pace is due to be set again, because the last call may not have set it.
+    /// Pace of the last call that sets it, in percent.
+    pub(super) pace_sent_percent: Option<u8>,
+    /// When the pace is due to be set.
     pub(super) pace_at: Time,
+    /// Until when a call that sets the pace is in flight.
+    pub(super) pace_call_until: Time,
+    /// Until when an unanswered call may still set its pace.
+    pub(super) pace_uncertain_until: Time,
     /// Estimated load of a sensitive task: the busy share of its time in the absence of
     /// interference.
     pub(super) load: Estimate,
@@ -29,6 +35,8 @@
     pub(super) over_target_since: Option<Time>,
     /// When a stop is due.
     pub(super) stop_at: Time,
+    /// Whether the worker has carried out a stop, so that the attempt ends whoever ordered it.
+    pub(super) is_stop_confirmed: bool,
     /// A list that is requested at or after this time shows the attempt if it is on the worker.
     /// `None` while no call about the attempt has a definite outcome.
     pub(super) outcome_known_at: Option<Time>,
@@ -68,10 +76,14 @@
             done_percent: 0,
             gauge: GaugeEstimator::new(),
             pace_percent: Self::FULL_PACE_PERCENT,
+            pace_sent_percent: None,
             pace_at: Time::NEVER,
+            pace_call_until: Time::ZERO,
+            pace_uncertain_until: Time::ZERO,
             load: InterferenceModel::prior_load(),
             over_target_since: None,
             stop_at: Time::NEVER,
+            is_stop_confirmed: false,
             outcome_known_at: None,
             is_listed: false,
             begun_at: None,
@@ -93,6 +105,24 @@
         }
     }
 
+    /// Records that the worker has carried out a stop at `now`.
+    pub(super) const fn confirm_stop(&mut self, now: Time) {
+        self.is_stop_confirmed = true;
+        self.outcome_known_at = Some(now);
+        if matches!(self.phase, Phase::Running) {
+            self.phase = Phase::Stopping;
+        }
+    }
+
+    /// Withdraws the stop that a former owner ordered, so that the new owner decides. A stop that
+    /// was carried out can't be withdrawn, and one of a start that may still take effect is kept.
+    pub(super) const fn withdraw_stop(&mut self) {
+        if matches!(self.phase, Phase::Stopping) && self.is_listed && !self.is_stop_confirmed {
+            self.phase = Phase::Running;
+            self.stop_at = Time::NEVER;
+        }
+    }
+
     /// Records whether the worker, which lives at `now`, has outlived the start by `risk_micros`.
     pub(super) fn outlive_start(&mut self, risk_micros: u64, now: Time) {
         let risk_end = self.begun_at.map(|at| at.plus_micros(risk_micros));
@@ -119,6 +149,12 @@
         self.uses_idle() && self.phase == Phase::Running
     }
 
+    /// Returns whether a call that sets the pace is due. Calls may overtake each other, so that only
+    /// one is in flight.
+    pub(super) fn is_pace_due(&self, now: Time) -> bool {
+        now >= self.pace_at && now >= self.pace_call_until && self.is_paced()
+    }
+
     /// Returns the key that the owner assigned to the image.
     pub(super) fn image(&self) -> usize {
         self.profile
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -18,15 +18,24 @@
     ///
     /// Until then, a list may show that the start took effect.
     pub start_outcome_micros: u64,
-    /// Time after which a stop without an outcome is repeated, in microseconds.
+    /// Time after which a stop or a pace that was refused or not answered is repeated, in
+    /// microseconds.
     pub retry_micros: u64,
+    /// Time for which a pace is not changed while a call that sets it has no outcome, in
+    /// microseconds. It exceeds the timeout of the call.
+    pub pace_call_micros: u64,
+    /// Time after which a call without an answer takes no effect any more, in microseconds.
+    pub late_call_micros: u64,
+    /// Interval at which a pace is set again while an unanswered call may still set another one, in
+    /// microseconds.
+    pub pace_confirmation_micros: u64,
     /// Time for which an attempt that the worker has begun is a suspect if the worker crashes, in
     /// microseconds.
     pub start_risk_micros: u64,
     /// Time after which a call for which the worker had no time is repeated, in microseconds.
     pub unavailable_retry_micros: u64,
-    /// Time after which an answered stop is repeated if the attempt is still on the worker, in
-    /// microseconds. It covers the time that a stop takes and the next list.
+    /// Time after which a stop that was carried out is repeated if the attempt is still on the
+    /// worker, in microseconds. It covers the time that a stop takes and the next list.
     pub stop_confirmation_micros: u64,
 }
 
@@ -41,6 +50,9 @@
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
+            pace_call_micros: 3_000_000,
+            late_call_micros: 12_000_000,
+            pace_confirmation_micros: 2_000_000,
             start_risk_micros: 250_000,
             unavailable_retry_micros: 100_000,
             stop_confirmation_micros: 2_000_000,
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -392,11 +392,28 @@
     let mut runner = runner(1);
     runner.apply_orders(&shared_worker_orders(), at(1));
     for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1)] {
-        runner.record_start_outcome(task, 1, CallOutcome::Done, at(2));
+        for action in runner.record_start_outcome(task, 1, CallOutcome::Done, at(2)) {
+            answer_pace(&mut runner, &action, at(2));
+        }
     }
     runner
 }
 
+/// Records that the worker has set a pace. Returns the index of the task and the pace.
+fn answer_pace(runner: &mut Runner, action: &Action, now: Time) -> (u32, u8) {
+    let Action::Pace {
+        task,
+        attempt,
+        percent,
+        ..
+    } = action
+    else {
+        panic!("expected a pace, got {action:?}");
+    };
+    runner.record_pace_outcome(*task, *attempt, CallOutcome::Done, now);
+    (task.index, *percent)
+}
+
 /// Reports `latency_ms` as the sensitive task's latency every 250 ms from `from_ms` until
 /// `until_ms`. Returns the last pace that was ordered for each neighbour.
 fn report(runner: &mut Runner, latency_ms: u32, from_ms: u64, until_ms: u64) -> BTreeMap<u32, u8> {
@@ -407,10 +424,8 @@
         list.running.push(gauged(task(1, 0, 0), 1_000));
         list.running.push(gauged(task(1, 0, 1), 1_000));
         for action in runner.apply_list(list, at(millis)) {
-            let Action::Pace { task, percent, .. } = action else {
-                panic!("expected a pace, got {action:?}");
-            };
-            paces.insert(task.index, percent);
+            let (index, percent) = answer_pace(runner, &action, at(millis));
+            paces.insert(index, percent);
         }
     }
     paces
@@ -569,3 +584,317 @@
 
     assert!(runner.next_update(at(1)).worker.is_none());
 }
+
+/// Guards against stopping a sound attempt because its start's answer was lost after a list had
+/// shown that it runs.
+#[test]
+fn attempt_that_is_listed_before_its_start_goes_unanswered_runs_on() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut list = empty_list(at(500));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(500));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    let mut list = empty_list(at(2_000));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(2_000));
+
+    let actions = runner.tick(at(2_300));
+
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Guards against a resolved attempt that becomes unresolved again because of its start's outcome.
+#[test]
+fn resolved_attempt_stays_resolved_when_its_start_goes_unanswered() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, 1, CallOutcome::Done, at(30));
+    runner.apply_list(empty_list(at(40)), at(50));
+    let resolved = phases(&mut runner, at(51));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+
+    let actions = runner.tick(at(2_300));
+
+    assert_eq!(resolved, [Phase::Rejected(Rejection::Stopped)]);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(phases(&mut runner, at(2_301)), resolved);
+}
+
+/// Guards against a stop that is repeated late because the outcome of the start came in between.
+#[test]
+fn turned_away_stop_is_repeated_soon_although_the_start_goes_unanswered() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    let mut orders = empty_orders(1, 2, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(980));
+    runner.record_stop_outcome(task, 1, CallOutcome::Unavailable, at(990));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_001));
+
+    let actions = runner.tick(at(1_200));
+
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
+
+/// Guards against a task that runs twice: a refused stop doesn't keep the start before it from
+/// taking effect.
+#[test]
+fn unanswered_start_is_not_resolved_by_a_refused_stop() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    runner.tick(at(2_300));
+    runner.record_stop_outcome(task, 1, CallOutcome::Refused, at(2_310));
+
+    runner.apply_list(empty_list(at(2_320)), at(2_330));
+
+    assert_eq!(phases(&mut runner, at(2_331)), [Phase::Stopping]);
+}
+
+/// Guards against the stop of an attempt of the current owner that only a former owner ordered.
+#[test]
+fn stop_of_a_former_owner_that_was_fenced_off_is_not_repeated_under_the_next_epoch() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    let attempt = (2 << 32) + 1;
+    let mut list = empty_list(at(10));
+    list.running.push(listed(task, attempt));
+    runner.apply_list(list, at(10));
+    let mut orders = empty_orders(1, 1, at(20));
+    orders.stops.push(Stop { task, attempt });
+    runner.apply_orders(&orders, at(20));
+    runner.record_stop_outcome(task, attempt, CallOutcome::Refused, at(30));
+    runner.begin_session(2);
+    let mut list = empty_list(at(2_500));
+    list.running.push(listed(task, attempt));
+    runner.apply_list(list, at(2_500));
+
+    let actions = runner.tick(at(2_500));
+
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// Guards against a task that is started elsewhere while the worker stops it: a stop that was
+/// carried out takes effect, whichever owner ordered it.
+#[rstest]
+#[case::before_the_session(true)]
+#[case::after_the_session(false)]
+fn attempt_whose_stop_was_carried_out_is_stopping_in_the_next_epoch(#[case] is_before: bool) {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    let mut list = empty_list(at(10));
+    list.running.push(listed(task, 1));
+    runner.apply_list(list, at(10));
+    let mut orders = empty_orders(1, 1, at(20));
+    orders.stops.push(Stop { task, attempt: 1 });
+    runner.apply_orders(&orders, at(20));
+    if is_before {
+        runner.record_stop_outcome(task, 1, CallOutcome::Done, at(30));
+    }
+    runner.begin_session(2);
+    if !is_before {
+        runner.record_stop_outcome(task, 1, CallOutcome::Done, at(50));
+    }
+
+    let reported = phases(&mut runner, at(60));
+
+    assert_eq!(reported, [Phase::Stopping]);
+}
+
+/// Guards against a task that runs twice because a new owner's session ends the resolution of an
+/// unanswered start.
+#[test]
+fn unanswered_start_is_resolved_in_the_next_epoch() {
+    let mut runner = runner(1);
+    let task = task(1, 0, 0);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task, 1)]), at(1));
+    runner.record_start_outcome(task, 1, CallOutcome::Unknown, at(1_000));
+    runner.tick(at(2_300));
+    runner.record_stop_outcome(task, 1, CallOutcome::Refused, at(2_310));
+    runner.begin_session(2);
+    let reported = phases(&mut runner, at(2_320));
+
+    let actions = runner.tick(at(2_900));
+
+    assert_eq!(reported, [Phase::Stopping]);
+    assert_eq!(actions, [Action::Stop(Stop { task, attempt: 1 })]);
+}
+
+/// Guards against a pace that is set by estimates that the same orders replace.
+#[test]
+fn pace_of_a_found_attempt_uses_the_effects_of_its_orders() {
+    let with_effects = |is_separate: bool| {
+        let mut runner = runner(1);
+        let found = [sensitive_start(), idle_start(0, NOISY)];
+        let mut list = empty_list(at(10));
+        list.running.push(gauged(found[0].task, 45));
+        list.running.push(gauged(found[1].task, 1_000));
+        runner.apply_list(list, at(10));
+        let mut orders = empty_orders(1, 1, at(20));
+        orders.effects = shared_worker_orders().effects;
+        let profiles = found.map(|start| {
+            let attempt = Stop {
+                task: start.task,
+                attempt: 1,
+            };
+            (attempt, start.profile)
+        });
+        if is_separate {
+            runner.apply_orders(&orders, at(20));
+            orders = empty_orders(1, 2, at(20));
+        }
+        orders.profiles = profiles.to_vec();
+        let mut actions = runner.apply_orders(&orders, at(20));
+        actions.extend(runner.tick(at(100)));
+        actions
+    };
+
+    assert_eq!(with_effects(false), with_effects(true));
+}
+
+/// Guards against two calls for one pace of an attempt that was found running.
+#[test]
+fn pace_of_an_attempt_that_was_found_running_is_set_once() {
+    let mut runner = shared_worker();
+    report(&mut runner, 200, 1_000, 2_500);
+    let found = Stop {
+        task: task(1, 0, 7),
+        attempt: 1,
+    };
+    let mut list = empty_list(at(2_500));
+    for task in [task(2, 0, 0), task(1, 0, 0), task(1, 0, 1), found.task] {
+        list.running.push(gauged(task, 200));
+    }
+    runner.apply_list(list, at(2_500));
+    let mut orders = empty_orders(1, 2, at(2_510));
+    orders.profiles = vec![(found, idle_start(7, NOISY).profile)];
+    let mut actions = runner.apply_orders(&orders, at(2_510));
+    actions.extend(runner.tick(at(2_600)));
+
+    let is_found =
+        |action: &&Action| matches!(action, Action::Pace { task, .. } if *task == found.task);
+
+    assert_eq!(actions.iter().filter(is_found).count(), 1, "{actions:?}");
+}
+
+/// Guards against pace calls for one attempt that overtake each other on the way to the worker.
+#[test]
+fn pace_is_not_changed_while_a_pace_call_is_unanswered() {
+    let mut runner = shared_worker();
+    let mut calls = 0;
+    for (from_ms, latency_ms) in [(1_000, 200), (2_500, FLOOR_MS)] {
+        for millis in (from_ms..from_ms + 1_500).step_by(250) {
+            let mut list = empty_list(at(millis));
+            list.running.push(gauged(task(2, 0, 0), latency_ms));
+            list.running.push(gauged(task(1, 0, 0), 1_000));
+            list.running.push(gauged(task(1, 0, 1), 1_000));
+            let actions = runner.apply_list(list, at(millis));
+            let is_call = |action: &&Action| matches!(action, Action::Pace { task: paced, .. } if *paced == task(1, 0, 0));
+            calls += actions.iter().filter(is_call).count();
+        }
+    }
+
+    assert_eq!(calls, 1);
+}
+
+/// Guards against an attempt that keeps a former pace because a call was unanswered when it changed,
+/// or because its outcome was lost.
+#[rstest]
+#[case::answered(Some(CallOutcome::Done), 3_000)]
+#[case::unanswered(Some(CallOutcome::Unknown), 3_000)]
+#[case::lost(None, 4_000)]
+fn pace_that_changed_during_a_call_is_set_after_it(
+    #[case] outcome: Option<CallOutcome>,
+    #[case] millis: u64,
+) {
+    let mut runner = shared_worker();
+    let paced = task(1, 0, 0);
+    let mut sent = None;
+    for (from_ms, until_ms, latency_ms) in [(1_000, 1_500, 200), (1_500, 3_000, FLOOR_MS)] {
+        for millis in (from_ms..until_ms).step_by(250) {
+            let mut list = empty_list(at(millis));
+            list.running.push(gauged(task(2, 0, 0), latency_ms));
+            list.running.push(gauged(paced, 1_000));
+            for action in runner.apply_list(list, at(millis)) {
+                sent = sent.or(Some(action));
+            }
+        }
+    }
+    if let Some(outcome) = outcome {
+        runner.record_pace_outcome(paced, 1, outcome, at(2_990));
+    }
+
+    let actions = runner.tick(at(millis));
+
+    let percent = |action: &Action| match action {
+        Action::Pace { task, percent, .. } if *task == paced => Some(*percent),
+        _ => None,
+    };
+    let sent = sent.as_ref().and_then(percent);
+    let set = actions.iter().find_map(percent);
+    assert!(sent.is_some() && set > sent, "{sent:?} {actions:?}");
+}
+
+/// Guards against an attempt that keeps a former pace because the outcome of the call was lost.
+#[test]
+fn pace_whose_outcome_was_lost_is_set_again() {
+    let mut runner = shared_worker();
+    let mut list = empty_list(at(1_000));
+    list.running.push(gauged(task(2, 0, 0), 200));
+    list.running.push(gauged(task(1, 0, 0), 1_000));
+    let first = runner.apply_list(list, at(1_000));
+
+    let actions = runner.tick(at(4_000));
+
+    assert_eq!(first.len(), 1);
+    assert_eq!(actions, first);
+}
+
+/// Guards against a pace that an unanswered call changes seconds later, after newer calls.
+#[test]
+fn pace_after_an_unanswered_call_is_confirmed_until_that_call_can_no_longer_take_effect() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    let paused = task(1, 0, 0);
+    runner.record_pace_outcome(paused, 1, CallOutcome::Unknown, at(3_500));
+    let first = runner.tick(at(4_000));
+    runner.record_pace_outcome(paused, 1, CallOutcome::Done, at(4_010));
+
+    let later: Vec<Action> = (41..=80)
+        .flat_map(|tick| runner.tick(at(tick * 100)))
+        .collect();
+
+    assert_eq!(first.len(), 1);
+    assert!(!later.is_empty());
+}
+
+/// Guards against calls that go on once an unanswered call can no longer take effect.
+#[test]
+fn pace_is_no_longer_confirmed_when_an_unanswered_call_can_take_no_effect() {
+    let mut runner = shared_worker();
+    report(&mut runner, 500, 1_000, 3_500);
+    runner.record_pace_outcome(task(1, 0, 0), 1, CallOutcome::Unknown, at(3_500));
+    let mut confirmed = Vec::new();
+    for millis in (3_600..40_000).step_by(100) {
+        for action in runner.tick(at(millis)) {
+            answer_pace(&mut runner, &action, at(millis));
+            confirmed.push(millis);
+        }
+    }
+
+    let last = confirmed.last().copied();
+
+    assert!(
+        last.is_some_and(|last| (15_500..17_600).contains(&last)),
+        "{confirmed:?}"
+    );
+    assert!(confirmed.len() <= 8, "{confirmed:?}");
+}
