scheduler: count a crash that the restarted agent can't report

The owner infers such a crash now: the agent's process has changed, the worker's too, the worker was not draining, and attempts had not survived their starts.

--- a/crates/control/src/scheduler/crashes.rs
+++ b/crates/control/src/scheduler/crashes.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    CrashRecord, Event, Host, Probe, Scheduler,
+    CrashRecord, Event, Host, Probe, Run, Scheduler,
     key::{HostKey, JobKey, RunKey},
     stage_ref::StageRef,
     task::{Phase, Task},
@@ -59,17 +59,52 @@
     /// Processes the crashes that an agent reports.
     pub(super) fn apply_crashes(&mut self, key: HostKey, update: &Update, now: Time) {
         for crash in &update.crashes {
-            let host = &mut self.hosts[key];
-            if crash.worker <= host.last_crash {
-                continue;
-            }
-            host.last_crash = crash.worker;
-            host.crashed_at = Some(now);
-            let record = CrashRecord {
-                worker: crash.worker,
-                versions: self.count_crash(key, crash, now),
-            };
-            self.hosts[key].unacknowledged_crashes.push_back(record);
+            self.apply_crash(key, crash, now);
+        }
+    }
+
+    fn apply_crash(&mut self, key: HostKey, crash: &Crash, now: Time) {
+        let host = &mut self.hosts[key];
+        if crash.worker <= host.last_crash {
+            return;
+        }
+        host.last_crash = crash.worker;
+        host.crashed_at = Some(now);
+        let record = CrashRecord {
+            worker: crash.worker,
+            versions: self.count_crash(key, crash, now),
+        };
+        self.hosts[key].unacknowledged_crashes.push_back(record);
+    }
+
+    /// Returns the crash of a host's worker that its agent can't report, because it has restarted,
+    /// too.
+    fn unreported_crash(&self, key: HostKey) -> Option<Crash> {
+        let host = &self.hosts[key];
+        if !host.is_agent_restarted || host.is_worker_draining {
+            return None;
+        }
+        let runs = host.runs.iter().filter_map(|run| self.runs.get(*run));
+        let at_risk = runs.filter(|run| !run.has_survived_start && run.orders_number.is_some());
+        let suspect = |run: &Run| {
+            let job = self.jobs.get(run.job)?;
+            Some(Suspect {
+                task: job.task_id(run.place),
+                attempt: run.attempt,
+                is_started: run.has_begun,
+            })
+        };
+        let suspects: Vec<Suspect> = at_risk.filter_map(suspect).collect();
+        (!suspects.is_empty()).then_some(Crash {
+            worker: host.worker_incarnation,
+            suspects,
+        })
+    }
+
+    /// Counts the crash of a worker whose agent has lost its memory of it.
+    pub(super) fn apply_unreported_crash(&mut self, key: HostKey, now: Time) {
+        if let Some(crash) = self.unreported_crash(key) {
+            self.apply_crash(key, &crash, now);
         }
     }
 
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -27,6 +27,8 @@
     /// Incarnation of the last known worker process; 0 before the first one and after its loss.
     pub(super) worker_incarnation: Incarnation,
     pub(super) worker: Option<Worker>,
+    /// The last known worker process has begun to drain.
+    pub(super) is_worker_draining: bool,
     pub(super) is_connected: bool,
     /// No update of the current session that contains a worker has been processed yet.
     pub(super) is_first_update: bool,
@@ -92,6 +94,7 @@
             agent_incarnation: 0,
             worker_incarnation: 0,
             worker: None,
+            is_worker_draining: false,
             is_connected: false,
             is_first_update: true,
             is_agent_restarted: false,
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -36,6 +36,8 @@
     /// A former process of the agent may have sent the start, so that the attempt is only released
     /// once its stop is answered.
     pub(super) is_unresolved: bool,
+    /// The worker has confirmed the start.
+    pub(super) has_begun: bool,
     /// The worker has outlived the start.
     pub(super) has_survived_start: bool,
     pub(super) done_percent: u8,
@@ -75,6 +77,7 @@
             orders_number: None,
             is_stopping: false,
             is_unresolved: false,
+            has_begun: false,
             has_survived_start: false,
             done_percent: 0,
             gauge: 0,
@@ -88,6 +91,7 @@
     /// Updates the attempt from the worker's report.
     pub(super) fn apply_report(&mut self, reported: &session::AttemptStatus, now: Time) {
         self.done_percent = reported.done_percent;
+        self.has_begun |= reported.phase == session::Phase::Running;
         self.has_survived_start = reported.has_survived_start;
         self.gauge = reported.gauge;
         // The first report precedes the first measurement.
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -91,6 +91,7 @@
         };
         if host.worker_incarnation != worker.incarnation {
             if host.worker_incarnation != 0 {
+                self.apply_unreported_crash(key, now);
                 self.handle_worker_loss(key, Loss::Restarted, now);
             }
             self.hosts[key].worker_incarnation = worker.incarnation;
@@ -100,6 +101,7 @@
             .worker
             .as_ref()
             .is_some_and(|former| former.is_draining);
+        host.is_worker_draining = worker.is_draining;
         if host.worker.as_ref() != Some(worker) {
             host.worker = Some(worker.clone());
             self.mark_host_changed(key);
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -314,6 +314,31 @@
     assert_eq!(scheduler.job_state(Id::new(1)), Some(State::Failed));
 }
 
+/// Guards against a crash that nobody reports because the agent restarts just after its worker.
+#[test]
+fn crash_is_counted_although_the_agent_has_restarted() {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let (host, _) = started(&mut scheduler, &hosts, at(1)).remove(0);
+    scheduler.disconnect(&host);
+    scheduler.connect(&host);
+    let restarted = Update {
+        process: 2,
+        worker: Some(Worker {
+            incarnation: WORKER_INCARNATION + 1,
+            ..worker()
+        }),
+        ..update(&host, 1)
+    };
+    scheduler.update(&restarted, at(100));
+    commit_changes(&mut scheduler, 20, at(200));
+
+    let again = started(&mut scheduler, &hosts, at(201)).remove(0).1;
+
+    assert!(again[0].is_probe);
+}
+
 /// Guards against suspecting the tasks of a host that was only silent.
 #[test]
 fn task_of_a_silent_host_is_no_suspect() {
