--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -4,8 +4,9 @@
 mod graph;
 
 use graph::{
-    WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, empty_list, empty_orders,
-    end, heartbeat, listed, orders, owner, runner, start, step, task, update, worker,
+    WORKER_INCARNATION, accepted_job, at, commit_changes, crash, crashed, empty_list, empty_orders,
+    end, fresh, heartbeat, listed, orders, owner, runner, start, started, step, task, update,
+    worker,
 };
 use rstest::rstest;
 use toucanquay_control::{
@@ -13,9 +14,8 @@
     scheduler::{RestoredJob, Scheduler, Settings},
 };
 use toucanquay_model::{
-    Time,
     graph::{Id, Progress, State, Task, TaskProgress},
-    session::{AttemptStatus, Crash, Ending, Orders, Phase, Start, Suspect, Update, Worker},
+    session::{AttemptStatus, Crash, Ending, Orders, Start, Update, Worker},
 };
 
 /// Returns a runner that was told to start a task at 1 ms.
@@ -34,44 +34,6 @@
     runner.next_update(at(1_000)).crashes
 }
 
-/// Returns a crash of the test worker with these suspects.
-fn crash(suspects: &[&Start]) -> Crash {
-    let suspect = |start: &&Start| Suspect {
-        task: start.task,
-        attempt: start.attempt,
-        is_started: true,
-    };
-    Crash {
-        worker: WORKER_INCARNATION,
-        suspects: suspects.iter().map(suspect).collect(),
-    }
-}
-
-/// Returns an update from a host whose worker has crashed.
-fn crashed(host: &str, number: u64, suspects: &[&Start]) -> Update {
-    Update {
-        worker: None,
-        crashes: vec![crash(suspects)],
-        ..update(host, number)
-    }
-}
-
-/// Returns the status of an attempt that has just been started.
-fn fresh(start: &Start) -> AttemptStatus {
-    AttemptStatus {
-        has_survived_start: false,
-        ..attempt_status(start.task, start.attempt, Phase::Running)
-    }
-}
-
-/// Returns the hosts that get starts, with these.
-fn started(scheduler: &mut Scheduler, hosts: &[&str], now: Time) -> Vec<(String, Vec<Start>)> {
-    let starts = hosts
-        .iter()
-        .map(|host| ((*host).to_owned(), orders(scheduler, host, now).starts));
-    starts.filter(|(_, starts)| !starts.is_empty()).collect()
-}
-
 /// Returns the scheduler of an owner with three hosts and a job of one task, whose first worker has
 /// crashed after the start, and the host and the start of the second attempt.
 fn scheduler_with_a_probe() -> (Scheduler, String, Start) {
@@ -79,7 +41,10 @@
     let mut scheduler = owner(1, &hosts);
     scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
     let (host, starts) = started(&mut scheduler, &hosts, at(1)).remove(0);
-    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    scheduler.update(
+        &crashed(&host, 2, WORKER_INCARNATION, &[&starts[0]]),
+        at(100),
+    );
     commit_changes(&mut scheduler, 20, at(200));
     let (host, mut starts) = started(&mut scheduler, &hosts, at(201)).remove(0);
     (scheduler, host, starts.remove(0))
@@ -98,7 +63,7 @@
 
     let crashes = reported_crashes(&mut runner);
 
-    let mut expected = crash(&[&start(task(1, 0, 0), 7)]);
+    let mut expected = crash(WORKER_INCARNATION, &[&start(task(1, 0, 0), 7)]);
     expected.suspects[0].is_started = outcome.is_some();
     assert_eq!(crashes, [expected]);
 }
@@ -190,7 +155,10 @@
     let mut scheduler = owner(1, &hosts);
     scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
     let (host, starts) = started(&mut scheduler, &hosts, at(1)).remove(0);
-    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    scheduler.update(
+        &crashed(&host, 2, WORKER_INCARNATION, &[&starts[0]]),
+        at(100),
+    );
     let unrecorded = started(&mut scheduler, &hosts, at(150)).len();
     let unacknowledged = orders(&mut scheduler, &host, at(150)).crashes_acknowledged;
     commit_changes(&mut scheduler, 20, at(200));
@@ -208,7 +176,7 @@
 fn task_that_was_alone_under_the_second_crash_is_given_up() {
     let (mut scheduler, host, probe) = scheduler_with_a_probe();
 
-    scheduler.update(&crashed(&host, 2, &[&probe]), at(300));
+    scheduler.update(&crashed(&host, 2, WORKER_INCARNATION, &[&probe]), at(300));
     commit_changes(&mut scheduler, 21, at(400));
 
     assert_eq!(scheduler.job_state(Id::new(1)), Some(State::Failed));
@@ -224,7 +192,10 @@
         ..probe.clone()
     };
 
-    scheduler.update(&crashed(&host, 2, &[&probe, &other]), at(300));
+    scheduler.update(
+        &crashed(&host, 2, WORKER_INCARNATION, &[&probe, &other]),
+        at(300),
+    );
     commit_changes(&mut scheduler, 21, at(400));
 
     assert_ne!(scheduler.job_state(Id::new(1)), Some(State::Failed));
@@ -308,7 +279,10 @@
     }
     let (host, starts) = started(&mut scheduler, &["h1", "h2", "h3"], at(2)).remove(0);
 
-    scheduler.update(&crashed(&host, 2, &[&starts[0]]), at(100));
+    scheduler.update(
+        &crashed(&host, 2, WORKER_INCARNATION, &[&starts[0]]),
+        at(100),
+    );
     commit_changes(&mut scheduler, 20, at(200));
 
     assert_eq!(scheduler.job_state(Id::new(1)), Some(State::Failed));
@@ -365,7 +339,7 @@
     let beside = orders(&mut scheduler, "h1", at(3)).starts.remove(0);
     let mut restarted = update("h1", 2);
     restarted.applied = 9;
-    restarted.crashes = vec![crash(&[&first])];
+    restarted.crashes = vec![crash(WORKER_INCARNATION, &[&first])];
     restarted.runs.push(fresh(&beside));
     scheduler.update(&restarted, at(100));
     commit_changes(&mut scheduler, 20, at(200));
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -13,7 +13,9 @@
 use toucanquay_model::{
     Resources, Time,
     graph::{AcceptedJob, Id, Job, Queue, Step, Task},
-    session::{AttemptStatus, End, Ending, Orders, Phase, Profile, Start, Update, Worker},
+    session::{
+        AttemptStatus, Crash, End, Ending, Orders, Phase, Profile, Start, Suspect, Update, Worker,
+    },
 };
 
 /// Incarnation of the test worker.
@@ -230,3 +232,41 @@
         ..Orders::default()
     }
 }
+
+/// Returns a crash of a worker with these suspects, whose starts were confirmed.
+pub fn crash(worker: u64, suspects: &[&Start]) -> Crash {
+    let suspect = |start: &&Start| Suspect {
+        task: start.task,
+        attempt: start.attempt,
+        is_started: true,
+    };
+    Crash {
+        worker,
+        suspects: suspects.iter().map(suspect).collect(),
+    }
+}
+
+/// Returns an update from a host whose worker has crashed.
+pub fn crashed(host: &str, number: u64, worker: u64, suspects: &[&Start]) -> Update {
+    Update {
+        worker: None,
+        crashes: vec![crash(worker, suspects)],
+        ..update(host, number)
+    }
+}
+
+/// Returns the status of an attempt that has just been started.
+pub fn fresh(start: &Start) -> AttemptStatus {
+    AttemptStatus {
+        has_survived_start: false,
+        ..attempt_status(start.task, start.attempt, Phase::Running)
+    }
+}
+
+/// Runs the scheduler, and returns the hosts that get starts, with these.
+pub fn started(scheduler: &mut Scheduler, hosts: &[&str], now: Time) -> Vec<(String, Vec<Start>)> {
+    let starts = hosts
+        .iter()
+        .map(|host| ((*host).to_owned(), orders(scheduler, host, now).starts));
+    starts.filter(|(_, starts)| !starts.is_empty()).collect()
+}
--- a/crates/control/tests/suspects.rs
+++ b/crates/control/tests/suspects.rs
@@ -6,56 +6,20 @@
 use std::collections::BTreeMap;
 
 use graph::{
-    WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, cores, empty_list,
-    empty_orders, end, heartbeat, listed, orders, owner, runner, simulation::Simulation, start,
-    step, task, update, worker,
+    WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, cores, crash, crashed,
+    empty_list, empty_orders, end, fresh, heartbeat, listed, orders, owner, runner,
+    simulation::Simulation, start, started, step, task, update, worker,
 };
 use toucanquay_control::{
     runner::{CallOutcome, Heartbeat, Runner},
     scheduler::Scheduler,
 };
 use toucanquay_model::{
-    Resources, Time,
+    Resources,
     graph::{Id, State, Step},
-    session::{
-        AttemptStatus, Crash, Ending, Orders, Phase, Rejection, Start, Suspect, Update, Worker,
-    },
+    session::{AttemptStatus, Ending, Orders, Phase, Rejection, Start, Update, Worker},
 };
 
-fn crash(worker: u64, suspects: &[&Start]) -> Crash {
-    let suspect = |start: &&Start| Suspect {
-        task: start.task,
-        attempt: start.attempt,
-        is_started: true,
-    };
-    Crash {
-        worker,
-        suspects: suspects.iter().map(suspect).collect(),
-    }
-}
-
-fn crashed(host: &str, number: u64, worker: u64, suspects: &[&Start]) -> Update {
-    Update {
-        worker: None,
-        crashes: vec![crash(worker, suspects)],
-        ..update(host, number)
-    }
-}
-
-fn fresh(start: &Start) -> AttemptStatus {
-    AttemptStatus {
-        has_survived_start: false,
-        ..attempt_status(start.task, start.attempt, Phase::Running)
-    }
-}
-
-fn started(scheduler: &mut Scheduler, hosts: &[&str], now: Time) -> Vec<(String, Vec<Start>)> {
-    let starts = hosts
-        .iter()
-        .map(|host| ((*host).to_owned(), orders(scheduler, host, now).starts));
-    starts.filter(|(_, starts)| !starts.is_empty()).collect()
-}
-
 fn small_step(tasks: u32) -> Step {
     Step {
         demand: Resources {
@@ -457,7 +421,6 @@
             starts[index] += 1;
             first.get_or_insert(index);
             if first != Some(index) {
-                println!("starts {starts:?} until {millis} ms");
                 return;
             }
             numbers[index] += 1;
@@ -586,11 +549,6 @@
         }
         let beside: Vec<&Start> = starts.iter().flat_map(|(_, starts)| starts).collect();
         let name = starts[0].0.clone();
-        let all_on_one = starts.iter().all(|(host, _)| *host == name);
-        println!(
-            "round {round}: {} starts on one host: {all_on_one}",
-            beside.len()
-        );
         let key = *hosts.iter().find(|host| **host == name).expect("known");
         let number = numbers.get_mut(key).expect("known");
         let incarnation = incarnations.get_mut(key).expect("known");
