--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -202,6 +202,33 @@
     assert_ne!(scheduler.job_state(Id::new(2)), Some(State::Failed));
 }
 
+/// Guards against a task that is never given up because something else had always just started.
+#[rstest]
+#[case::two(2, false)]
+#[case::three(3, true)]
+fn task_is_given_up_after_three_crashes_among_other_suspects(
+    #[case] crashes: u64,
+    #[case] is_given_up: bool,
+) {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    for job in 1..=4 {
+        scheduler.accept(Id::new(job), accepted_job(vec![step(1)]), at(0));
+    }
+    for (round, host) in (0..crashes).zip(hosts) {
+        let deadly = start(task(1, 0, 0), 10 + round);
+        let other = start(task(2 + round, 0, 0), 20 + round);
+        let report = crashed(host, 2, WORKER_INCARNATION, &[&deadly, &other]);
+        scheduler.update(&report, at(100 * (round + 1)));
+        commit_changes(&mut scheduler, 20 + round, at(100 * (round + 1) + 50));
+    }
+
+    let state = scheduler.job_state(Id::new(1));
+
+    assert_eq!(state == Some(State::Failed), is_given_up);
+    assert_ne!(scheduler.job_state(Id::new(2)), Some(State::Failed));
+}
+
 /// Guards against tasks that are lost, or blamed, because they start beside a suspect.
 #[test]
 fn nothing_else_is_started_beside_a_probe() {
