entry: log the version and the age of the configuration that has no route

The entry records the time at which the store is known to have held no newer configuration: the sending of the last answered call, or the end of the wait of a watch without a change. Two gauges tell version and time. Routing moves from the adapter into the product; nothing is decided otherwise yet.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,14 +6,18 @@
 mod create;
 mod election;
 mod jobs;
+mod line_budget;
 mod owner;
 mod peer;
 mod record;
 mod registration;
+mod routing;
 mod session;
 mod settings;
 mod shared;
+mod snapshot;
 mod takeover;
+mod target;
 mod term;
 mod watch;
 
@@ -27,8 +31,9 @@
 pub use registration::Registration;
 pub use settings::Settings;
 use shared::Shared;
+pub use target::Target;
 
-use crate::{Configuration, Store, configuration::Source};
+use crate::{Store, configuration::Source};
 
 /// Maximum time to wait for ownership to be released before the process stops.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -65,12 +70,6 @@
         Ok(Self { shared })
     }
 
-    /// Returns the current configuration, if one has been loaded.
-    #[must_use]
-    pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.shared.configuration()
-    }
-
     /// Returns whether the load balancer should send requests to this entry.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -4,10 +4,10 @@
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep};
-use toucanquay_model::{Error, Revision};
+use toucanquay_model::{Error, Revision, Time};
 
-use super::{Shared, owner::Event};
-use crate::store::{self, Watch};
+use super::{Shared, owner::Event, snapshot::Snapshot};
+use crate::store::{self, Item, Watch};
 
 /// Timeout of a watch, which bounds the time until a dead connection is detected.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -28,16 +28,19 @@
 /// Reads the configuration and applies its changes. Returns when the watched history is compacted.
 async fn read_and_watch(shared: &Shared) -> Result<(), Error> {
     let key = shared.source.key.clone();
+    let called_at = shared.clock.now();
     let page = shared
         .store
         .page(&key, "", Instant::now() + store::PAGE_TIMEOUT)
         .await?;
     shared.record_store_response();
     for item in &page.items {
-        apply(shared, &item.key, &item.value).await;
+        apply(shared, item, called_at).await;
     }
+    shared.confirm_configuration(called_at);
     let mut revision: Revision = page.revision;
     loop {
+        let called_at = shared.clock.now();
         let deadline = Instant::now() + WATCH_TIMEOUT;
         match shared.store.watch(&key, revision, deadline).await? {
             Watch::Events {
@@ -46,22 +49,34 @@
             } => {
                 shared.record_store_response();
                 revision = next_revision;
+                let confirmed_at = confirmation(called_at, &events, shared.clock.now());
                 for event in events {
                     if let store::Event::Written(item) = event {
-                        apply(shared, &item.key, &item.value).await;
+                        apply(shared, &item, confirmed_at).await;
                     }
                 }
+                shared.confirm_configuration(confirmed_at);
             }
             Watch::Compacted => return Ok(()),
         }
     }
 }
 
-async fn apply(shared: &Shared, key: &str, value: &[u8]) {
-    if key != shared.source.key {
+/// Returns the latest time of which the response to a watch tells. The store answers as soon as
+/// there is a change, so that a response without one tells of the whole wait.
+fn confirmation(called_at: Time, events: &[store::Event], now: Time) -> Time {
+    let waited_until = called_at.plus_micros(WATCH_TIMEOUT.as_micros() as u64);
+    if events.is_empty() && waited_until <= now {
+        return waited_until;
+    }
+    called_at
+}
+
+async fn apply(shared: &Shared, item: &Item, confirmed_at: Time) {
+    if item.key != shared.source.key {
         return;
     }
-    let configuration = match (shared.source.decode)(value) {
+    let configuration = match (shared.source.decode)(&item.value) {
         Ok(configuration) => configuration,
         Err(error) => {
             warn!(shared.log, "configuration_unreadable"; "error" => %error);
@@ -69,7 +84,11 @@
         }
     };
     let (version, queues) = (configuration.version, configuration.queues.len());
-    if shared.set_configuration(configuration) {
+    let snapshot = Snapshot {
+        configuration: Arc::new(configuration),
+        confirmed_at,
+    };
+    if shared.set_snapshot(snapshot) {
         info!(shared.log, "configuration_taken"; "version" => version, "queues" => queues);
         if let Some(mailbox) = shared.mailbox() {
             // Sending fails only if the owner is stopping and needs no configuration.
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -5,14 +5,14 @@
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 use toucanquay_model::{
     Error, ErrorKind,
-    graph::{AcceptedJob, Id, Job, Progress, Queue, State},
+    graph::{AcceptedJob, Id, Job, Progress, State},
 };
 use toucanquay_wire::{
     Frame,
     graph::{Query, Reply},
 };
 
-use super::{Entry, Shared, create, peer, takeover};
+use super::{Entry, Shared, Target, create, peer, takeover};
 use crate::key;
 
 /// Timeout of one query to the owner.
@@ -33,23 +33,22 @@
     /// [`ErrorKind::OutcomeUnknown`] if that isn't known by the deadline.
     pub async fn submit(
         &self,
-        queue: &str,
-        policy: &Queue,
+        target: &Target,
         id: Id,
         job: Job,
         deadline: Instant,
     ) -> Result<(), Error> {
         let shared = &self.shared;
         let accepted_job = AcceptedJob {
-            queue: queue.to_owned(),
-            policy: policy.clone(),
+            queue: target.queue.clone(),
+            policy: target.policy.clone(),
             unix_ms: shared.clock.unix_ms(),
             job,
         };
         let record = serde_json::to_vec(&accepted_job)
             .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
         create::create_key(shared, &key::job(id), &record, deadline).await?;
-        info!(shared.log, "job_accepted"; "job" => %id, "queue" => queue,
+        info!(shared.log, "job_accepted"; "job" => %id, "queue" => &target.queue,
             "steps" => accepted_job.job.steps.len(),
             "chain_ms" => accepted_job.job.critical_path_ms());
         let record = Bytes::from(record);
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -8,8 +8,11 @@
 use toucanquay_model::Time;
 use toucanquay_wire::Pool;
 
-use super::{Settings, candidate::Candidate, owner::Event, term::Term};
-use crate::{Clock, Configuration, Store, configuration::Source};
+use super::{
+    Settings, candidate::Candidate, line_budget::LineBudget, owner::Event, snapshot::Snapshot,
+    term::Term,
+};
+use crate::{Clock, Configuration, Store, configuration::Source, meters};
 
 /// Time without a response from the store after which the entry is not ready.
 const STORE_TIMEOUT_MICROS: u64 = 4_000_000;
@@ -38,7 +41,9 @@
 /// Mutable state of an entry.
 #[derive(Debug, Default)]
 struct State {
-    configuration: Option<Arc<Configuration>>,
+    snapshot: Option<Snapshot>,
+    /// Budget of log lines on requests without a route.
+    unknown_routes: LineBudget,
     owner: Option<Term>,
     /// Sends events to the owner while it runs in this process.
     mailbox: Option<mpsc::Sender<Event>>,
@@ -65,24 +70,45 @@
     }
 
     pub(super) fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.state().configuration.clone()
+        Some(self.snapshot()?.configuration)
+    }
+
+    pub(super) fn snapshot(&self) -> Option<Snapshot> {
+        self.state().snapshot.clone()
     }
 
     /// Sets the configuration if its version is higher than the current one. Returns whether it was
     /// set.
-    pub(super) fn set_configuration(&self, configuration: Configuration) -> bool {
+    pub(super) fn set_snapshot(&self, snapshot: Snapshot) -> bool {
         let mut state = self.state();
         let current_version = state
-            .configuration
+            .snapshot
             .as_ref()
-            .map(|configuration| configuration.version);
-        if current_version.is_some_and(|version| version >= configuration.version) {
+            .map(|current| current.configuration.version);
+        if current_version.is_some_and(|version| version >= snapshot.configuration.version) {
             return false;
         }
-        state.configuration = Some(Arc::new(configuration));
+        meters::set_configuration_version(snapshot.configuration.version);
+        state.snapshot = Some(snapshot);
         true
     }
 
+    /// Records that the store held no newer configuration at this time.
+    pub(super) fn confirm_configuration(&self, confirmed_at: Time) {
+        let mut state = self.state();
+        let Some(snapshot) = &mut state.snapshot else {
+            return;
+        };
+        snapshot.confirmed_at = snapshot.confirmed_at.max(confirmed_at);
+        let age_ms = snapshot.age_micros(self.clock.now()) / 1_000;
+        meters::set_configuration_confirmed(self.clock.unix_ms().saturating_sub(age_ms));
+    }
+
+    /// Takes a log line on a request without a route; see [`LineBudget::take`].
+    pub(super) fn take_line(&self, now: Time) -> Option<u32> {
+        self.state().unknown_routes.take(now)
+    }
+
     pub(super) fn owner(&self) -> Option<Term> {
         self.state().owner.clone()
     }
@@ -121,7 +147,7 @@
         let is_store_reachable = state.store_responded_at.is_some_and(|responded_at| {
             self.clock.now() < responded_at.plus_micros(STORE_TIMEOUT_MICROS)
         });
-        state.configuration.is_some() && is_store_reachable && !self.drain.is_cancelled()
+        state.snapshot.is_some() && is_store_reachable && !self.drain.is_cancelled()
     }
 
     pub(super) fn spawn(self: &Arc<Self>, future: impl Future<Output = ()> + Send + 'static) {
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -75,3 +75,14 @@
     gauge!("toucanquay_attempts").set(attempts as f64);
     gauge!("toucanquay_jobs_unrecorded").set(unrecorded as f64);
 }
+
+/// Sets the version of the entry's configuration.
+pub fn set_configuration_version(version: u64) {
+    gauge!("toucanquay_configuration_version").set(version as f64);
+}
+
+/// Sets the time at which the entry's configuration is known to have been the newest one, in
+/// milliseconds since the Unix epoch.
+pub fn set_configuration_confirmed(unix_ms: u64) {
+    gauge!("toucanquay_configuration_confirmed_seconds").set(unix_ms as f64 / 1_000.0);
+}
