entry: an outdated configuration denies no route and accepts no job

A 404 is final for a client.

Cause: an entry decides by what it last read, however long ago that was. Each call that hangs, is turned away or fails leaves the older version in force without a bound.

An entry now knows for how long a newer configuration may have been in the store, by a clock that counts suspensions. Beyond the bound within which a change must be in force (bounds.configApplyMs of the platform) it answers 503 with a time to return where it has no route, at once: another entry may know more. A job on a route that it has waits, while the client does, until the configuration is confirmed, since the route may have been removed; before, the write to the store waited just as long. Queries and cancellations of a known route are answered as before. A watch now waits for two fifths of the bound, so that the knowledge of a calm entry is at most 0.8 s old, and a silent watch and one more call fit into the bound.

--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -9,8 +9,9 @@
 use super::{Shared, owner::Event, snapshot::Snapshot};
 use crate::store::{self, Item, Watch};
 
-/// Timeout of a watch, which bounds the time until a dead connection is detected.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Timeout of a watch, as a share of the bound within which a change must be in force. A watch, its
+/// failure and one more call fit into the bound.
+const WATCH_SHARE: f64 = 0.4;
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -39,9 +40,10 @@
     }
     shared.confirm_configuration(called_at);
     let mut revision: Revision = page.revision;
+    let wait = shared.settings.configuration_bound.mul_f64(WATCH_SHARE);
     loop {
         let called_at = shared.clock.now();
-        let deadline = Instant::now() + WATCH_TIMEOUT;
+        let deadline = Instant::now() + wait;
         match shared.store.watch(&key, revision, deadline).await? {
             Watch::Events {
                 events,
@@ -49,7 +51,7 @@
             } => {
                 shared.record_store_response();
                 revision = next_revision;
-                let confirmed_at = confirmation(called_at, &events, shared.clock.now());
+                let confirmed_at = confirmation(called_at, wait, &events, shared.clock.now());
                 for event in events {
                     if let store::Event::Written(item) = event {
                         apply(shared, &item, confirmed_at).await;
@@ -64,8 +66,8 @@
 
 /// Returns the latest time of which the response to a watch tells. The store answers as soon as
 /// there is a change, so that a response without one tells of the whole wait.
-fn confirmation(called_at: Time, events: &[store::Event], now: Time) -> Time {
-    let waited_until = called_at.plus_micros(WATCH_TIMEOUT.as_micros() as u64);
+fn confirmation(called_at: Time, wait: Duration, events: &[store::Event], now: Time) -> Time {
+    let waited_until = called_at.plus_millis(wait.as_millis() as u64);
     if events.is_empty() && waited_until <= now {
         return waited_until;
     }
--- a/crates/node/src/entry/settings.rs
+++ b/crates/node/src/entry/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use tokio::time::Duration;
 use toucanquay_model::Incarnation;
 
 /// Settings of an [`Entry`](super::Entry).
@@ -16,4 +17,6 @@
     /// Capacity of the host for the owner's work, in any unit that all entries share. An entry whose
     /// host has at least twice the capacity is preferred as the owner.
     pub capacity: u32,
+    /// Time within which a change of the configuration must be in force.
+    pub configuration_bound: Duration,
 }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use slog::Logger;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::Time;
 use toucanquay_wire::Pool;
@@ -35,6 +35,8 @@
     pub(super) released: CancellationToken,
     /// Cancelled after [`drain`](Self::drain), once the registration is removed.
     pub(super) deregistered: CancellationToken,
+    /// Notified when the configuration is confirmed.
+    pub(super) configuration_confirmed: Notify,
     state: Mutex<State>,
 }
 
@@ -42,8 +44,8 @@
 #[derive(Debug, Default)]
 struct State {
     snapshot: Option<Snapshot>,
-    /// Budget of log lines on requests without a route.
-    unknown_routes: LineBudget,
+    /// Budget of log lines on requests that the configuration decides against.
+    refusals: LineBudget,
     owner: Option<Term>,
     /// Sends events to the owner while it runs in this process.
     mailbox: Option<mpsc::Sender<Event>>,
@@ -65,6 +67,7 @@
             drain: CancellationToken::new(),
             released: CancellationToken::new(),
             deregistered: CancellationToken::new(),
+            configuration_confirmed: Notify::new(),
             state: Mutex::default(),
         }
     }
@@ -102,11 +105,20 @@
         snapshot.confirmed_at = snapshot.confirmed_at.max(confirmed_at);
         let age_ms = snapshot.age_micros(self.clock.now()) / 1_000;
         meters::set_configuration_confirmed(self.clock.unix_ms().saturating_sub(age_ms));
+        drop(state);
+        self.configuration_confirmed.notify_waiters();
     }
 
-    /// Takes a log line on a request without a route; see [`LineBudget::take`].
+    /// Returns whether a newer configuration may have been in the store for longer than the bound
+    /// within which it must be in force.
+    pub(super) fn is_outdated(&self, snapshot: &Snapshot) -> bool {
+        let bound_micros = self.settings.configuration_bound.as_micros();
+        u128::from(snapshot.age_micros(self.clock.now())) > bound_micros
+    }
+
+    /// Takes a log line on a request that the configuration decides against; see [`LineBudget::take`].
     pub(super) fn take_line(&self, now: Time) -> Option<u32> {
-        self.state().unknown_routes.take(now)
+        self.state().refusals.take(now)
     }
 
     pub(super) fn owner(&self) -> Option<Term> {
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -103,6 +103,7 @@
         process: 1,
         listen,
         capacity: 1,
+        configuration_bound: Duration::from_millis(2_000),
     }
 }
 
