entry: not ready while its reads of the configuration hang

Cause: readiness asks for any response of the store within 4 s. The calls of the election were answered while the call that reads the configuration hung.

The configuration must have been confirmed within the same 4 s now.

Failed before: entry_with_an_old_configuration_is_not_ready: 200, not 503.

--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -14,7 +14,8 @@
 };
 use crate::{Clock, Configuration, Store, configuration::Source, meters};
 
-/// Time without a response from the store after which the entry is not ready.
+/// Time without a response from the store, or without a confirmation of the configuration, after
+/// which the entry is not ready.
 const STORE_TIMEOUT_MICROS: u64 = 4_000_000;
 
 /// Shared state of an entry.
@@ -156,10 +157,13 @@
 
     pub(super) fn is_ready(&self) -> bool {
         let state = self.state();
-        let is_store_reachable = state.store_responded_at.is_some_and(|responded_at| {
-            self.clock.now() < responded_at.plus_micros(STORE_TIMEOUT_MICROS)
-        });
-        state.snapshot.is_some() && is_store_reachable && !self.drain.is_cancelled()
+        let now = self.clock.now();
+        let is_recent = |time: Time| now < time.plus_micros(STORE_TIMEOUT_MICROS);
+        let is_store_reachable = state.store_responded_at.is_some_and(is_recent);
+        // Calls to read the configuration may hang while the store answers others.
+        let snapshot = state.snapshot.as_ref();
+        let is_configured = snapshot.is_some_and(|snapshot| is_recent(snapshot.confirmed_at));
+        is_configured && is_store_reachable && !self.drain.is_cancelled()
     }
 
     pub(super) fn spawn(self: &Arc<Self>, future: impl Future<Output = ()> + Send + 'static) {
