entry: learn the configuration from the other entries

What callers would see: an entry that the store turns away, or that can't reach it, follows no change of the configuration for as long as that lasts.

Cause: the store was the only source of the configuration.

An entry whose knowledge is older than three quarters of the bound asks the other entries in turn, whose addresses it has from their registrations. A reply tells the age of the sender's knowledge, and has the encoded configuration if it is newer. The age only grows on the way, so entries that all lack the store can't confirm one another.

Failed before: entry_without_the_store_follows_the_configuration_of_another_one ("the configuration isn't used" within 2 s).

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -65,6 +65,7 @@
         let stop = shared.stop.clone();
         tokio::spawn(server.run(stop, move |stream| peer::serve(peer_shared.clone(), stream)));
         shared.spawn(configuration::run(shared.clone()));
+        shared.spawn(configuration::peers::run(shared.clone()));
         shared.spawn(candidates::run(shared.clone()));
         tokio::spawn(election::run(shared.clone()));
         Ok(Self { shared })
--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use slog::{debug, info};
+use smallvec::SmallVec;
 use tokio::time::{Duration, Instant, sleep, timeout};
 use toucanquay_model::Error;
 use toucanquay_wire::{
@@ -65,15 +66,19 @@
         let candidate = Candidate::from_bytes(&item.value)?;
         Some((item.key.as_str(), candidate))
     });
-    let (mut larger, mut is_listed) = (Vec::new(), false);
+    let (mut larger, mut peers, mut is_listed) = (Vec::new(), SmallVec::new(), false);
     for (key, candidate) in candidates {
         if key == own_key {
             is_listed = candidate == own;
-        } else if candidate.capacity >= own.capacity.saturating_mul(PREFERRED_CAPACITY_RATIO) {
+            continue;
+        }
+        peers.push(candidate.address);
+        if candidate.capacity >= own.capacity.saturating_mul(PREFERRED_CAPACITY_RATIO) {
             larger.push(candidate);
         }
     }
     shared.set_larger_candidates(larger);
+    shared.set_peers(peers);
     if !is_listed {
         let registration = Transaction::default().put(own_key, own.to_bytes());
         let deadline = Instant::now() + CALL_TIMEOUT;
--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -1,7 +1,10 @@
 //! Watches the configuration in the store.
 
-use std::sync::Arc;
+pub(super) mod peers;
 
+use std::{fmt::Display, sync::Arc};
+
+use bytes::Bytes;
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep};
 use toucanquay_model::{Error, Revision, Time};
@@ -35,8 +38,8 @@
         .page(&key, "", Instant::now() + store::PAGE_TIMEOUT)
         .await?;
     shared.record_store_response();
-    for item in &page.items {
-        apply(shared, item, called_at).await;
+    for item in page.items {
+        apply_item(shared, item, called_at).await;
     }
     shared.confirm_configuration(called_at);
     let mut revision: Revision = page.revision;
@@ -54,7 +57,7 @@
                 let confirmed_at = confirmation(called_at, wait, &events, shared.clock.now());
                 for event in events {
                     if let store::Event::Written(item) = event {
-                        apply(shared, &item, confirmed_at).await;
+                        apply_item(shared, item, confirmed_at).await;
                     }
                 }
                 shared.confirm_configuration(confirmed_at);
@@ -74,27 +77,43 @@
     called_at
 }
 
-async fn apply(shared: &Shared, item: &Item, confirmed_at: Time) {
+/// Applies the configuration if `item` holds it. One that can't be read leaves the current one in
+/// force.
+async fn apply_item(shared: &Shared, item: Item, confirmed_at: Time) {
     if item.key != shared.source.key {
         return;
     }
-    let configuration = match (shared.source.decode)(&item.value) {
-        Ok(configuration) => configuration,
-        Err(error) => {
-            warn!(shared.log, "configuration_unreadable"; "error" => %error);
-            return;
-        }
-    };
+    if let Err(error) = apply(shared, item.value.into(), confirmed_at, &"store").await {
+        warn!(shared.log, "configuration_unreadable"; "error" => %error,
+            "revision" => item.revision);
+    }
+}
+
+/// Applies an encoded configuration if its version is higher than the current one.
+///
+/// # Errors
+///
+/// Returns the decoder's error.
+async fn apply(
+    shared: &Shared,
+    value: Bytes,
+    confirmed_at: Time,
+    origin: &(dyn Display + Sync),
+) -> Result<(), Error> {
+    let configuration = (shared.source.decode)(&value)?;
     let (version, queues) = (configuration.version, configuration.queues.len());
     let snapshot = Snapshot {
         configuration: Arc::new(configuration),
+        value,
         confirmed_at,
     };
     if shared.set_snapshot(snapshot) {
-        info!(shared.log, "configuration_taken"; "version" => version, "queues" => queues);
+        info!(shared.log, "configuration_taken"; "version" => version, "queues" => queues,
+            "origin" => %origin);
         if let Some(mailbox) = shared.mailbox() {
             // Sending fails only if the owner is stopping and needs no configuration.
             let _ = mailbox.send(Event::ConfigurationChanged).await;
         }
     }
+    Ok(())
 }
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -335,7 +335,7 @@
                 Reply::Noted
             }
             // The peer handler of this process answers these itself and never forwards them.
-            Query::Create { .. } | Query::IsReady => Reply::Noted,
+            Query::Create { .. } | Query::IsReady | Query::Configuration { .. } => Reply::Noted,
         };
         if let Some(reply) = reply {
             // Sending fails if the caller has timed out.
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -30,6 +30,7 @@
             created.map(|()| Reply::Created)
         }
         Query::IsReady => Ok(Reply::Ready(shared.is_ready())),
+        Query::Configuration { known_version } => configuration(&shared, known_version),
         query => query_local_owner(&shared, query).await,
     };
     let frame = match reply {
@@ -40,6 +41,18 @@
     let _ = stream.send_last(&frame).await;
 }
 
+/// Returns the age of this entry's knowledge of the configuration, and the configuration if the
+/// peer has an older one.
+fn configuration(shared: &Shared, known_version: Option<u64>) -> Result<Reply, Error> {
+    let snapshot = shared
+        .snapshot()
+        .ok_or_else(|| Error::new(ErrorKind::StoreUnavailable))?;
+    let age_micros = snapshot.age_micros(shared.clock.now());
+    let is_newer = known_version.is_none_or(|known| known < snapshot.configuration.version);
+    let value = is_newer.then_some(snapshot.value);
+    Ok(Reply::Configuration { age_micros, value })
+}
+
 /// Sends a query to the owner in this process and returns its reply.
 pub(super) async fn query_local_owner(shared: &Shared, query: Query) -> Result<Reply, Error> {
     let no_owner = || Error::new(ErrorKind::NoOwner);
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -1,8 +1,12 @@
 //! State shared by the entry's tasks.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use slog::Logger;
+use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::Time;
@@ -53,6 +57,8 @@
     store_responded_at: Option<Time>,
     /// Candidates that are preferred to this entry as the owner.
     larger_candidates: Vec<Candidate>,
+    /// Addresses of the other entries.
+    peers: SmallVec<[SocketAddr; 4]>,
 }
 
 impl Shared {
@@ -146,6 +152,14 @@
         self.state().larger_candidates = candidates;
     }
 
+    pub(super) fn peers(&self) -> SmallVec<[SocketAddr; 4]> {
+        self.state().peers.clone()
+    }
+
+    pub(super) fn set_peers(&self, peers: SmallVec<[SocketAddr; 4]>) {
+        self.state().peers = peers;
+    }
+
     pub(super) fn has_larger_candidate(&self) -> bool {
         !self.state().larger_candidates.is_empty()
     }
--- a/crates/node/src/entry/snapshot.rs
+++ b/crates/node/src/entry/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use toucanquay_model::Time;
 
 use crate::Configuration;
@@ -10,6 +11,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Snapshot {
     pub(super) configuration: Arc<Configuration>,
+    /// Encoded form, for entries that can't read it from the store.
+    pub(super) value: Bytes,
     /// Latest time at which the store is known to have held no newer configuration.
     pub(super) confirmed_at: Time,
 }
--- a/crates/wire/src/graph/query.rs
+++ b/crates/wire/src/graph/query.rs
@@ -32,4 +32,9 @@
     },
     /// Asks an entry whether it is ready to become the owner.
     IsReady,
+    /// Asks an entry for its configuration if it is newer than the one that the sender has.
+    Configuration {
+        /// Version of the sender's configuration, if it has one.
+        known_version: Option<u64>,
+    },
 }
