configuration: look routes up by prefix, and decode only the newest change

What callers would see: changes in force late on a host with little processor.

Cause: each insertion sorted the routes of its host name again.

Of the events of a watch, the last one that can be read is decoded.

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -1,7 +1,10 @@
 //! Configuration of queues and their routes.
 
+mod prefixes;
+
 use std::{collections::BTreeMap, sync::Arc};
 
+use prefixes::Prefixes;
 use toucanquay_model::{Error, graph::Queue};
 
 /// Maps requests to a queue by path prefix.
@@ -20,24 +23,34 @@
     pub version: u64,
     /// Queues by name.
     pub queues: BTreeMap<String, Queue>,
-    /// Routes by host name, sorted by descending prefix length.
-    pub routes: BTreeMap<String, Vec<Route>>,
+    /// Routes by host name.
+    routes: BTreeMap<String, Prefixes>,
 }
 
 impl Configuration {
+    /// Creates a configuration without routes.
+    #[must_use]
+    pub fn new(version: u64) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
     /// Adds a queue and a route to it.
     pub fn insert(&mut self, host: &str, route: Route, queue: Queue) {
         self.queues.insert(route.queue.clone(), queue);
-        let routes = self.routes.entry(host.to_owned()).or_default();
-        routes.push(route);
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        self.routes
+            .entry(host.to_owned())
+            .or_default()
+            .insert(route);
     }
 
     /// Returns the route with the longest matching prefix, and the rest of the path.
     #[must_use]
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Route, &'a str)> {
-        let mut routes = self.routes.get(host)?.iter();
-        routes.find_map(|route| Some((route, path.strip_prefix(route.prefix.as_str())?)))
+        let route = self.routes.get(host)?.longest_match(path)?;
+        Some((route, path.strip_prefix(route.prefix.as_str())?))
     }
 }
 
--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -38,7 +38,8 @@
         .page(&key, "", Instant::now() + store::PAGE_TIMEOUT)
         .await?;
     shared.record_store_response();
-    for item in page.items {
+    let mut items = page.items.into_iter();
+    if let Some(item) = items.find(|item| item.key == key) {
         apply_item(shared, item, called_at).await;
     }
     shared.confirm_configuration(called_at);
@@ -55,11 +56,7 @@
                 shared.record_store_response();
                 revision = next_revision;
                 let confirmed_at = confirmation(called_at, wait, &events, shared.clock.now());
-                for event in events {
-                    if let store::Event::Written(item) = event {
-                        apply_item(shared, item, confirmed_at).await;
-                    }
-                }
+                apply_newest(shared, events, confirmed_at).await;
                 shared.confirm_configuration(confirmed_at);
             }
             Watch::Compacted => return Ok(()),
@@ -67,6 +64,21 @@
     }
 }
 
+/// Applies the last change that can be read. Each event has the whole configuration, so that those
+/// before it needn't be decoded.
+async fn apply_newest(shared: &Shared, events: Vec<store::Event>, confirmed_at: Time) {
+    let newest_first = events.into_iter().rev();
+    let items = newest_first.filter_map(|event| match event {
+        store::Event::Written(item) if item.key == shared.source.key => Some(item),
+        _ => None,
+    });
+    for item in items {
+        if apply_item(shared, item, confirmed_at).await {
+            return;
+        }
+    }
+}
+
 /// Returns the latest time of which the response to a watch tells. The store answers as soon as
 /// there is a change, so that a response without one tells of the whole wait.
 fn confirmation(called_at: Time, wait: Duration, events: &[store::Event], now: Time) -> Time {
@@ -77,16 +89,15 @@
     called_at
 }
 
-/// Applies the configuration if `item` holds it. One that can't be read leaves the current one in
-/// force.
-async fn apply_item(shared: &Shared, item: Item, confirmed_at: Time) {
-    if item.key != shared.source.key {
-        return;
-    }
-    if let Err(error) = apply(shared, item.value.into(), confirmed_at, &"store").await {
+/// Applies the configuration in an item, and returns whether it can be read. One that can't be read
+/// leaves the current one in force.
+async fn apply_item(shared: &Shared, item: Item, confirmed_at: Time) -> bool {
+    let applied = apply(shared, item.value.into(), confirmed_at, &"store").await;
+    if let Err(error) = &applied {
         warn!(shared.log, "configuration_unreadable"; "error" => %error,
             "revision" => item.revision);
     }
+    applied.is_ok()
 }
 
 /// Applies an encoded configuration if its version is higher than the current one.
