entry: ask the other entries for the configuration four times a second at most

During an outage of the store for all entries each of them asked ten times a second, and logged each failure. The lines are on the debug level now.

--- a/crates/node/src/entry/configuration/peers.rs
+++ b/crates/node/src/entry/configuration/peers.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use slog::info;
+use slog::debug;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use toucanquay_model::{Error, ErrorKind, Time};
 use toucanquay_wire::{
@@ -23,7 +23,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Delay between two calls.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Runs until the entry stops.
 pub(in crate::entry) async fn run(shared: Arc<Shared>) {
@@ -38,7 +38,7 @@
             let peer = peers[calls % peers.len()];
             calls += 1;
             if let Err(error) = ask(&shared, peer).await {
-                info!(shared.log, "configuration_unknown_to_peer"; "peer" => %peer,
+                debug!(shared.log, "configuration_unknown_to_peer"; "peer" => %peer,
                     "error" => %error);
             }
         }
