--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -65,7 +65,7 @@
     match shared.store.commit(removal, deadline).await? {
         Commit::Done(_) => Ok(()),
         // A registration that was sent before the stop was applied only now.
-        Commit::Conflict(_) => Err(Error::new(ErrorKind::OutcomeUnknown)),
+        Commit::Conflict { .. } => Err(Error::new(ErrorKind::OutcomeUnknown)),
     }
 }
 
--- a/crates/node/src/entry/create.rs
+++ b/crates/node/src/entry/create.rs
@@ -95,7 +95,7 @@
         .put(key, value);
     match shared.store.commit(transaction, deadline).await? {
         // A conflict means that an earlier attempt created the key.
-        Commit::Done(_) | Commit::Conflict(_) => Ok(()),
+        Commit::Done(_) | Commit::Conflict { .. } => Ok(()),
     }
 }
 
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -194,7 +194,7 @@
             shared.set_owner(Some(term.clone()));
             run_owner(shared, term, revision, sent_at).await;
         }
-        Ok(Commit::Conflict(_)) => {}
+        Ok(Commit::Conflict { .. }) => {}
         Err(error) => {
             // If the write was applied, the next read finds the address of this process in the key
             // and allows an immediate takeover.
@@ -238,7 +238,7 @@
                 owner.extend_ownership(ownership_until(sent_at)).await;
                 renew_at = Instant::now() + RENEWAL_INTERVAL;
             }
-            Ok(Commit::Conflict(items)) => match own_revision(&items, &term) {
+            Ok(Commit::Conflict { items, .. }) => match own_revision(&items, &term) {
                 // An earlier renewal was applied although its response was lost.
                 Some(current) => revision = current,
                 None => {
@@ -288,7 +288,7 @@
                 info!(shared.log, "ownership_released"; "epoch" => term.epoch);
                 return;
             }
-            Ok(Commit::Conflict(items)) => match own_revision(&items, &term) {
+            Ok(Commit::Conflict { items, .. }) => match own_revision(&items, &term) {
                 // An earlier renewal or release was applied although its response was lost.
                 Some(current) => revision = current,
                 None => return,
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -9,7 +9,7 @@
 };
 use toucanquay_control::scheduler::Commit as JobRecords;
 use toucanquay_model::{
-    Error, Revision,
+    Error, ErrorKind, Revision,
     graph::{Id, Progress},
 };
 
@@ -69,7 +69,14 @@
     let deadline = Instant::now() + CALL_TIMEOUT;
     match shared.store.commit(transaction, deadline).await? {
         Commit::Done(revision) => Ok(Event::CommitSucceeded(revision)),
-        Commit::Conflict(items) => Ok(resolve_conflict(shared, fence, records, &items)),
+        Commit::Conflict { items, unreadable } if unreadable.is_empty() => {
+            Ok(resolve_conflict(shared, fence, records, &items))
+        }
+        // A key whose revision isn't known is in use. Only a retry can tell whether an earlier
+        // attempt wrote it.
+        Commit::Conflict { unreadable, .. } => Err(Error::new(ErrorKind::Protocol)
+            .field(unreadable.join(", "))
+            .context("the current revision can't be read")),
     }
 }
 
@@ -123,7 +130,7 @@
                 let _ = mailbox.send(Event::JobsRemoved(ids.to_vec())).await;
             }
             // Another owner has taken over and removes the jobs.
-            Ok(Commit::Conflict(_)) => return,
+            Ok(Commit::Conflict { .. }) => return,
             // The owner removes the jobs again after its next sweep.
             Err(error) => debug!(shared.log, "removal_failed"; "error" => %error),
         }
--- a/crates/node/src/store/reply.rs
+++ b/crates/node/src/store/reply.rs
@@ -70,6 +70,12 @@
 pub enum Commit {
     /// The transaction was committed at this revision.
     Done(Revision),
-    /// A condition doesn't hold. Contains the current items of those keys in conditions that exist.
-    Conflict(Vec<Item>),
+    /// A condition doesn't hold.
+    Conflict {
+        /// Current items of those keys in conditions that exist. The value is empty if it can't be
+        /// read.
+        items: Vec<Item>,
+        /// Keys in conditions that exist, or may exist, and whose revision can't be read.
+        unreadable: Vec<String>,
+    },
 }
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -43,7 +43,10 @@
         if !conditions.all(|(key, expected)| revision(key) == *expected) {
             let keys = transaction.conditions.iter();
             let current = keys.filter_map(|(key, _)| self.items.get(key).cloned());
-            return Commit::Conflict(current.collect());
+            return Commit::Conflict {
+                items: current.collect(),
+                unreadable: Vec::new(),
+            };
         }
         self.revision += 1;
         for key in &transaction.removals {
