node: a companion replaces an odd entry that stands in place of its registration

What callers would see: after another writer had replaced a companion's registration by an entry that can't be read, the companion read it four times a second and never registered again. New owners awaited its host for a lease and opened no session to it, so that its worker got no tasks.

Cause: the companion compares its registration with what stands in the store, and gave up before the write when that couldn't be read.

Evidence, before the fix: registration_that_an_odd_entry_replaced_is_restored (deep, number, port): "the registration isn't restored" after 25 s.

Why the fix works: an entry that can't be read is another one than the registration, and is overwritten as any other value is.

--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use tokio::time::{Duration, Instant, sleep};
 use toucanquay_model::{Error, ErrorKind};
 
@@ -78,12 +78,19 @@
     };
     let value = registration.to_bytes();
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let current = shared.store.get(&key, deadline).await?;
-    if current.is_some_and(|item| item.value == value) {
+    let current = match shared.store.get(&key, deadline).await {
+        // What can't be read is not this registration, and is replaced by it.
+        Err(error) if error.kind() == ErrorKind::Protocol => Err(error),
+        found => Ok(found?),
+    };
+    if matches!(&current, Ok(Some(item)) if item.value == value) {
         return Ok(());
     }
     let transaction = Transaction::default().put(key, value);
     shared.store.commit(transaction, deadline).await?;
+    if let Err(error) = current {
+        warn!(shared.log, "registration_replaced"; "error" => %error);
+    }
     info!(shared.log, "registered"; "address" => %settings.listen);
     Ok(())
 }
