--- a/crates/node/src/entry/routing.rs
+++ b/crates/node/src/entry/routing.rs
@@ -32,7 +32,7 @@
     /// Waits until the configuration is known to be in force.
     ///
     /// A route may have been removed or changed by a configuration that this entry hasn't read, so
-    /// that a job isn't accepted before.
+    /// that no job is accepted and no queue is counted before.
     ///
     /// # Errors
     ///
