entry: read the configuration soon after the store's return

What callers would see: a job that is sent after an outage of the store waits for up to 1.1 s, and a 503, which is final, if its time ends before.

Cause: a job isn't accepted before the configuration is confirmed, and the call that reads it stays unanswered if it was sent into the silent store. The next one follows after 1.15 s. All entries are in the same state, so that the others don't know more.

While a read has no response, another one follows each 0.25 s, four at most. A refusal of one doesn't end an earlier one, which may be receiving a long response.

--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -5,12 +5,13 @@
 use std::{fmt::Display, sync::Arc};
 
 use bytes::Bytes;
-use slog::{info, warn};
-use tokio::time::{Duration, Instant, sleep};
-use toucanquay_model::{Error, Revision, Time};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use slog::{debug, info, warn};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
+use toucanquay_model::{Error, ErrorKind, Revision, Time};
 
 use super::{Shared, owner::Event, snapshot::Snapshot};
-use crate::store::{self, Item, Watch};
+use crate::store::{self, Item, Page, Watch};
 
 /// Timeout of a watch, as a share of the bound within which a change must be in force. A watch, its
 /// failure and one more call fit into the bound.
@@ -19,6 +20,12 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay after which another call follows one that has no response yet.
+const CALL_DELAY: Duration = Duration::from_millis(250);
+
+/// Maximum number of calls at the same time.
+const CALLS_MAX: usize = 4;
+
 /// Runs until the entry stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
@@ -32,11 +39,7 @@
 /// Reads the configuration and applies its changes. Returns when the watched history is compacted.
 async fn read_and_watch(shared: &Shared) -> Result<(), Error> {
     let key = shared.source.key.clone();
-    let called_at = shared.clock.now();
-    let page = shared
-        .store
-        .page(&key, "", Instant::now() + store::PAGE_TIMEOUT)
-        .await?;
+    let (called_at, page) = read(shared).await?;
     shared.record_store_response();
     let mut items = page.items.into_iter();
     if let Some(item) = items.find(|item| item.key == key) {
@@ -64,6 +67,43 @@
     }
 }
 
+/// Reads the configuration, and returns the time of the call.
+///
+/// A call that was sent into a silent store stays unanswered when the store returns, so that others
+/// follow it.
+async fn read(shared: &Shared) -> Result<(Time, Page), Error> {
+    let mut calls = FuturesUnordered::new();
+    let mut next_call_at = Instant::now();
+    loop {
+        let now = Instant::now();
+        if now >= next_call_at {
+            next_call_at = now + CALL_DELAY;
+            if calls.len() < CALLS_MAX {
+                calls.push(read_page(shared));
+            }
+        }
+        match timeout_at(next_call_at, calls.next()).await {
+            // An earlier call may be receiving a long response.
+            Ok(Some(Err(error))) if is_refusal(&error) && !calls.is_empty() => {
+                debug!(shared.log, "configuration_call_refused"; "error" => %error);
+            }
+            Ok(Some(result)) => return result,
+            Ok(None) | Err(_) => {}
+        }
+    }
+}
+
+fn is_refusal(error: &Error) -> bool {
+    error.kind() == ErrorKind::StoreUnavailable
+}
+
+async fn read_page(shared: &Shared) -> Result<(Time, Page), Error> {
+    let called_at = shared.clock.now();
+    let deadline = Instant::now() + store::PAGE_TIMEOUT;
+    let page = shared.store.page(&shared.source.key, "", deadline).await?;
+    Ok((called_at, page))
+}
+
 /// Applies the last change that can be read. Each event has the whole configuration, so that those
 /// before it needn't be decoded.
 async fn apply_newest(shared: &Shared, events: Vec<store::Event>, confirmed_at: Time) {
