entry: read the configuration by three calls at a time at most

Each of them receives the whole configuration, 1 MB at most, over a link of 10 Mbit/s at least: four calls after 0.25 s each would take the link from one another for seconds. jobs_are_accepted_soon_after_an_outage holds.

--- a/crates/node/src/entry/configuration.rs
+++ b/crates/node/src/entry/configuration.rs
@@ -21,10 +21,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Delay after which another call follows one that has no response yet.
-const CALL_DELAY: Duration = Duration::from_millis(250);
+const CALL_DELAY: Duration = Duration::from_millis(400);
 
-/// Maximum number of calls at the same time.
-const CALLS_MAX: usize = 4;
+/// Maximum number of calls at the same time, which share the link if their responses are long.
+const CALLS_MAX: usize = 3;
 
 /// Runs until the entry stops.
 pub(super) async fn run(shared: Arc<Shared>) {
