node: an accepted job that no entry would have accepted is left out

What callers would see: a record among the accepted jobs, left by another writer, with a number of tasks or of occurrences beyond the limits of a job keeps the owner busy without end. Its process answers nobody, is replaced, and the next owner reads the same record.

Cause: the limits were checked when a job was submitted, not when its record was read.

Why the fix works: a record whose job fails the checks of a submission counts as one that can't be read, with the log line of these.

--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -142,8 +142,11 @@
     item.key.strip_prefix(prefix)?.parse().ok()
 }
 
-/// Parses an accepted job.
+/// Parses an accepted job. Returns `None` for one that no entry accepts, for example with too many
+/// tasks.
 pub(super) fn parse_accepted_job(item: &Item) -> Option<(Id, AcceptedJob)> {
     let id = parse_id(item, key::JOBS)?;
-    Some((id, serde_json::from_slice(&item.value).ok()?))
+    let accepted_job: AcceptedJob = serde_json::from_slice(&item.value).ok()?;
+    accepted_job.job.check().ok()?;
+    Some((id, accepted_job))
 }
