election: another writer's keys and odd values don't end the election

What callers would see: no owner for good, so nothing is placed, or an owner that all companions refuse. An entry near the owner's key was enough:

- A key that begins with the owner's (tq/owner-x) was taken for it, in lists and in events.
The condition of the takeover then never held, and the entry tried again without a pause; or each change began the wait anew.
- A value that isn't a term was replaced at once, while its holder might still act, and with epoch 1, which companions that know a higher one refuse.
The highest epoch ended the election task ("attempt to add with overflow").
- An entry that can't be read in the place of the key ended in an error for ever, and its holder retried renewals that couldn't succeed.

Why it works: only the owner's key itself counts. After an odd value, the takeover waits as for a live holder and continues the epoch of the fence, or exceeds the revisions, which no epoch exceeds. An entry that can't be read has no revision to depend on: after the same wait, it is replaced by the term of an owner that doesn't exist, and the usual takeover follows. An owner whose authority has expired reads its key, and gives up if it isn't its own.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,6 +6,8 @@
 mod create;
 mod election;
 mod jobs;
+mod observed_owner;
+mod odd_entries;
 mod owner;
 mod peer;
 mod record;
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -4,16 +4,25 @@
 //! it has observed the key unchanged for longer than an owner may act without a renewal. No lease
 //! of the store is used, since it may expire or pause while the store is unavailable.
 
-use std::sync::Arc;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
-use toucanquay_model::{Error, ErrorKind, Revision, Time};
+use toucanquay_model::{Epoch, Error, ErrorKind, Revision, Time};
 
-use super::{Shared, candidates, owner, term::Term};
+use super::{
+    Shared, candidates,
+    observed_owner::{Holding, ObservedOwner},
+    odd_entries::OddEntries,
+    owner,
+    term::Term,
+};
 use crate::{
     key, meters,
-    store::{Commit, Event, Item, Transaction, Watch},
+    store::{Commit, Event, Item, Page, Transaction, Watch},
 };
 
 /// Time for which the owner may act, counted from when its last successful renewal was sent.
@@ -45,20 +54,16 @@
 /// Delay after an unexpected end of the owner before this entry takes part in an election again.
 const FAILURE_DELAY: Duration = Duration::from_millis(500);
 
-/// Last observed state of the owner's key.
-#[derive(Debug, Clone)]
-struct ObservedOwner {
-    term: Option<Term>,
-    revision: Revision,
-    unchanged_since: Time,
-}
+/// Address in a term that no process holds.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Runs until the entry stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut observed: Option<ObservedOwner> = None;
+    let mut odd_entries = OddEntries::new(shared.log.clone());
     while !shared.drain.is_cancelled() {
         let iteration = async {
-            match observe(&shared, &mut observed).await {
+            match observe(&shared, &mut observed, &mut odd_entries).await {
                 Ok(true) => take_over(&shared, &mut observed).await,
                 Ok(false) => {}
                 Err(error) => {
@@ -73,15 +78,21 @@
 }
 
 /// Reads the owner's key and watches its changes. Returns whether this entry should take over.
-async fn observe(shared: &Shared, observed: &mut Option<ObservedOwner>) -> Result<bool, Error> {
+async fn observe(
+    shared: &Shared,
+    observed: &mut Option<ObservedOwner>,
+    odd_entries: &mut OddEntries,
+) -> Result<bool, Error> {
     let deadline = Instant::now() + CALL_TIMEOUT;
     let page = shared.store.page(key::OWNER, "", deadline).await?;
     shared.record_store_response();
-    if page.unreadable.iter().any(|key| key == key::OWNER) {
-        // The key is in use, and the epoch of its holder is unknown.
-        return Err(Error::new(ErrorKind::Protocol).field(key::OWNER));
+    let item = page.items.iter().find(|item| item.key == key::OWNER);
+    if item.is_none() && has_unreadable_owner(&page) {
+        odd_entries.skip(key::OWNER, 0);
+        record_unreadable_owner(shared, observed);
+    } else {
+        record_owner(shared, observed, odd_entries, item);
     }
-    record_owner(shared, observed, page.items.first());
     let mut revision = page.revision;
     loop {
         let takeover_at = takeover_at(shared, observed);
@@ -107,36 +118,59 @@
         revision = next_revision;
         for event in events {
             match event {
-                Event::Written(item) => record_owner(shared, observed, Some(&item)),
-                Event::Removed { .. } => record_owner(shared, observed, None),
+                Event::Written(item) if item.key == key::OWNER => {
+                    record_owner(shared, observed, odd_entries, Some(&item));
+                }
+                Event::Removed { key, .. } if key == key::OWNER => {
+                    record_owner(shared, observed, odd_entries, None);
+                }
+                // Another writer's key that begins in the same way.
+                _ => {}
             }
         }
     }
 }
 
-fn record_owner(shared: &Shared, observed: &mut Option<ObservedOwner>, item: Option<&Item>) {
+/// Returns whether an unreadable entry of the page is, or may be, the owner's.
+fn has_unreadable_owner(page: &Page) -> bool {
+    let mut unreadable = page.unreadable.iter();
+    unreadable.any(|key| key.is_empty() || key == key::OWNER)
+}
+
+fn record_unreadable_owner(shared: &Shared, observed: &mut Option<ObservedOwner>) {
+    if observed.as_ref().is_some_and(ObservedOwner::is_unreadable) {
+        return;
+    }
+    shared.set_owner(None);
+    let now = shared.clock.now();
+    *observed = Some(ObservedOwner::new(Holding::Unreadable, 0, now));
+}
+
+fn record_owner(
+    shared: &Shared,
+    observed: &mut Option<ObservedOwner>,
+    odd_entries: &mut OddEntries,
+    item: Option<&Item>,
+) {
     let revision = item.map_or(0, |item| item.revision);
-    if observed
-        .as_ref()
-        .is_some_and(|observed| observed.revision == revision)
-    {
+    let previous = observed.as_ref();
+    if previous.is_some_and(|previous| !previous.is_unreadable() && previous.revision == revision) {
         return;
     }
-    let term = item.and_then(|item| Term::from_bytes(&item.value));
-    let previous = observed
-        .as_ref()
-        .and_then(|observed| observed.term.as_ref());
+    let holding = Holding::after(previous, item);
+    let current = ObservedOwner::new(holding, revision, shared.clock.now());
+    if current.term().is_none() && revision > 0 {
+        odd_entries.skip(key::OWNER, revision);
+    }
     let epoch_and_release = |term: Option<&Term>| term.map(|term| (term.epoch, term.is_released));
-    if epoch_and_release(previous) != epoch_and_release(term.as_ref()) {
-        info!(shared.log, "owner_seen"; "epoch" => term.as_ref().map(|term| term.epoch),
-            "holder" => term.as_ref().map(|term| term.holder.clone()), "revision" => revision);
+    let previous_term = previous.and_then(ObservedOwner::term);
+    if epoch_and_release(previous_term) != epoch_and_release(current.term()) {
+        info!(shared.log, "owner_seen"; "epoch" => current.epoch(),
+            "holder" => current.term().map(Term::short_holder), "revision" => revision);
     }
-    shared.set_owner(term.clone().filter(|term| !term.is_released));
-    *observed = Some(ObservedOwner {
-        term,
-        revision,
-        unchanged_since: shared.clock.now(),
-    });
+    let owner = current.term().filter(|term| !term.is_released);
+    shared.set_owner(owner.cloned());
+    *observed = Some(current);
 }
 
 /// Returns the time from which the current owner may be replaced.
@@ -144,8 +178,13 @@
     let Some(observed) = observed else {
         return Time::NEVER;
     };
-    let Some(term) = &observed.term else {
-        return observed.unchanged_since;
+    let term = match &observed.holding {
+        Holding::Absent => return observed.unchanged_since,
+        Holding::Term(term) => term,
+        // The holder may act until it fails to renew the key.
+        Holding::Odd | Holding::Unreadable => {
+            return observed.unchanged_since.plus_micros(TAKEOVER_MICROS);
+        }
     };
     // No other process uses this address, so the holder is a previous process of this host.
     let is_previous_process = term.address == shared.settings.listen;
@@ -169,15 +208,19 @@
     let Some(last_seen) = observed.take() else {
         return;
     };
-    let settings = &shared.settings;
-    let term = Term {
-        epoch: last_seen.term.as_ref().map_or(1, |term| term.epoch + 1),
-        holder: settings.name.clone(),
-        process: settings.process,
-        address: settings.listen,
-        is_released: false,
-        renewals: 0,
+    let epoch = match next_epoch(shared, &last_seen).await {
+        Ok(epoch) => epoch,
+        Err(error) => {
+            warn!(shared.log, "epoch_unknown"; "error" => %error);
+            sleep(RETRY_DELAY).await;
+            return;
+        }
     };
+    if last_seen.is_unreadable() {
+        replace_unreadable_owner(shared, epoch).await;
+        return;
+    }
+    let term = own_term(shared, epoch);
     let transaction = Transaction::default()
         .expect_revision(key::OWNER, last_seen.revision)
         .put(key::OWNER, term.to_bytes())
@@ -204,10 +247,76 @@
     }
 }
 
+fn own_term(shared: &Shared, epoch: Epoch) -> Term {
+    let settings = &shared.settings;
+    Term {
+        epoch,
+        holder: settings.name.clone(),
+        process: settings.process,
+        address: settings.listen,
+        is_released: false,
+        renewals: 0,
+    }
+}
+
+/// Returns an epoch that exceeds all earlier ones.
+///
+/// Without a readable term, it follows from the fence: from its value, or else from the revisions.
+/// An epoch grows by one with each takeover, which is a write, so that it never exceeds the
+/// revision at which it was written.
+async fn next_epoch(shared: &Shared, last_seen: &ObservedOwner) -> Result<Epoch, Error> {
+    if let Some(epoch) = last_seen.epoch() {
+        return Ok(epoch + 1);
+    }
+    let fence = read_fence(shared).await?;
+    let recorded_epoch = fence
+        .as_ref()
+        .and_then(|item| Term::parse_epoch(&item.value));
+    if let Some(epoch) = recorded_epoch {
+        return Ok(epoch + 1);
+    }
+    let fence_revision = fence.map_or(0, |item| item.revision);
+    Ok(fence_revision.max(last_seen.revision) + 1)
+}
+
+/// Reads the fence, if it exists and can be read.
+async fn read_fence(shared: &Shared) -> Result<Option<Item>, Error> {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    match shared.store.get(key::FENCE, deadline).await {
+        Err(error) if error.kind() == ErrorKind::Protocol => {
+            warn!(shared.log, "fence_unreadable"; "error" => %error);
+            Ok(None)
+        }
+        found => found,
+    }
+}
+
+/// Replaces an owner's key that can't be read by the term of an owner that doesn't exist.
+///
+/// Its revision is unknown, so that a takeover can't depend on it. The holder, if there is one,
+/// fails to renew the term, and has stopped acting when the entries have seen the term unchanged for
+/// [`TAKEOVER_MICROS`].
+async fn replace_unreadable_owner(shared: &Shared, epoch: Epoch) {
+    let term = Term {
+        address: NO_ADDRESS,
+        ..own_term(shared, epoch)
+    };
+    let transaction = Transaction::default().put(key::OWNER, term.to_bytes());
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    match shared.store.commit(transaction, deadline).await {
+        Ok(_) => warn!(shared.log, "unreadable_owner_replaced"; "epoch" => epoch),
+        Err(error) => {
+            warn!(shared.log, "replacement_failed"; "epoch" => epoch, "error" => %error);
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
 /// Runs the owner until another entry takes over or this one drains.
 async fn run_owner(shared: &Arc<Shared>, mut term: Term, mut revision: Revision, sent_at: Time) {
     let fence = revision;
-    let owner = owner::Owner::start(shared, term.epoch, fence, ownership_until(sent_at));
+    let mut expires_at = ownership_until(sent_at);
+    let owner = owner::Owner::start(shared, term.epoch, fence, expires_at);
     let mut renew_at = Instant::now() + RENEWAL_INTERVAL;
     let larger_ready = wait_for_larger_candidate(shared);
     tokio::pin!(larger_ready);
@@ -235,7 +344,8 @@
             Ok(Commit::Done(next_revision)) => {
                 revision = next_revision;
                 shared.record_store_response();
-                owner.extend_ownership(ownership_until(sent_at)).await;
+                expires_at = ownership_until(sent_at);
+                owner.extend_ownership(expires_at).await;
                 renew_at = Instant::now() + RENEWAL_INTERVAL;
             }
             Ok(Commit::Conflict(items)) => match own_revision(&items, &term) {
@@ -249,6 +359,11 @@
             },
             Err(error) => {
                 warn!(shared.log, "renewal_failed"; "epoch" => term.epoch, "error" => %error);
+                if shared.clock.now() >= expires_at && is_key_lost(shared, &term).await {
+                    warn!(shared.log, "ownership_lost"; "epoch" => term.epoch);
+                    owner.stop();
+                    return;
+                }
                 renew_at = Instant::now() + RETRY_DELAY;
             }
         }
@@ -301,6 +416,13 @@
     }
 }
 
+/// Returns whether the store responds and the key no longer holds this term.
+async fn is_key_lost(shared: &Shared, term: &Term) -> bool {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let page = shared.store.page(key::OWNER, "", deadline).await;
+    page.is_ok_and(|page| own_revision(&page.items, term).is_none())
+}
+
 fn own_revision(items: &[Item], term: &Term) -> Option<Revision> {
     let item = items.iter().find(|item| item.key == key::OWNER)?;
     let current = Term::from_bytes(&item.value)?;
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins shared by the tests of the processes.
+
+pub mod log;
+pub mod memory;
