watch: hosts that left during a gap of the history are released

What callers would see: a server that left while the store's history was lost is in use again: the owner keeps its session, opens it again for ever and relays through its address. A list after a gap reports what exists, and nothing was compared with it. Also: each odd entry among the registrations was logged in full, as often as it was written or the takeover was tried again.

Why it works: a list after a gap names all hosts, those that can't be read included; the owner releases the others. If a name can't be read, it releases none.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -157,6 +157,7 @@
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
             Event::HostRemoved(name) => self.forget_host(&name),
+            Event::HostsListed(names) => self.forget_unlisted_hosts(&names),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
             Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
@@ -365,6 +366,14 @@
             .remove(name);
     }
 
+    fn forget_unlisted_hosts(&mut self, listed: &HashSet<String>) {
+        let hosts = self.sessions.keys().filter(|name| !listed.contains(*name));
+        let unlisted: Vec<String> = hosts.cloned().collect();
+        for name in unlisted {
+            self.forget_host(&name);
+        }
+    }
+
     /// Opens a session to a companion, replacing any session to a previous address.
     fn connect_host(&mut self, name: String, registration: Registration) {
         if self
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -1,5 +1,7 @@
 //! Events processed by the owner.
 
+use std::collections::HashSet;
+
 use tokio::sync::{mpsc, oneshot};
 use toucanquay_model::{
     Revision, Time,
@@ -33,6 +35,8 @@
     HostRegistration(String, Registration),
     /// The registration of a companion was removed.
     HostRemoved(String),
+    /// All hosts that are registered, after removals may have been missed.
+    HostsListed(HashSet<String>),
     /// A commit of job records succeeded at this revision.
     CommitSucceeded(Revision),
     /// A commit of job records was rejected. Contains the current revisions of the records.
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -10,7 +10,7 @@
     graph::{AcceptedJob, Id},
 };
 
-use super::{Registration, Shared};
+use super::{Registration, Shared, odd_entries::OddEntries};
 use crate::{
     key,
     store::{Item, List},
@@ -34,8 +34,9 @@
 
 /// Loads the state, retrying until it succeeds.
 pub(super) async fn load(shared: &Shared, epoch: Epoch, fence: Revision) -> LoadedState {
+    let mut odd_entries = OddEntries::new(shared.log.clone());
     loop {
-        match try_load(shared, epoch, fence).await {
+        match try_load(shared, epoch, fence, &mut odd_entries).await {
             Ok(loaded) => return loaded,
             Err(error) => {
                 warn!(shared.log, "takeover_delayed"; "epoch" => epoch, "error" => %error);
@@ -45,7 +46,12 @@
     }
 }
 
-async fn try_load(shared: &Shared, epoch: Epoch, fence: Revision) -> Result<LoadedState, Error> {
+async fn try_load(
+    shared: &Shared,
+    epoch: Epoch,
+    fence: Revision,
+    odd_entries: &mut OddEntries,
+) -> Result<LoadedState, Error> {
     let store = &shared.store;
     let host_list = store.list(key::HOSTS).await?;
     let intake = store.list(key::INTAKE).await?;
@@ -53,7 +59,7 @@
     let hosts = host_list.items.iter().filter_map(parse_host);
     let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
-    let names = host_names(shared, &host_list);
+    let names = host_names(&host_list, odd_entries);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
     let mut progress = progress_by_job(&progress_list)?;
@@ -64,7 +70,7 @@
         }
         let Some((id, accepted_job)) = parse_accepted_job(item) else {
             if !item.key.starts_with(key::CANCELS) {
-                warn!(shared.log, "item_unreadable"; "key" => &item.key, "epoch" => epoch);
+                odd_entries.skip(&item.key, item.revision);
             }
             continue;
         };
@@ -120,11 +126,12 @@
 
 /// Returns the names of all registered hosts. Tasks may also run on a host whose registration can't
 /// be read.
-fn host_names(shared: &Shared, list: &List) -> Vec<String> {
-    let unreadable_items = list.items.iter().filter(|item| parse_host(item).is_none());
-    let unreadable_keys = unreadable_items.map(|item| &item.key);
-    for key in unreadable_keys.chain(&list.unreadable) {
-        warn!(shared.log, "host_unreadable"; "key" => key);
+fn host_names(list: &List, odd_entries: &mut OddEntries) -> Vec<String> {
+    for item in list.items.iter().filter(|item| parse_host(item).is_none()) {
+        odd_entries.skip(&item.key, item.revision);
+    }
+    for key in &list.unreadable {
+        odd_entries.skip(key, 0);
     }
     let keys = list.items.iter().map(|item| &item.key);
     let name = |key: &String| key.strip_prefix(key::HOSTS).unwrap_or_default().to_owned();
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -1,18 +1,18 @@
 //! Watches accepted jobs, cancellations and registrations of companions in the store.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
-use slog::{info, warn};
+use slog::info;
 use tokio::{
     sync::mpsc,
     time::{Duration, Instant, sleep},
 };
 use toucanquay_model::{Error, Revision};
 
-use super::{Shared, owner::Event, takeover};
+use super::{Shared, odd_entries::OddEntries, owner::Event, takeover};
 use crate::{
     key,
-    store::{self, Item, Watch},
+    store::{self, Item, List, Watch},
 };
 
 /// Timeout of a watch.
@@ -35,6 +35,7 @@
         Some(Event::Accepted(id, Box::new(accepted_job)))
     };
     let ignore = |_key: &str| None;
+    let ignore_list = |_list: &List| None;
     watch_prefix(
         &shared,
         &mailbox,
@@ -42,6 +43,7 @@
         start_revision,
         parse,
         ignore,
+        ignore_list,
     )
     .await;
 }
@@ -60,6 +62,7 @@
         let name = key.strip_prefix(key::HOSTS)?;
         Some(Event::HostRemoved(name.to_owned()))
     };
+    let parse_list = |list: &List| Some(Event::HostsListed(listed_hosts(list)?));
     watch_prefix(
         &shared,
         &mailbox,
@@ -67,10 +70,22 @@
         start_revision,
         parse,
         parse_removal,
+        parse_list,
     )
     .await;
 }
 
+/// Returns the names of all listed hosts, including those whose registration can't be read, or
+/// `None` if a name can't be read.
+fn listed_hosts(list: &List) -> Option<HashSet<String>> {
+    if list.unreadable.iter().any(String::is_empty) {
+        return None;
+    }
+    let readable = list.items.iter().map(|item| &item.key);
+    let name = |key: &String| key.strip_prefix(key::HOSTS).map(str::to_owned);
+    Some(readable.chain(&list.unreadable).filter_map(name).collect())
+}
+
 async fn watch_prefix(
     shared: &Shared,
     mailbox: &mpsc::Sender<Event>,
@@ -78,24 +93,27 @@
     start_revision: Revision,
     parse: impl Fn(&Item) -> Option<Event>,
     parse_removal: impl Fn(&str) -> Option<Event>,
+    parse_list: impl Fn(&List) -> Option<Event>,
 ) {
-    let parse_change = |change: &store::Event| match change {
-        store::Event::Written(item) => {
-            let event = parse(item);
-            if event.is_none() {
-                warn!(shared.log, "item_unreadable"; "key" => &item.key,
-                    "revision" => item.revision);
-            }
-            event
+    let mut odd_entries = OddEntries::new(shared.log.clone());
+    let mut parse_item = |item: &Item| {
+        let event = parse(item);
+        if event.is_none() {
+            odd_entries.skip(&item.key, item.revision);
         }
-        store::Event::Removed { key, .. } => parse_removal(key),
+        event
+    };
+    let mut parse_change = |change: store::Event| match change {
+        store::Event::Written(item) => parse_item(&item),
+        store::Event::Removed { key, .. } => parse_removal(&key),
     };
     let mut revision = Some(start_revision);
     loop {
-        match next_changes(shared, prefix, revision).await {
-            Ok((changes, next_revision)) => {
+        match next_changes(shared, prefix, revision, &parse_list).await {
+            Ok((listed, changes, next_revision)) => {
                 revision = next_revision;
-                for event in changes.iter().filter_map(parse_change) {
+                let changed = changes.into_iter().filter_map(&mut parse_change);
+                for event in listed.into_iter().chain(changed) {
                     if mailbox.send(event).await.is_err() {
                         return;
                     }
@@ -109,20 +127,23 @@
     }
 }
 
-/// Returns the changes since a revision, or all items if no revision is given.
+/// Returns the changes since a revision, or the event of a list and all its items if no revision is
+/// given. A list doesn't report what was removed in the meantime.
 async fn next_changes(
     shared: &Shared,
     prefix: &str,
     revision: Option<Revision>,
-) -> Result<(Vec<store::Event>, Option<Revision>), Error> {
+    parse_list: impl Fn(&List) -> Option<Event>,
+) -> Result<(Option<Event>, Vec<store::Event>, Option<Revision>), Error> {
     let Some(revision) = revision else {
         let list = shared.store.list(prefix).await?;
+        let listed = parse_list(&list);
         let changes = list.items.into_iter().map(store::Event::Written);
-        return Ok((changes.collect(), Some(list.revision)));
+        return Ok((listed, changes.collect(), Some(list.revision)));
     };
     let deadline = Instant::now() + WATCH_TIMEOUT;
     match shared.store.watch(prefix, revision, deadline).await? {
-        Watch::Events { events, revision } => Ok((events, Some(revision))),
-        Watch::Compacted => Ok((Vec::new(), None)),
+        Watch::Events { events, revision } => Ok((None, events, Some(revision))),
+        Watch::Compacted => Ok((None, Vec::new(), None)),
     }
 }
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -3,13 +3,27 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod support;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use rstest::rstest;
 use serde_json::json;
 use support::{log::Lines, memory::Memory};
-use tokio::time::{Duration, Instant, sleep};
-use toucanquay_node::{Configuration, Entry, configuration::Source, entry, key};
+use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use toucanquay_model::{Time, session::Update};
+use toucanquay_node::{
+    Configuration, Entry,
+    configuration::Source,
+    entry::{self, Registration},
+    key,
+};
+use toucanquay_wire::{Frame, Server, Stream};
 
 /// Time within which an owner must be found.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -187,3 +201,188 @@
     assert!(epoch(&memory) > Some(41), "{:?}", epoch(&memory));
     assert!(started_at.elapsed() > OWNERSHIP, "the holder may still act");
 }
+
+/// A companion that accepts sessions and reports no worker.
+struct Host {
+    name: String,
+    address: SocketAddr,
+    /// Number of sessions that were opened, and of those that are open.
+    sessions: Arc<[AtomicUsize; 2]>,
+    stop: CancellationToken,
+}
+
+impl Host {
+    async fn start(name: &str) -> Self {
+        let log = Lines::default().logger();
+        let any_address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let server = Server::bind(any_address, log)
+            .await
+            .expect("a free address");
+        let host = Self {
+            name: name.to_owned(),
+            address: server.address(),
+            sessions: Arc::default(),
+            stop: CancellationToken::new(),
+        };
+        let (name, sessions) = (host.name.clone(), host.sessions.clone());
+        let serve = move |stream| serve_session(name.clone(), sessions.clone(), stream);
+        tokio::spawn(server.run(host.stop.clone(), serve));
+        host
+    }
+
+    fn registration(&self) -> Vec<u8> {
+        let address = self.address;
+        Registration {
+            address,
+            process: 1,
+        }
+        .to_bytes()
+    }
+
+    fn opened_sessions(&self) -> usize {
+        self.sessions[0].load(Ordering::Relaxed)
+    }
+
+    fn is_open(&self) -> bool {
+        self.sessions[1].load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns whether a session is open within the timeout, or none if `is_open` is false.
+    async fn becomes(&self, is_open: bool) -> bool {
+        let deadline = Instant::now() + OWNER_TIMEOUT;
+        while Instant::now() < deadline {
+            if self.is_open() == is_open {
+                return true;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        false
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn serve_session(name: String, sessions: Arc<[AtomicUsize; 2]>, mut stream: Stream) {
+    let Ok(Some(Frame::Session(epoch))) = stream.recv().await else {
+        return;
+    };
+    for count in sessions.iter() {
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+    for number in 1.. {
+        if stream
+            .send(&Frame::Update(update(&name, epoch, number)))
+            .await
+            .is_err()
+        {
+            break;
+        }
+        // Orders are ignored. A closed stream ends the session.
+        match timeout(Duration::from_millis(50), stream.recv()).await {
+            Ok(Ok(Some(_))) | Err(_) => {}
+            Ok(_) => break,
+        }
+    }
+    sessions[1].fetch_sub(1, Ordering::Relaxed);
+}
+
+fn update(name: &str, epoch: u64, number: u64) -> Update {
+    Update {
+        host: name.to_owned(),
+        process: 1,
+        number,
+        stamp: Time::ZERO,
+        epoch,
+        applied: 0,
+        is_settled: true,
+        worker: None,
+        has_sample: false,
+        runs: Vec::new(),
+        ends: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
+
+/// Guards against a host that left while the history of the store was lost and stays in use.
+#[tokio::test]
+async fn host_that_left_during_a_gap_of_the_history_is_not_used() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let (gone, other) = (Host::start("h1").await, Host::start("h2").await);
+    memory.put(&key::host("h1"), &gone.registration());
+    memory.put(&key::host("h2"), &other.registration());
+    let _entry = start_entry(&memory, &lines).await;
+    assert!(
+        gone.becomes(true).await && other.becomes(true).await,
+        "no session"
+    );
+
+    memory.remove_and_compact(&key::host("h1"));
+    let is_released = gone.becomes(false).await;
+    sleep(Duration::from_secs(1)).await;
+
+    assert!(is_released, "the session remains");
+    assert!(!gone.is_open(), "another session was opened");
+    assert!(other.is_open(), "the other host is not in use");
+}
+
+/// Guards against an entry that can't be read in a list after a gap, and that is taken for a host
+/// that left.
+#[rstest]
+#[case::unreadable(true)]
+#[case::without_a_key(false)]
+#[tokio::test]
+async fn host_with_an_unreadable_registration_stays_in_use_after_a_gap(#[case] has_key: bool) {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let host = Host::start("h1").await;
+    memory.put(&key::host("h1"), &host.registration());
+    let _entry = start_entry(&memory, &lines).await;
+    assert!(host.becomes(true).await, "no session");
+
+    match has_key {
+        true => memory.put_unreadable(&key::host("h1")),
+        false => memory.hide(&key::host("h1"), key::HOSTS),
+    }
+    memory.remove_and_compact("other");
+    sleep(Duration::from_secs(1)).await;
+
+    assert!(host.is_open(), "the host is not in use");
+    assert_eq!(host.opened_sessions(), 1);
+}
+
+/// Guards against an entry among those of the hosts that can't be read and keeps the owner from
+/// following the sound ones.
+#[rstest]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[case::number(br#"{"address":"127.0.0.1:1","process":1e999}"#.to_vec())]
+#[case::number_above_64_bits(br#"{"address":"127.0.0.1:1","process":36893488147419103232}"#.to_vec())]
+#[case::port(br#"{"address":"10.0.0.1:99999","process":1}"#.to_vec())]
+#[case::port_zero(br#"{"address":"127.0.0.1:0","process":1}"#.to_vec())]
+#[case::not_utf8(b"\xff\xfe".to_vec())]
+#[tokio::test]
+async fn hosts_beside_an_odd_registration_are_used(#[case] value: Vec<u8>) {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let (listed, watched) = (Host::start("h1").await, Host::start("h2").await);
+    memory.put(&key::host(&format!("a{}", "x".repeat(100_000))), &value);
+    memory.put(&key::host("h1"), &listed.registration());
+    let _entry = start_entry(&memory, &lines).await;
+    let is_listed_used = listed.becomes(true).await;
+
+    for _ in 0..200 {
+        memory.put(&key::host("a1"), &value);
+    }
+    memory.put(&key::host("h2"), &watched.registration());
+    let is_watched_used = watched.becomes(true).await;
+
+    assert!(
+        is_listed_used && is_watched_used,
+        "a sound host is not in use"
+    );
+    let odd = lines.of("item_unreadable");
+    assert!(odd.len() <= 130, "{} lines", odd.len());
+    assert!(odd.iter().all(|line| line.len() < 1_000), "a long line");
+}
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -57,6 +57,13 @@
         state.unreadable.insert(key.to_owned());
     }
 
+    /// Makes the key of an entry in the lists of a prefix unreadable.
+    pub fn hide(&self, key: &str, prefix: &str) {
+        let mut state = self.lock();
+        state.items.remove(key);
+        state.keyless_prefix = Some(prefix.to_owned());
+    }
+
     /// Adds an entry whose key can't be read to the lists of a prefix.
     pub fn add_keyless_entry(&self, prefix: &str) {
         self.lock().keyless_prefix = Some(prefix.to_owned());
