owner: a record of an invalid job ends neither the owner nor its process

What callers would see: entries that end by themselves, one after the other, as each of them becomes the owner and reads the same record; or no owner for good. An accepted job read from the store was taken as valid, although only the entries check what they accept, and another writer's record can be anything that parses.

Why it works: a record read from the store or in a notification passes the check that a client's job passes. The entries have only accepted jobs that pass it.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -21,7 +21,11 @@
 
 use super::Event;
 use crate::{
-    entry::{Registration, Shared, record, session, takeover::LoadedState, watch},
+    entry::{
+        Registration, Shared, record, session,
+        takeover::{self, LoadedState},
+        watch,
+    },
     meters,
 };
 
@@ -326,7 +330,8 @@
                 Reply::Pending(u64::try_from(pending).unwrap_or(u64::MAX))
             }
             Query::Accepted { id, record } => {
-                if let Ok(accepted_job) = serde_json::from_slice::<AcceptedJob>(&record) {
+                // The watch of the store logs a record that can't be read.
+                if let Some(accepted_job) = takeover::decode_accepted_job(&record) {
                     self.accept(id, accepted_job, now);
                 }
                 Reply::Noted
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -152,5 +152,13 @@
 /// Parses an accepted job.
 pub(super) fn parse_accepted_job(item: &Item) -> Option<(Id, AcceptedJob)> {
     let id = parse_id(item, key::JOBS)?;
-    Some((id, serde_json::from_slice(&item.value).ok()?))
+    Some((id, decode_accepted_job(&item.value)?))
+}
+
+/// Decodes the record of an accepted job. Returns `None` if it is malformed, or if the job is
+/// invalid and thus wasn't accepted by an entry.
+pub(super) fn decode_accepted_job(record: &[u8]) -> Option<AcceptedJob> {
+    let accepted_job: AcceptedJob = serde_json::from_slice(record).ok()?;
+    accepted_job.job.check().ok()?;
+    Some(accepted_job)
 }
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -30,6 +30,8 @@
     unreadable: BTreeSet<String>,
     /// The next lists of this prefix have an entry whose key can't be read.
     keyless_prefix: Option<String>,
+    /// Lists of this prefix hide the keys of the entries that can't be read.
+    hidden_prefix: Option<String>,
     commits: Vec<Transaction>,
 }
 
@@ -64,6 +66,11 @@
         state.keyless_prefix = Some(prefix.to_owned());
     }
 
+    /// Makes the keys of the entries unreadable that can't be read in the lists of a prefix.
+    pub fn hide_key(&self, prefix: &str) {
+        self.lock().hidden_prefix = Some(prefix.to_owned());
+    }
+
     /// Adds an entry whose key can't be read to the lists of a prefix.
     pub fn add_keyless_entry(&self, prefix: &str) {
         self.lock().keyless_prefix = Some(prefix.to_owned());
@@ -128,7 +135,9 @@
         let (unreadable, items): (Vec<Item>, Vec<Item>) =
             matching.partition(|item| self.unreadable.contains(&item.key));
         let keyless = self.keyless_prefix.iter().filter(|other| *other == prefix);
-        let unreadable = unreadable.into_iter().map(|item| item.key);
+        let is_hidden = self.hidden_prefix.as_deref() == Some(prefix);
+        let key = |item: Item| if is_hidden { String::new() } else { item.key };
+        let unreadable = unreadable.into_iter().map(key);
         Page {
             items,
             unreadable: unreadable.chain(keyless.map(|_| String::new())).collect(),
