takeover: a progress entry without a readable key doesn't stop each owner

What callers would see: nothing is placed any more. An entry among the progress records whose key can't be read was a reason to load the state anew, ten times a second and for ever, for each owner.

Evidence before the fix, crates/node/tests/foreign.rs: jobs_beside_an_odd_progress_record_..., case without_a_key: "the job isn't followed"; job_whose_progress_record_lost_its_key_is_withheld: "both jobs run, or none".

Why it works: the entry may be the record of a job that the list doesn't contain. The record of each such job is read by its own key: the job is withheld if it can't be read, and runs if there is none.

--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 
+use futures_util::{StreamExt, TryStreamExt, stream};
 use slog::{info, warn};
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
     Epoch, Error, ErrorKind, Revision,
@@ -13,12 +14,18 @@
 use super::{Registration, Shared, odd_entries::OddEntries};
 use crate::{
     key,
-    store::{Item, List},
+    store::{Item, List, PAGE_TIMEOUT},
 };
 
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Maximum number of records that are read concurrently.
+const CONCURRENT_READS_MAX: usize = 16;
+
+/// Recorded progress by job; `None` for a record that can't be read.
+type RecordedProgress = HashMap<Id, Option<RestoredJob>>;
+
 /// State of a new owner, loaded from the store.
 #[derive(Debug)]
 pub(super) struct LoadedState {
@@ -62,7 +69,11 @@
     let names = host_names(&host_list, odd_entries);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
-    let mut progress = progress_by_job(&progress_list)?;
+    let mut progress = progress_by_job(&progress_list);
+    if progress_list.unreadable.iter().any(String::is_empty) {
+        odd_entries.skip(key::PROGRESS, 0);
+        read_missing_progress(shared, &intake, fence, &mut progress).await?;
+    }
     let mut withheld_jobs = HashSet::new();
     for item in &intake.items {
         if let Some(id) = parse_id(item, key::CANCELS) {
@@ -102,26 +113,52 @@
 }
 
 /// Returns the recorded progress of jobs; `None` for a record that can't be read.
-///
-/// # Errors
-///
-/// [`ErrorKind::Protocol`] if it isn't known to which job an unreadable record belongs.
-fn progress_by_job(list: &List) -> Result<HashMap<Id, Option<RestoredJob>>, Error> {
-    if list.unreadable.iter().any(String::is_empty) {
-        return Err(Error::new(ErrorKind::Protocol).field(key::PROGRESS));
-    }
-    let restored = |item: &Item| {
-        let progress = serde_json::from_slice(&item.value).ok()?;
-        let revision = item.revision;
-        Some(RestoredJob { progress, revision })
-    };
-    let readable = list.items.iter().map(|item| (&item.key, restored(item)));
+fn progress_by_job(list: &List) -> RecordedProgress {
+    let readable = list
+        .items
+        .iter()
+        .map(|item| (&item.key, decode_progress(item)));
     let unreadable = list.unreadable.iter().map(|key| (key, None));
     let with_id = |(key, restored): (&String, _)| {
         let id = key.strip_prefix(key::PROGRESS)?.parse().ok()?;
         Some((id, restored))
     };
-    Ok(readable.chain(unreadable).filter_map(with_id).collect())
+    readable.chain(unreadable).filter_map(with_id).collect()
+}
+
+fn decode_progress(item: &Item) -> Option<RestoredJob> {
+    let progress = serde_json::from_slice(&item.value).ok()?;
+    let revision = item.revision;
+    Some(RestoredJob { progress, revision })
+}
+
+/// Reads the progress of each job accepted before the fence that the list doesn't contain, because
+/// an entry without a readable key may be its record.
+async fn read_missing_progress(
+    shared: &Shared,
+    intake: &List,
+    fence: Revision,
+    progress: &mut RecordedProgress,
+) -> Result<(), Error> {
+    let earlier = intake.items.iter().filter(|item| item.revision < fence);
+    let ids = earlier.filter_map(|item| parse_id(item, key::JOBS));
+    let missing: Vec<Id> = ids.filter(|id| !progress.contains_key(id)).collect();
+    let reads = missing.into_iter().map(|id| async move {
+        let deadline = Instant::now() + PAGE_TIMEOUT;
+        let found = match shared.store.get(&key::progress(id), deadline).await {
+            Ok(None) => return Ok(None),
+            Ok(Some(item)) => decode_progress(&item),
+            Err(error) if error.kind() == ErrorKind::Protocol => None,
+            Err(error) => return Err(error),
+        };
+        Ok(Some((id, found)))
+    });
+    let found: Vec<_> = stream::iter(reads)
+        .buffer_unordered(CONCURRENT_READS_MAX)
+        .try_collect()
+        .await?;
+    progress.extend(found.into_iter().flatten());
+    Ok(())
 }
 
 /// Returns the names of all registered hosts. Tasks may also run on a host whose registration can't
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -461,6 +461,7 @@
 #[case::deep(Some(deep(300)))]
 #[case::very_deep(Some(deep(100_000)))]
 #[case::not_utf8(Some(b"\xff\xfe".to_vec()))]
+#[case::without_a_key(None)]
 #[tokio::test]
 async fn jobs_beside_an_odd_progress_record_are_followed(#[case] value: Option<Vec<u8>>) {
     let (memory, lines) = (Memory::default(), Lines::default());
@@ -497,3 +498,21 @@
 
     assert!(is_queued, "the jobs aren't followed");
 }
+
+/// Guards against a job that runs again because its progress record can't be read, while another
+/// record's key can't be read either.
+#[tokio::test]
+async fn job_whose_progress_record_lost_its_key_is_withheld() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    for number in 1..=2 {
+        memory.put(&key::job(Id::new(number)), &sound_record());
+    }
+    memory.put_unreadable(&key::progress(Id::new(1)));
+    memory.hide_key(key::PROGRESS);
+    let entry = start_entry(&memory, &lines).await;
+
+    let is_queued = has_queued(&entry, 1).await;
+
+    assert!(is_queued, "both jobs run, or none");
+    assert_eq!(lines.of("job_withheld").len(), 1);
+}
