companion: an own registration that can't be read is replaced

What callers would see: a host that no owner uses, and whose companion reads its registration four times a second for ever; at its end it takes the rest of the grace period and leaves the entry behind, for which each later owner waits. The companion reads its key before it writes or removes it, and an entry that can't be read ended both.

Evidence before the fix, crates/node/tests/foreign.rs: companion_replaces_an_odd_registration: "a stop in time: Elapsed(())" in all three cases. odd_candidates_do_not_prevent_an_election passed before: the entries skip odd candidates and replace their own.

Why it works: the key is the companion's own. If its entry can't be read, it is written, or removed, without a condition.

--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -57,10 +57,13 @@
 async fn remove_registration(shared: &Shared) -> Result<(), Error> {
     let key = key::host(&shared.settings.name);
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let Some(item) = shared.store.get(&key, deadline).await? else {
-        return Ok(());
+    let transaction = match shared.store.get(&key, deadline).await {
+        Ok(None) => return Ok(()),
+        Ok(Some(item)) => Transaction::default().expect_revision(key.clone(), item.revision),
+        // Its revision is unknown. A later process on this host registers again.
+        Err(error) if error.kind() == ErrorKind::Protocol => Transaction::default(),
+        Err(error) => return Err(error),
     };
-    let transaction = Transaction::default().expect_revision(key.clone(), item.revision);
     let removal = transaction.remove(key);
     match shared.store.commit(removal, deadline).await? {
         Commit::Done(_) => Ok(()),
@@ -78,7 +81,13 @@
     };
     let value = registration.to_bytes();
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let current = shared.store.get(&key, deadline).await?;
+    let current = match shared.store.get(&key, deadline).await {
+        Err(error) if error.kind() == ErrorKind::Protocol => {
+            info!(shared.log, "registration_unreadable"; "error" => %error);
+            None
+        }
+        found => found?,
+    };
     if current.is_some_and(|item| item.value == value) {
         return Ok(());
     }
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -1,6 +1,5 @@
 //! Tests of entries in the store that another writer left and that can't be read, beside sound ones.
 
-#[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod support;
 
 use std::{
@@ -11,17 +10,23 @@
     },
 };
 
+use futures_util::FutureExt;
 use rstest::rstest;
 use serde_json::json;
 use support::{log::Lines, memory::Memory};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use toucanquay_model::{Time, graph::Id, session::Update};
+use toucanquay_control::runner::Heartbeat;
+use toucanquay_model::{
+    Resources, Time,
+    graph::Id,
+    session::{self, Update},
+};
 use toucanquay_node::{
-    Configuration, Entry,
+    Companion, Configuration, Entry, Worker, companion,
     configuration::Source,
     entry::{self, Registration},
-    key,
+    key, worker,
 };
 use toucanquay_wire::{Frame, Server, Stream};
 
@@ -53,10 +58,14 @@
 }
 
 async fn start_entry(memory: &Memory, lines: &Lines) -> Entry {
+    start_entry_at(free_address(), memory, lines).await
+}
+
+async fn start_entry_at(listen: SocketAddr, memory: &Memory, lines: &Lines) -> Entry {
     let settings = entry::Settings {
         name: "front-1".to_owned(),
         process: 1,
-        listen: free_address(),
+        listen,
         capacity: 1,
     };
     let source = Source {
@@ -516,3 +525,92 @@
     assert!(is_queued, "both jobs run, or none");
     assert_eq!(lines.of("job_withheld").len(), 1);
 }
+
+/// Returns the registration of an entry.
+fn candidate(address: SocketAddr, capacity: u32) -> Vec<u8> {
+    let candidate = json!({ "address": address, "process": 9, "capacity": capacity });
+    candidate.to_string().into_bytes()
+}
+
+/// Guards against an entry among those of the entries that keeps this one from becoming the owner
+/// or from registering itself, or makes it write its registration again and again.
+#[rstest]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[case::number(br#"{"address":"127.0.0.1:1","process":1,"capacity":1e999}"#.to_vec())]
+#[case::number_above_64_bits(
+    br#"{"address":"127.0.0.1:1","process":1,"capacity":36893488147419103232}"#.to_vec()
+)]
+#[case::port(br#"{"address":"10.0.0.1:99999","process":1,"capacity":9}"#.to_vec())]
+#[case::not_utf8(b"\xff\xfe".to_vec())]
+#[case::unreachable(candidate(free_address(), u32::MAX))]
+#[tokio::test]
+async fn odd_candidates_do_not_prevent_an_election(#[case] value: Vec<u8>) {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    memory.put(&key::entry("front-0"), &value);
+    memory.put(&key::entry("front-1"), &value);
+    let entry = start_entry(&memory, &lines).await;
+
+    let has_owner = has_owner(&entry).await;
+    sleep(Duration::from_millis(1_600)).await;
+
+    assert!(has_owner, "no owner");
+    assert_eq!(memory.writes(&key::entry("front-1")), 1, "registrations");
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        id: "w".to_owned(),
+        sequence: 1,
+        worker: session::Worker {
+            incarnation: 1_000,
+            pool: "desk".to_owned(),
+            capacity: Resources::ZERO,
+            labels: Default::default(),
+            is_draining: false,
+            remaining_ms: None,
+        },
+    }
+}
+
+/// Guards against an own registration that can't be read and that a companion never replaces, so
+/// that no owner uses its host.
+#[rstest]
+#[case::deep(Some(deep(300)))]
+#[case::port(Some(br#"{"address":"10.0.0.1:99999","process":1}"#.to_vec()))]
+#[case::unreadable(None)]
+#[tokio::test]
+async fn companion_replaces_an_odd_registration(#[case] value: Option<Vec<u8>>) {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let key = key::host("h1");
+    match value {
+        Some(value) => memory.put(&key, &value),
+        None => memory.put_unreadable(&key),
+    }
+    let settings = companion::Settings {
+        name: "h1".to_owned(),
+        process: 7,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let worker = Worker::new(|_call, _deadline| async { worker::Reply::ConnectionRefused }.boxed());
+    let companion = Companion::start(settings, memory.store(), worker, &lines.logger()).await;
+    let companion = companion.expect("the companion starts");
+    companion.record_heartbeat(heartbeat());
+    companion.deregister_worker("w", None);
+    sleep(Duration::from_millis(800)).await;
+
+    let value = memory.get(&key).map(|item| item.value);
+    memory.put_unreadable(&key);
+    timeout(Duration::from_secs(2), companion.stop())
+        .await
+        .expect("a stop in time");
+
+    let expected = Registration {
+        address,
+        process: 7,
+    }
+    .to_bytes();
+    assert_eq!(value, Some(expected));
+    assert_eq!(memory.get(&key), None, "the registration remains");
+}
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -76,12 +76,6 @@
         self.lock().keyless_prefix = Some(prefix.to_owned());
     }
 
-    pub fn remove(&self, key: &str) {
-        let mut state = self.lock();
-        state.revision += 1;
-        state.remove(key);
-    }
-
     /// Removes a key, and forgets the history.
     pub fn remove_and_compact(&self, key: &str) {
         let mut state = self.lock();
