candidates: an entry doesn't hand its role over to its own address

What callers would see: an owner that releases its role every five seconds and takes it again, with a takeover each time. A registration under another name that has this entry's address and a larger capacity is asked whether it is ready, and the entry itself answers.

Why it works: no other process uses the address, so that the registration is not a candidate. Registrations that can't be read are logged once for each revision.

--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -14,7 +14,7 @@
     graph::{Query, Reply},
 };
 
-use super::{Shared, candidate::Candidate};
+use super::{Shared, candidate::Candidate, odd_entries::OddEntries};
 use crate::{key, store::Transaction};
 
 /// Ratio of capacities from which the larger host is preferred as the owner.
@@ -34,8 +34,9 @@
 
 /// Runs until the entry drains, and then removes its registration.
 pub(super) async fn run(shared: Arc<Shared>) {
+    let mut odd_entries = OddEntries::new(shared.log.clone());
     while !shared.drain.is_cancelled() {
-        let delay = match refresh(&shared).await {
+        let delay = match refresh(&shared, &mut odd_entries).await {
             Ok(true) => LIST_INTERVAL,
             Ok(false) => FIRST_LIST_INTERVAL,
             Err(error) => {
@@ -53,7 +54,7 @@
 
 /// Lists the candidates, and registers this entry unless it is listed. Returns whether it was
 /// listed.
-async fn refresh(shared: &Shared) -> Result<bool, Error> {
+async fn refresh(shared: &Shared, odd_entries: &mut OddEntries) -> Result<bool, Error> {
     let listing = shared.store.list(key::ENTRIES);
     let Some(listed) = shared.drain.run_until_cancelled(listing).await else {
         return Ok(false);
@@ -61,14 +62,21 @@
     let items = listed?.items;
     let own_key = key::entry(&shared.settings.name);
     let own = own_candidate(shared);
-    let candidates = items.iter().filter_map(|item| {
-        let candidate = Candidate::from_bytes(&item.value)?;
-        Some((item.key.as_str(), candidate))
+    let parsed = items.iter().filter_map(|item| {
+        let candidate = Candidate::from_bytes(&item.value);
+        if candidate.is_none() {
+            odd_entries.skip(&item.key, item.revision);
+        }
+        Some((item.key.as_str(), candidate?))
     });
+    let candidates: Vec<(&str, Candidate)> = parsed.collect();
     let (mut larger, mut is_listed) = (Vec::new(), false);
     for (key, candidate) in candidates {
         if key == own_key {
             is_listed = candidate == own;
+        } else if candidate.address == own.address {
+            // No other process uses this address. To hand the ownership over would be to keep it.
+            debug!(shared.log, "candidate_ignored"; "address" => %candidate.address);
         } else if candidate.capacity >= own.capacity.saturating_mul(PREFERRED_CAPACITY_RATIO) {
             larger.push(candidate);
         }
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -558,6 +558,26 @@
     assert_eq!(memory.writes(&key::entry("front-1")), 1, "registrations");
 }
 
+/// Guards against a registration with this entry's address under another name, to which the entry
+/// hands its role over again and again.
+#[tokio::test]
+async fn candidate_with_the_own_address_gets_no_role() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let address = free_address();
+    memory.put("configuration", b"1");
+    memory.put(&key::entry("front-0"), &candidate(address, u32::MAX));
+    let entry = start_entry_at(address, &memory, &lines).await;
+    assert!(has_owner(&entry).await, "no owner");
+
+    sleep(Duration::from_millis(6_000)).await;
+
+    assert!(
+        entry.is_ready(),
+        "the entry isn't ready and could not be asked"
+    );
+    assert_eq!(memory.writes(key::FENCE), 1, "takeovers");
+}
+
 fn heartbeat() -> Heartbeat {
     Heartbeat {
         id: "w".to_owned(),
