session: a registration with another host's address doesn't end its sessions

What callers would see: a host whose session is replaced some twenty times a second, so that its orders and updates hardly arrive. If two registrations have one address, each session to it replaces the other one, and both are opened again.

Why it works: the first update names the host. The session of another name ends and isn't opened again until the registration is written again; as that of a silent host, it is removed after 20 s.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -381,11 +381,9 @@
 
     /// Opens a session to a companion, replacing any session to a previous address.
     fn connect_host(&mut self, name: String, registration: Registration) {
-        if self
-            .sessions
-            .get(&name)
-            .is_some_and(|(current, _)| current.address == registration.address)
-        {
+        if self.sessions.get(&name).is_some_and(|(current, task)| {
+            current.address == registration.address && !task.is_finished()
+        }) {
             return;
         }
         self.forget_host(&name);
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -11,7 +11,7 @@
     sync::mpsc,
     time::{Duration, sleep, timeout},
 };
-use toucanquay_model::{Epoch, Error, ErrorKind};
+use toucanquay_model::{Epoch, Error, ErrorKind, session::Update};
 use toucanquay_wire::{Client, Frame, Stream, delta::Decoder};
 
 use super::owner::Event;
@@ -29,6 +29,9 @@
 /// Field name that marks the errors of sessions in which an update had been received.
 const ESTABLISHED: &str = "session";
 
+/// Field name that marks the error of a session to a companion of another host.
+const OTHER_HOST: &str = "host";
+
 /// Maximum number of order messages queued for the companion.
 const ORDER_QUEUE_CAPACITY: usize = 64;
 
@@ -38,7 +41,7 @@
 /// Addresses of all companions by host name, from which relays are chosen.
 pub(super) type Addresses = Arc<Mutex<BTreeMap<String, SocketAddr>>>;
 
-/// Keeps a session open until the owner stops.
+/// Keeps a session open until the owner stops or the companion turns out to be that of another host.
 ///
 /// If the companion can't be reached directly, the other companions are tried in turn as relays.
 pub(super) async fn run(
@@ -62,6 +65,10 @@
                 };
                 info!(log, "session_broken"; "host" => &name, "relay" => ?path.relay,
                     "error" => %error);
+                if error.invalid_field() == Some(OTHER_HOST) {
+                    // A session of that host was replaced. Another attempt would do so again.
+                    return;
+                }
                 if was_established(&error) {
                     retry_delay = RETRY_DELAY_MIN;
                     failures = 0;
@@ -135,6 +142,17 @@
     error.invalid_field() == Some(ESTABLISHED)
 }
 
+/// Checks that an update is that of the host to which the session was opened.
+fn check_host(update: &Update, name: &str) -> Result<(), Error> {
+    if update.host == name {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::Protocol)
+        .field(OTHER_HOST)
+        .value(&update.host)
+        .expected(name))
+}
+
 /// Exchanges updates and orders until the session fails. Returns `Ok` when the owner has stopped.
 async fn run_session(
     mailbox: &mpsc::Sender<Event>,
@@ -162,6 +180,7 @@
                 let frame = frame.map_err(idle_error).and_then(|frame| frame);
                 let update = match frame.map_err(|error| mark_established(error, is_established))? {
                     Some(Frame::Update(update)) => {
+                        check_host(&update, name)?;
                         decoder = Some(Decoder::new(&update));
                         update
                     }
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -233,8 +233,11 @@
             sessions: Arc::default(),
             stop: CancellationToken::new(),
         };
-        let (name, sessions) = (host.name.clone(), host.sessions.clone());
-        let serve = move |stream| serve_session(name.clone(), sessions.clone(), stream);
+        let (name, sessions, stop) = (host.name.clone(), host.sessions.clone(), host.stop.clone());
+        let serve = move |stream| {
+            let session = serve_session(name.clone(), sessions.clone(), stream);
+            stop.clone().run_until_cancelled_owned(session).map(|_| ())
+        };
         tokio::spawn(server.run(host.stop.clone(), serve));
         host
     }
@@ -593,6 +596,19 @@
     }
 }
 
+/// Starts a companion of the host h1, and returns its address.
+async fn start_companion(memory: &Memory, lines: &Lines) -> (Companion, SocketAddr) {
+    let settings = companion::Settings {
+        name: "h1".to_owned(),
+        process: 7,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let worker = Worker::new(|_call, _deadline| async { worker::Reply::ConnectionRefused }.boxed());
+    let companion = Companion::start(settings, memory.store(), worker, &lines.logger()).await;
+    (companion.expect("the companion starts"), address)
+}
+
 /// Guards against an own registration that can't be read and that a companion never replaces, so
 /// that no owner uses its host.
 #[rstest]
@@ -607,15 +623,7 @@
         Some(value) => memory.put(&key, &value),
         None => memory.put_unreadable(&key),
     }
-    let settings = companion::Settings {
-        name: "h1".to_owned(),
-        process: 7,
-        listen: free_address(),
-    };
-    let address = settings.listen;
-    let worker = Worker::new(|_call, _deadline| async { worker::Reply::ConnectionRefused }.boxed());
-    let companion = Companion::start(settings, memory.store(), worker, &lines.logger()).await;
-    let companion = companion.expect("the companion starts");
+    let (companion, address) = start_companion(&memory, &lines).await;
     companion.record_heartbeat(heartbeat());
     companion.deregister_worker("w", None);
     sleep(Duration::from_millis(800)).await;
@@ -634,3 +642,24 @@
     assert_eq!(value, Some(expected));
     assert_eq!(memory.get(&key), None, "the registration remains");
 }
+
+/// Guards against a registration with the address of another host, whose sessions replace those of
+/// that host again and again.
+#[tokio::test]
+async fn registration_with_the_address_of_another_host_does_not_end_its_sessions() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let (_companion, address) = start_companion(&memory, &lines).await;
+    let _entry = start_entry(&memory, &lines).await;
+    sleep(Duration::from_millis(500)).await;
+
+    let registration = Registration {
+        address,
+        process: 9,
+    };
+    memory.put(&key::host("h9"), &registration.to_bytes());
+    sleep(Duration::from_millis(3_000)).await;
+
+    let (began, ended) = (lines.of("session_began"), lines.of("session_broken"));
+    assert!((1..=3).contains(&began.len()), "{} sessions", began.len());
+    assert!(ended.len() <= 2, "{} broken sessions", ended.len());
+}
