record: a registration that can't be read isn't removed again and again

What callers would see: four lines and calls a second for each silent host whose registration another writer replaced, for the rest of the owner's term. The removal depends on the revision, and is retried until it is known.

Evidence before the fix, crates/node/tests/foreign.rs: unreadable_registration_of_a_silent_host_is_not_removed_again_and_again: "the removal is repeated".

Why it works: an entry that can't be read ends the removal. It may be that of a running companion, which replaces it within 15 s.

--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -9,7 +9,7 @@
 };
 use toucanquay_control::scheduler::Commit as JobRecords;
 use toucanquay_model::{
-    Error, Revision,
+    Error, ErrorKind, Revision,
     graph::{Id, Progress},
 };
 
@@ -130,8 +130,8 @@
     }
 }
 
-/// Removes the registration of a host. Retries until it is removed, unless the host registers anew
-/// or another owner takes over.
+/// Removes the registration of a host. Retries until it is removed, unless the host registers anew,
+/// the registration can't be read or another owner takes over.
 pub(super) async fn remove_host(shared: Arc<Shared>, fence: Revision, host: String) {
     let key = key::host(&host);
     let mut removed_revision = None;
@@ -140,6 +140,10 @@
             Ok(()) => return,
             Err(error) => {
                 info!(shared.log, "forgetting_failed"; "host" => &host, "error" => %error);
+                if error.kind() == ErrorKind::Protocol {
+                    // Its revision is unknown, and it may be that of a running companion.
+                    return;
+                }
                 sleep(RETRY_DELAY_MAX).await;
             }
         }
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -643,6 +643,30 @@
     assert_eq!(memory.get(&key), None, "the registration remains");
 }
 
+/// Guards against a registration that can't be read and that the owner tries to remove for ever.
+#[tokio::test]
+async fn unreadable_registration_of_a_silent_host_is_not_removed_again_and_again() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let (silent, other) = (Host::start("h1").await, Host::start("h2").await);
+    memory.put(&key::host("h1"), &silent.registration());
+    memory.put(&key::host("h2"), &other.registration());
+    let _entry = start_entry(&memory, &lines).await;
+    assert!(
+        silent.becomes(true).await && other.becomes(true).await,
+        "no session"
+    );
+
+    drop(silent);
+    memory.put_unreadable(&key::host("h1"));
+    sleep(Duration::from_millis(24_000)).await;
+
+    assert_eq!(lines.of("host_forgotten").len(), 1);
+    assert!(
+        lines.of("forgetting_failed").len() <= 1,
+        "the removal is repeated"
+    );
+}
+
 /// Guards against a registration with the address of another host, whose sessions replace those of
 /// that host again and again.
 #[tokio::test]
