store client: one entry that can't be read doesn't fail the whole list

What callers would see: an entry process that doesn't become ready, or that follows no section, peer or owner any more: a list or the changes of a watch were decoded as a whole, and one odd entry failed them each time they were read again.

Evidence before the fix, crates/store/tests/odd.rs, entries_beside_an_odd_one_are_read: numbers, bytes and another type: "not a change: Err(Elapsed(()))".

Why it works: each entry is decoded on its own, from its raw text. Bytes that aren't UTF-8 make only the string unreadable that has them. Skipped entries are logged once, at most 64, cut to 160 characters. A list tells whether it is complete. A search for a write in the history that can't read a change remains an unknown outcome.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,6 +3,7 @@
 mod attempt_failure;
 mod body;
 mod call_kind;
+mod odd_entries;
 mod response;
 mod retry_state;
 mod shared_throttle;
@@ -27,6 +28,7 @@
 pub(crate) use body::{WireChange, WireWatch};
 use body::{WireConflict, WireItem, WireLease, WireRange, WireTtl};
 pub(crate) use call_kind::CallKind;
+use odd_entries::OddEntries;
 pub(crate) use response::Response;
 use retry_state::RetryState;
 use transport::Transport;
@@ -80,6 +82,7 @@
     sequence: AtomicU64,
     call_deadline: Duration,
     backoff: Backoff,
+    odd_entries: OddEntries,
 }
 
 impl Client {
@@ -100,6 +103,7 @@
                 sequence: AtomicU64::new(0),
                 call_deadline: builder.call_deadline,
                 backoff: Backoff::default(),
+                odd_entries: OddEntries::new(builder.log.clone()),
                 transport: Transport::new(builder)?,
             }),
         })
@@ -138,6 +142,8 @@
 
     /// Returns the items whose keys start with `prefix`, all read at one revision.
     ///
+    /// An item that can't be read is skipped and logged.
+    ///
     /// # Errors
     ///
     /// The same kinds as [`Self::get`].
@@ -148,9 +154,13 @@
             .send_with_retries(CallKind::Range, build_request, self.deadline())
             .await?;
         let range: WireRange = response.parse()?;
+        let items = range.items.readable.into_iter().map(WireItem::into_item);
+        let is_complete = range.items.unreadable.is_empty();
+        self.skip_entries(range.items.unreadable);
         Ok(Range {
             revision: range.revision,
-            items: range.items.into_iter().map(WireItem::into_item).collect(),
+            items: items.collect(),
+            is_complete,
         })
     }
 
@@ -301,6 +311,11 @@
         &self.shared.transport
     }
 
+    /// Logs entries of a response that are skipped.
+    pub(crate) fn skip_entries(&self, entries: Vec<String>) {
+        self.shared.odd_entries.skip(entries);
+    }
+
     /// Reads the key with the URL path `path` by `deadline`.
     async fn get_by_path(&self, path: &[&str], deadline: Instant) -> Result<Option<Item>, Error> {
         let build_request = || self.request(Method::GET, path, &[]);
--- a/crates/store/src/client/body.rs
+++ b/crates/store/src/client/body.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod conflict;
+mod entries;
 mod item;
 mod lease;
 mod range;
@@ -11,6 +12,7 @@
 
 pub(crate) use change::WireChange;
 pub(super) use conflict::WireConflict;
+pub(crate) use entries::Entries;
 pub(super) use item::WireItem;
 pub(super) use lease::WireLease;
 pub(super) use range::WireRange;
--- a/crates/store/src/client/body/range.rs
+++ b/crates/store/src/client/body/range.rs
@@ -2,11 +2,11 @@
 
 use serde::Deserialize;
 
-use super::WireItem;
+use super::{Entries, WireItem};
 
 /// Items and the revision at which they were read.
 #[derive(Debug, Deserialize)]
 pub(crate) struct WireRange {
     pub(crate) revision: u64,
-    pub(crate) items: Vec<WireItem>,
+    pub(crate) items: Entries<WireItem>,
 }
--- a/crates/store/src/client/body/watch.rs
+++ b/crates/store/src/client/body/watch.rs
@@ -2,11 +2,11 @@
 
 use serde::Deserialize;
 
-use super::WireChange;
+use super::{Entries, WireChange};
 
 /// Changes in revision order, and the revision up to which they are complete.
 #[derive(Debug, Deserialize)]
 pub(crate) struct WireWatch {
     pub(crate) revision: u64,
-    pub(crate) events: Vec<WireChange>,
+    pub(crate) events: Entries<WireChange>,
 }
--- a/crates/store/src/client/response.rs
+++ b/crates/store/src/client/response.rs
@@ -1,5 +1,7 @@
 //! Responses of the store.
 
+use std::borrow::Cow;
+
 use reqwest::StatusCode;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
@@ -17,7 +19,7 @@
 impl Response {
     /// Parses the JSON body.
     pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        serde_json::from_slice(&self.body).map_err(|cause| {
+        serde_json::from_str(&text(&self.body)).map_err(|cause| {
             Error::new(ErrorKind::Protocol)
                 .field("store response")
                 .value(self.status)
@@ -25,3 +27,22 @@
         })
     }
 }
+
+/// JSON text that no string can be read from, in place of bytes that aren't UTF-8.
+const UNREADABLE: &str = "\\ud800";
+
+/// Returns the body as text. Bytes that aren't UTF-8 make only the strings unreadable that have
+/// them, while the whole body could not be parsed otherwise.
+fn text(body: &[u8]) -> Cow<'_, str> {
+    if let Ok(text) = str::from_utf8(body) {
+        return Cow::Borrowed(text);
+    }
+    let mut text = String::with_capacity(body.len());
+    for chunk in body.utf8_chunks() {
+        text.push_str(chunk.valid());
+        if !chunk.invalid().is_empty() {
+            text.push_str(UNREADABLE);
+        }
+    }
+    Cow::Owned(text)
+}
--- a/crates/store/src/client/write.rs
+++ b/crates/store/src/client/write.rs
@@ -156,14 +156,21 @@
                 return Err(error.context("the change history since the write was compacted"));
             }
             let watch: WireWatch = response.parse()?;
-            let is_history_end = watch.events.is_empty();
-            let changes = watch.events.into_iter().map(WireChange::into_change);
+            let events = watch.events;
+            let is_complete = events.unreadable.is_empty();
+            let is_history_end = events.readable.is_empty() && is_complete;
+            client.skip_entries(events.unreadable);
+            let changes = events.readable.into_iter().map(WireChange::into_change);
             let mut own_changes = changes.filter(|change| {
                 change.key == self.key && change.stamp.as_ref() == Some(&self.stamp)
             });
             if let Some(change) = own_changes.next() {
                 return Ok(Some(change.revision));
             }
+            if !is_complete {
+                let error = Error::new(ErrorKind::Protocol);
+                return Err(error.context("a change that may be this write can't be read"));
+            }
             if is_history_end || watch.revision <= after {
                 return Ok(None);
             }
--- a/crates/store/src/range.rs
+++ b/crates/store/src/range.rs
@@ -11,4 +11,6 @@
     pub revision: Revision,
     /// The items, sorted by key.
     pub items: Vec<Item>,
+    /// Whether all items could be read. Otherwise, `items` lacks some.
+    pub is_complete: bool,
 }
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -20,6 +20,7 @@
 /// A stream of the changes to keys with a prefix, in the order of their revisions.
 ///
 /// An interruption, such as an outage of the store, delays changes, but none is lost or repeated. A
+/// change that can't be read is skipped and logged. A
 /// watch ends with [`Event::Gap`] when the store has compacted changes that it has not delivered.
 ///
 /// # Examples
@@ -115,7 +116,9 @@
             return Ok(());
         }
         let watch: WireWatch = response.parse()?;
-        let changes = watch.events.into_iter().map(WireChange::into_change);
+        let events = watch.events;
+        self.client.skip_entries(events.unreadable);
+        let changes = events.readable.into_iter().map(WireChange::into_change);
         self.undelivered.extend(changes);
         self.after = self.after.max(watch.revision);
         self.client.transport().observe_revision(self.after);
