holder: another writer's key isn't taken for the holder's

What callers would see: no owner for good, or calls about jobs that go to an address nobody listens at, refused with 503. The list and the watch of cell/<n>/holder also return keys that begin in the same way, and the first item and each change were taken for the holder.

Evidence before the fix, crates/entry/tests/foreign.rs: key_beside_the_holders_key_does_not_prevent_a_takeover, case holder: "the condition becomes true before the timeout: Elapsed(())" (no owner within 10 s); owner_is_reached_beside_a_changed_key: 503 "a peer process could not be reached". Values that aren't a holder passed before.

Why it works: only the key itself counts.

--- a/crates/entry/src/registry/holder.rs
+++ b/crates/entry/src/registry/holder.rs
@@ -37,10 +37,14 @@
             super::entries::wait_before_retry().await;
             continue;
         };
-        apply_value(context, range.items.first().map(|item| item.value.as_str()));
+        // Another writer's key may begin in the same way.
+        let item = range.items.iter().find(|item| item.key == key);
+        apply_value(context, item.map(|item| item.value.as_str()));
         let mut watch = context.store.watch(key.clone(), range.revision);
         while let Event::Change(change) = watch.next().await {
-            apply_value(context, change.value.as_deref());
+            if change.key == key {
+                apply_value(context, change.value.as_deref());
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/foreign.rs
@@ -0,0 +1,65 @@
+//! Keys and values in the store that another writer left, beside those of the entries.
+
+#[expect(dead_code, reason = "each test program uses a part of the fixtures")]
+mod support;
+
+use rstest::rstest;
+use slog::{Discard, Logger, o};
+use support::{start_cluster, wait_until};
+use tokio::time::{Duration, sleep};
+use toucanquay_entry::{Entry, Settings};
+use toucanquay_standin::Store;
+
+fn deep(levels: usize) -> String {
+    "[".repeat(levels) + &"]".repeat(levels)
+}
+
+/// Returns the record of an owner that can't be reached.
+fn holder(epoch: u64) -> String {
+    format!(r#"{{"entry":"e9","address":"127.0.0.1:1","epoch":{epoch}}}"#)
+}
+
+async fn start_entry(store: &Store) -> Entry {
+    let settings = Settings::new("e0", "a", store.address()).store_calls_per_second(1_000);
+    let log = Logger::root(Discard, o!());
+    Entry::start(settings, log).await.unwrap()
+}
+
+/// Guards against another writer's key that is taken for the holder's, so that no entry becomes the
+/// owner.
+#[rstest]
+#[case::holder(holder(7))]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[case::port(holder(7).replace("127.0.0.1:1", "10.0.0.1:99999"))]
+#[case::number(holder(7).replace('7', "1e999"))]
+#[tokio::test]
+async fn key_beside_the_holders_key_does_not_prevent_a_takeover(#[case] value: String) {
+    let store = Store::start().await.unwrap();
+    store.write("cell/0/holder-x", &value);
+
+    let entry = start_entry(&store).await;
+
+    wait_until(|| entry.is_owner()).await;
+}
+
+/// Guards against another writer's key that changes and that the entries take for a later owner.
+#[tokio::test]
+async fn owner_is_reached_beside_a_changed_key() {
+    let cluster = start_cluster(2, 1).await;
+    wait_until(|| cluster.entries.iter().any(Entry::is_owner)).await;
+
+    cluster.store.write("cell/0/holder-x", &holder(u64::MAX));
+    sleep(Duration::from_millis(500)).await;
+
+    for entry in &cluster.entries {
+        let url = format!("http://{}/jobs", entry.client_address());
+        let response = reqwest::get(url).await.unwrap();
+        assert_eq!(
+            response.status().as_u16(),
+            200,
+            "{:?}",
+            response.text().await
+        );
+    }
+}
