takeover: an epoch that can't be read or followed doesn't prevent each takeover

What callers would see: jobs are refused for good. A value of cell/<n>/owner that isn't an epoch ended each takeover in an error, and the highest number ended the task that takes over ("attempt to add with overflow").

Evidence before the fix, crates/entry/tests/foreign.rs, odd_epoch_is_followed_by_a_later_one: "the condition becomes true before the timeout: Elapsed(())" in all five cases, with "attempt to add with overflow" at takeover.rs:43 in the case of the highest number.

Why it works: the revision of the value takes the place of the epoch. Each takeover is a write, so that no epoch exceeds the revision at which it was written, and companions and segments know no later one.

--- a/crates/entry/src/owner/takeover.rs
+++ b/crates/entry/src/owner/takeover.rs
@@ -10,6 +10,9 @@
 
 use crate::{Context, registry::Holder};
 
+/// Maximum epoch that is taken for one that an entry has written.
+const EPOCH_MAX: Epoch = Epoch::MAX / 2;
+
 /// Maximum attempts to fence one segment. An attempt fails if the former owner writes the segment
 /// concurrently.
 const FENCE_ATTEMPTS_MAX: u32 = 5;
@@ -40,10 +43,7 @@
 pub async fn acquire(context: &Context) -> Result<Option<Takeover>, Error> {
     let started_at = Instant::now();
     let epoch_record = read_epoch_record(context).await?;
-    let epoch = epoch_record
-        .as_ref()
-        .map_or(0, |(epoch_record, _)| epoch_record.epoch)
-        + 1;
+    let epoch = epoch_record.as_ref().map_or(0, |(epoch, _)| *epoch) + 1;
     let ttl = Duration::from_millis(context.settings.holder_lease_ms);
     let lease = context.store.grant(ttl).await?;
     let result = claim_role(
@@ -90,16 +90,28 @@
     }))
 }
 
-async fn read_epoch_record(context: &Context) -> Result<Option<(EpochRecord, Revision)>, Error> {
+/// Returns the recorded epoch and the revision of the record.
+///
+/// In place of a value that can't be read, or that no epoch can follow, it returns the revision. An
+/// epoch grows by one with each takeover, which is a write, so that it never exceeds the revision at
+/// which it was written.
+async fn read_epoch_record(context: &Context) -> Result<Option<(Epoch, Revision)>, Error> {
     let Some(item) = context.store.get(&epoch_key(context)).await? else {
         return Ok(None);
     };
-    let epoch_record = serde_json::from_str(&item.value).map_err(|cause| {
-        Error::new(ErrorKind::Protocol)
-            .field(item.key)
-            .context(cause)
-    })?;
-    Ok(Some((epoch_record, item.revision)))
+    let parsed = serde_json::from_str::<EpochRecord>(&item.value);
+    let epoch = match parsed {
+        Ok(record) if record.epoch <= EPOCH_MAX => record.epoch,
+        Ok(record) => {
+            warn!(context.log, "epoch_too_high"; "epoch" => record.epoch);
+            item.revision
+        }
+        Err(error) => {
+            warn!(context.log, "epoch_unreadable"; "error" => %error);
+            item.revision
+        }
+    };
+    Ok(Some((epoch, item.revision)))
 }
 
 async fn claim_holder(context: &Context, lease: Lease, epoch: Epoch) -> Result<bool, Error> {
--- a/crates/entry/tests/foreign.rs
+++ b/crates/entry/tests/foreign.rs
@@ -63,3 +63,28 @@
         );
     }
 }
+
+/// Guards against an epoch that can't be read, or be followed by another one, and prevents each
+/// takeover.
+#[rstest]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[case::number(r#"{"epoch":1e999}"#.to_owned())]
+#[case::number_above_64_bits(r#"{"epoch":36893488147419103232}"#.to_owned())]
+#[case::highest_number(r#"{"epoch":18446744073709551615}"#.to_owned())]
+#[tokio::test]
+async fn odd_epoch_is_followed_by_a_later_one(#[case] value: String) {
+    let store = Store::start().await.unwrap();
+    for number in 0..41 {
+        store.write("other", &number.to_string());
+    }
+    store.write("cell/0/owner", &value);
+
+    let entry = start_entry(&store).await;
+
+    wait_until(|| entry.is_owner()).await;
+    let record = store.get("cell/0/owner").unwrap().value;
+    let json = record.lines().find(|line| line.starts_with('{')).unwrap();
+    let json: serde_json::Value = serde_json::from_str(json).unwrap();
+    assert!(json["epoch"].as_u64() > Some(41), "{record}");
+}
