entries: an entry that left during a gap of the history is not called

What callers would see: an entry that left is called once a second for ever. A list after lost history reports what exists, and nothing was compared with it.

Why it works: entries without a registration are removed after each complete list. One that is alive announces itself again within a second.

--- a/crates/entry/src/registry/entries.rs
+++ b/crates/entry/src/registry/entries.rs
@@ -1,10 +1,10 @@
 //! Registration of entries in the store.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use slog::{info, warn};
 use tokio::time::Duration;
-use toucanquay_store::{Event, Expected, PutOutcome};
+use toucanquay_store::{Event, Expected, PutOutcome, Range};
 
 use crate::{Context, membership::Peer};
 
@@ -52,6 +52,9 @@
             wait_before_retry().await;
             continue;
         };
+        if range.is_complete {
+            remove_unlisted(context, &range);
+        }
         for item in &range.items {
             apply_change(context, &item.key, Some(&item.value));
         }
@@ -62,6 +65,21 @@
     }
 }
 
+/// Removes the entries without a registration. Their removals may have been missed.
+fn remove_unlisted(context: &Context, range: &Range) {
+    let names = range.items.iter();
+    let listed: HashSet<&str> = names
+        .filter_map(|item| item.key.strip_prefix(KEY_PREFIX))
+        .collect();
+    context.peers().retain(|name, _| {
+        let is_listed = listed.contains(name.as_str());
+        if !is_listed {
+            info!(context.log, "entry_left"; "entry" => name);
+        }
+        is_listed
+    });
+}
+
 async fn register_once(context: &Context) -> Result<u64, toucanquay_model::Error> {
     let lease = context.store.grant(LEASE_TTL).await?;
     let peer = Peer {
--- a/crates/entry/tests/foreign.rs
+++ b/crates/entry/tests/foreign.rs
@@ -3,10 +3,18 @@
 #[expect(dead_code, reason = "each test program uses a part of the fixtures")]
 mod support;
 
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
 use rstest::rstest;
 use slog::{Discard, Logger, o};
 use support::{start_cluster, wait_until};
-use tokio::time::{Duration, sleep};
+use tokio::{
+    net::TcpListener,
+    time::{Duration, sleep},
+};
 use toucanquay_entry::{Entry, Settings};
 use toucanquay_standin::Store;
 
@@ -88,3 +96,35 @@
     let json: serde_json::Value = serde_json::from_str(json).unwrap();
     assert!(json["epoch"].as_u64() > Some(41), "{record}");
 }
+
+/// Guards against an entry that left while the history of the store was lost and stays in use.
+#[tokio::test]
+async fn entry_that_left_during_a_gap_of_the_history_is_not_called() {
+    let store = Store::start().await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::<AtomicUsize>::default();
+    let counter = calls.clone();
+    tokio::spawn(async move {
+        while listener.accept().await.is_ok() {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let peer = format!(r#"{{"incarnation":9,"address":"{address}"}}"#);
+    store.write("entry/e9", &peer);
+    let entry = start_entry(&store).await;
+    wait_until(|| calls.load(Ordering::Relaxed) > 0).await;
+
+    store.set_down(true);
+    store.remove("entry/e9");
+    store.write("other", "1");
+    store.compact();
+    sleep(Duration::from_millis(200)).await;
+    store.set_down(false);
+    wait_until(|| entry.is_ready() || entry.is_owner()).await;
+    sleep(Duration::from_secs(4)).await;
+    let calls_before = calls.load(Ordering::Relaxed);
+    sleep(Duration::from_secs(3)).await;
+
+    assert_eq!(calls.load(Ordering::Relaxed), calls_before, "calls");
+}
