sections: the error of an odd text is short

What callers would see: a log line, an error to the operator and a parse error in memory as long as the text, up to 1 MB: errors of TOML texts quote the line.

Evidence before the fix, crates/model/tests/nested.rs, odd_text_is_refused_with_a_short_error: very_deep "200289 bytes", very_deep_tables "400451 bytes".

Why it works: a line that makes the text longer than 1,000 bytes isn't quoted; position and message remain.

--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Error, ErrorKind, Section, job};
+use crate::{Error, ErrorKind, Section, job, toml_error};
 
 /// Configuration of all teams, which an operator keeps in a TOML file with a table `[teams.<name>]`
 /// for each team.
@@ -37,7 +37,7 @@
         let document: Self = toml::from_str(text).map_err(|cause| {
             Error::new(ErrorKind::MalformedBody)
                 .expected("a TOML document with a table for each team")
-                .context(cause.to_string().trim_end())
+                .context(toml_error::describe(&cause))
         })?;
         document.check()?;
         Ok(document)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod session;
 pub mod task;
 pub mod time;
+mod toml_error;
 pub mod upstream;
 pub mod worker;
 
--- a/crates/model/src/section.rs
+++ b/crates/model/src/section.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Error, ErrorKind, Resources, job};
+use crate::{Error, ErrorKind, Resources, job, toml_error};
 
 /// Allowed range of a service's default deadline, in milliseconds.
 const DEADLINE_RANGE_MS: std::ops::RangeInclusive<u64> = 1..=600_000;
@@ -105,7 +105,7 @@
             Error::new(ErrorKind::MalformedBody)
                 .field(team)
                 .expected("a TOML section with state, quota, services and batch")
-                .context(cause.to_string().trim_end())
+                .context(toml_error::describe(&cause))
         })?;
         section.check(team)?;
         Ok(section)
