--- a/crates/entry/tests/foreign.rs
+++ b/crates/entry/tests/foreign.rs
@@ -13,7 +13,7 @@
 use support::{start_cluster, wait_until};
 use tokio::{
     net::TcpListener,
-    time::{Duration, sleep},
+    time::{Duration, sleep, timeout},
 };
 use toucanquay_entry::{Entry, Settings};
 use toucanquay_standin::Store;
@@ -128,3 +128,45 @@
 
     assert_eq!(calls.load(Ordering::Relaxed), calls_before, "calls");
 }
+
+/// Guards against an odd neighbour of the cell's segments that prevents each takeover.
+#[rstest]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[tokio::test]
+async fn key_beside_the_segments_does_not_prevent_a_takeover(#[case] value: String) {
+    let store = Store::start().await.unwrap();
+    for key in ["cell/0/segment/x", "cell/0/segment/00", "cell/0/owner-x"] {
+        store.write(key, &value);
+    }
+
+    let entry = start_entry(&store).await;
+
+    wait_until(|| entry.is_owner()).await;
+}
+
+/// Guards against odd sections and entries that keep an entry from following the sound ones.
+#[rstest]
+#[case::deep(deep(300))]
+#[case::very_deep(deep(100_000))]
+#[case::number(r#"{"incarnation":1e999,"address":"127.0.0.1:1"}"#.to_owned())]
+#[case::port(r#"{"incarnation":1,"address":"10.0.0.1:99999"}"#.to_owned())]
+#[tokio::test]
+async fn sections_beside_an_odd_one_are_followed(#[case] value: String) {
+    let cluster = start_cluster(2, 1).await;
+
+    for key in ["config/section/aaa", "config/section/a b", "entry/aaa"] {
+        cluster.store.write(key, &value);
+    }
+    let section = "state = \"leaving\"\n[services.lookup]\n";
+    cluster.store.write("config/section/desk", section);
+
+    for entry in 0..2 {
+        let is_refused = async {
+            while cluster.send(entry, "GET", "/a", &[]).await.status == 200 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(Duration::from_secs(5), is_refused).await.unwrap();
+    }
+}
