sections: a section removed during a gap of the history is not in force

What callers would see: a team whose section was removed is served until the entry restarts, if the store lost its history at that time. A list reports what exists, and nothing was compared with it.

Evidence before the fix, crates/entry/tests/foreign.rs: section_removed_during_a_gap_of_the_history_is_not_in_force: "the section is in force".

Why it works: each complete list removes the sections that it doesn't have, unless a later revision was received from another process.

--- a/crates/entry/src/registry/configuration.rs
+++ b/crates/entry/src/registry/configuration.rs
@@ -1,12 +1,12 @@
 //! Sections of the configuration document in the store.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use toucanquay_control::register::SectionVersion;
 use toucanquay_model::Revision;
-use toucanquay_store::Event;
+use toucanquay_store::{Event, Range};
 
 use crate::Context;
 
@@ -52,6 +52,9 @@
         }
     };
     let mut newest = 0;
+    if range.is_complete {
+        newest = remove_unlisted(context, &range);
+    }
     for item in &range.items {
         apply_section(context, &item.key, Some(&item.value), item.revision);
         newest = newest.max(item.revision);
@@ -61,6 +64,34 @@
     Some(range.revision)
 }
 
+/// Removes the sections that the store no longer has. Their removals may have been missed. Returns
+/// the highest revision that was applied.
+///
+/// A section was removed at a revision that is unknown, but higher than its own.
+fn remove_unlisted(context: &Context, range: &Range) -> Revision {
+    let keys = range.items.iter();
+    let listed: HashSet<&str> = keys
+        .filter_map(|item| item.key.strip_prefix(SECTION_PREFIX))
+        .collect();
+    let held = context.register().snapshot(0).items;
+    let is_unlisted = |item: &SectionVersion| {
+        // A later revision was received from another process.
+        let is_known_to_range = item.revision <= range.revision;
+        item.text.is_some() && is_known_to_range && !listed.contains(item.team.as_str())
+    };
+    let mut newest = 0;
+    for item in held.into_iter().filter(is_unlisted) {
+        let revision = item.revision + 1;
+        apply_section(context, &section_key(&item.team), None, revision);
+        newest = newest.max(revision);
+    }
+    newest
+}
+
+fn section_key(team: &str) -> String {
+    format!("{SECTION_PREFIX}{team}")
+}
+
 fn apply_section(context: &Context, key: &str, value: Option<&str>, revision: Revision) {
     let Some(team) = key.strip_prefix(SECTION_PREFIX) else {
         return;
--- a/crates/entry/tests/foreign.rs
+++ b/crates/entry/tests/foreign.rs
@@ -170,3 +170,26 @@
         timeout(Duration::from_secs(5), is_refused).await.unwrap();
     }
 }
+
+/// Guards against a section that was removed while the history of the store was lost and stays in
+/// force.
+#[tokio::test]
+async fn section_removed_during_a_gap_of_the_history_is_not_in_force() {
+    let cluster = start_cluster(1, 1).await;
+    assert_eq!(cluster.send(0, "GET", "/a", &[]).await.status, 200);
+
+    cluster.store.set_down(true);
+    cluster.store.remove("config/section/desk");
+    cluster.store.write("other", "1");
+    cluster.store.compact();
+    sleep(Duration::from_millis(200)).await;
+    cluster.store.set_down(false);
+
+    let is_refused = async {
+        while cluster.send(0, "GET", "/a", &[]).await.status == 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let refused = timeout(Duration::from_secs(15), is_refused).await;
+    assert!(refused.is_ok(), "the section is in force");
+}
