record: a progress record that can't be read doesn't hold up the others

What callers would see: ends of jobs that are never recorded, so that the jobs run again after a takeover, and results that aren't acknowledged. A write of records depends on their revisions; if one of them, or the fence, can't be read, the conflict can't be resolved, and the write was repeated for ever, the other jobs' records with it.

Evidence before the fix, crates/node/tests/foreign.rs, ends_beside_an_unreadable_record_are_recorded: "an end isn't recorded" in three of four cases; skipped_fence passed.

Why it works: only the owner writes the records, and the fence shows that there is no later one, so that they are written on the condition of the fence alone. If the fence can't be read, the owner ends, and the next takeover writes it.

--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -67,12 +67,63 @@
             .put(key, encode(progress));
     }
     let deadline = Instant::now() + CALL_TIMEOUT;
-    match shared.store.commit(transaction, deadline).await? {
-        Commit::Done(revision) => Ok(Event::CommitSucceeded(revision)),
-        Commit::Conflict(items) => Ok(resolve_conflict(shared, fence, records, &items)),
+    match shared.store.commit(transaction, deadline).await {
+        Ok(Commit::Done(revision)) => Ok(Event::CommitSucceeded(revision)),
+        Ok(Commit::Conflict(items)) if is_unexplained(fence, records, &items) => {
+            overwrite_records(shared, fence, records).await
+        }
+        Ok(Commit::Conflict(items)) => Ok(resolve_conflict(shared, fence, records, &items)),
+        Err(error) if error.kind() == ErrorKind::Protocol => {
+            overwrite_records(shared, fence, records).await
+        }
+        Err(error) => Err(error),
     }
 }
 
+/// Returns whether all conditions hold by the current items, so that one of these can't be read.
+fn is_unexplained(fence: Revision, records: &JobRecords, items: &[Item]) -> bool {
+    let revision = |key: &str| {
+        let item = items.iter().find(|item| item.key == key);
+        item.map_or(0, |item| item.revision)
+    };
+    let mut records = records.records.iter();
+    let is_fence_unchanged = revision(key::FENCE) == fence;
+    is_fence_unchanged && records.all(|(id, known, _)| revision(&key::progress(*id)) == *known)
+}
+
+/// Writes the records in place of what their keys hold, which can't be read. Only the owner writes
+/// them, and the fence shows that there is no later one.
+async fn overwrite_records(
+    shared: &Shared,
+    fence: Revision,
+    records: &JobRecords,
+) -> Result<Event, Error> {
+    let mut transaction = Transaction::default().expect_revision(key::FENCE, fence);
+    for (id, _, progress) in &records.records {
+        transaction = transaction.put(key::progress(*id), encode(progress));
+    }
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let error = match shared.store.commit(transaction, deadline).await {
+        Ok(Commit::Done(revision)) => {
+            info!(shared.log, "records_overwritten"; "jobs" => records.records.len(),
+                "revision" => revision);
+            return Ok(Event::CommitSucceeded(revision));
+        }
+        Ok(Commit::Conflict(_)) => return Ok(superseded(shared, fence)),
+        Err(error) => error,
+    };
+    // A takeover writes a fence that can be read.
+    match shared.store.get(key::FENCE, deadline).await {
+        Err(cause) if cause.kind() == ErrorKind::Protocol => Ok(superseded(shared, fence)),
+        _ => Err(error),
+    }
+}
+
+fn superseded(shared: &Shared, fence: Revision) -> Event {
+    warn!(shared.log, "record_fenced"; "fence" => fence);
+    Event::Superseded
+}
+
 /// Determines from the current items whether an earlier attempt wrote the same records.
 fn resolve_conflict(
     shared: &Shared,
@@ -82,8 +133,7 @@
 ) -> Event {
     let find = |key: &str| items.iter().find(|item| item.key == key);
     if find(key::FENCE).is_none_or(|item| item.revision != fence) {
-        warn!(shared.log, "record_fenced"; "fence" => fence);
-        return Event::Superseded;
+        return superseded(shared, fence);
     }
     let current_item = |id: Id| find(&key::progress(id));
     let mut written = records.records.iter().map(|(id, _, progress)| {
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -687,3 +687,33 @@
     assert!((1..=3).contains(&began.len()), "{} sessions", began.len());
     assert!(ended.len() <= 2, "{} broken sessions", ended.len());
 }
+
+/// Guards against a progress record or a fence that can't be read and keeps the owner from recording
+/// the ends of other jobs.
+#[rstest]
+#[case::progress(key::progress(Id::new(1)), true)]
+#[case::skipped_progress(key::progress(Id::new(1)), false)]
+#[case::fence(key::FENCE.to_owned(), true)]
+#[case::skipped_fence(key::FENCE.to_owned(), false)]
+#[tokio::test]
+async fn ends_beside_an_unreadable_record_are_recorded(#[case] odd: String, #[case] fails: bool) {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    memory.skip_unreadable_in_conflicts(!fails);
+    for number in 1..=2 {
+        memory.put(&key::job(Id::new(number)), &sound_record());
+    }
+    let entry = start_entry(&memory, &lines).await;
+    assert!(has_queued(&entry, 2).await, "the jobs aren't followed");
+
+    memory.put_unreadable(&odd);
+    for number in 1..=2 {
+        memory.put(&key::cancel(Id::new(number)), b"");
+    }
+    let deadline = Instant::now() + OWNER_TIMEOUT;
+    let is_recorded = || (1..=2).all(|number| memory.is_readable(&key::progress(Id::new(number))));
+    while !is_recorded() && Instant::now() < deadline {
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(is_recorded(), "an end isn't recorded");
+}
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -32,6 +32,7 @@
     keyless_prefix: Option<String>,
     /// Lists of this prefix hide the keys of the entries that can't be read.
     hidden_prefix: Option<String>,
+    skips_in_conflicts: bool,
     commits: Vec<Transaction>,
 }
 
@@ -59,6 +60,16 @@
         state.unreadable.insert(key.to_owned());
     }
 
+    /// Sets whether conflicts lack the entries that can't be read, instead of ending in an error.
+    pub fn skip_unreadable_in_conflicts(&self, is_skipped: bool) {
+        self.lock().skips_in_conflicts = is_skipped;
+    }
+
+    /// Returns whether a key exists and can be read.
+    pub fn is_readable(&self, key: &str) -> bool {
+        matches!(self.lock().get(key), Ok(Some(_)))
+    }
+
     /// Makes the key of an entry in the lists of a prefix unreadable.
     pub fn hide(&self, key: &str, prefix: &str) {
         let mut state = self.lock();
@@ -164,6 +175,10 @@
         let mut conditions = transaction.conditions.iter();
         if !conditions.all(|(key, expected)| revision(key) == *expected) {
             let keys = transaction.conditions.iter().map(|(key, _)| key);
+            let is_included = |key: &&String| {
+                !(self.skips_in_conflicts && self.unreadable.contains(key.as_str()))
+            };
+            let keys = keys.filter(is_included);
             let current: Result<Vec<_>, Error> = keys.map(|key| self.get(key)).collect();
             return Ok(Commit::Conflict(current?.into_iter().flatten().collect()));
         }
