--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,6 +7,8 @@
 mod election;
 mod jobs;
 mod line_budget;
+mod observed_owner;
+mod odd_entries;
 mod owner;
 mod peer;
 mod record;
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -21,7 +21,11 @@
 
 use super::Event;
 use crate::{
-    entry::{Registration, Shared, record, session, takeover::LoadedState, watch},
+    entry::{
+        Registration, Shared, record, session,
+        takeover::{self, LoadedState},
+        watch,
+    },
     meters,
 };
 
@@ -157,6 +161,7 @@
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
             Event::HostRemoved(name) => self.forget_host(&name),
+            Event::HostsListed(names) => self.forget_unlisted_hosts(&names),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
             Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
@@ -325,7 +330,8 @@
                 Reply::Pending(u64::try_from(pending).unwrap_or(u64::MAX))
             }
             Query::Accepted { id, record } => {
-                if let Ok(accepted_job) = serde_json::from_slice::<AcceptedJob>(&record) {
+                // The watch of the store logs a record that can't be read.
+                if let Some(accepted_job) = takeover::decode_accepted_job(&record) {
                     self.accept(id, accepted_job, now);
                 }
                 Reply::Noted
@@ -365,13 +371,19 @@
             .remove(name);
     }
 
+    fn forget_unlisted_hosts(&mut self, listed: &HashSet<String>) {
+        let hosts = self.sessions.keys().filter(|name| !listed.contains(*name));
+        let unlisted: Vec<String> = hosts.cloned().collect();
+        for name in unlisted {
+            self.forget_host(&name);
+        }
+    }
+
     /// Opens a session to a companion, replacing any session to a previous address.
     fn connect_host(&mut self, name: String, registration: Registration) {
-        if self
-            .sessions
-            .get(&name)
-            .is_some_and(|(current, _)| current.address == registration.address)
-        {
+        if self.sessions.get(&name).is_some_and(|(current, task)| {
+            current.address == registration.address && !task.is_finished()
+        }) {
             return;
         }
         self.forget_host(&name);
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -72,14 +72,44 @@
         Commit::Conflict { items, unreadable } if unreadable.is_empty() => {
             Ok(resolve_conflict(shared, fence, records, &items))
         }
-        // A key whose revision isn't known is in use. Only a retry can tell whether an earlier
-        // attempt wrote it.
-        Commit::Conflict { unreadable, .. } => Err(Error::new(ErrorKind::Protocol)
-            .field(unreadable.join(", "))
-            .context("the current revision can't be read")),
+        Commit::Conflict { .. } => overwrite_records(shared, fence, records).await,
     }
 }
 
+/// Writes the records in place of what their keys hold, whose revisions can't be read. Only the
+/// owner writes them, and the fence shows that there is no later one.
+///
+/// # Errors
+///
+/// Returns the store's error if nothing was written.
+async fn overwrite_records(
+    shared: &Shared,
+    fence: Revision,
+    records: &JobRecords,
+) -> Result<Event, Error> {
+    let mut transaction = Transaction::default().expect_revision(key::FENCE, fence);
+    for (id, _, progress) in &records.records {
+        transaction = transaction.put(key::progress(*id), encode(progress));
+    }
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    match shared.store.commit(transaction, deadline).await {
+        Ok(Commit::Done(revision)) => {
+            info!(shared.log, "records_overwritten"; "jobs" => records.records.len(),
+                "revision" => revision);
+            Ok(Event::CommitSucceeded(revision))
+        }
+        Err(error) if error.kind() == ErrorKind::StoreUnavailable => Err(error),
+        // A write that is carried out later would replace later records. The next takeover writes
+        // another fence, on which it fails.
+        Ok(Commit::Conflict { .. }) | Err(_) => Ok(superseded(shared, fence)),
+    }
+}
+
+fn superseded(shared: &Shared, fence: Revision) -> Event {
+    warn!(shared.log, "record_fenced"; "fence" => fence);
+    Event::Superseded
+}
+
 /// Determines from the current items whether an earlier attempt wrote the same records.
 fn resolve_conflict(
     shared: &Shared,
@@ -89,8 +119,7 @@
 ) -> Event {
     let find = |key: &str| items.iter().find(|item| item.key == key);
     if find(key::FENCE).is_none_or(|item| item.revision != fence) {
-        warn!(shared.log, "record_fenced"; "fence" => fence);
-        return Event::Superseded;
+        return superseded(shared, fence);
     }
     let current_item = |id: Id| find(&key::progress(id));
     let mut written = records.records.iter().map(|(id, _, progress)| {
@@ -137,8 +166,8 @@
     }
 }
 
-/// Removes the registration of a host. Retries until it is removed, unless the host registers anew
-/// or another owner takes over.
+/// Removes the registration of a host. Retries until it is removed, unless the host registers anew,
+/// the registration can't be read or another owner takes over.
 pub(super) async fn remove_host(shared: Arc<Shared>, fence: Revision, host: String) {
     let key = key::host(&host);
     let mut removed_revision = None;
@@ -147,6 +176,10 @@
             Ok(()) => return,
             Err(error) => {
                 info!(shared.log, "forgetting_failed"; "host" => &host, "error" => %error);
+                if error.kind() == ErrorKind::Protocol {
+                    // Its revision is unknown, and it may be that of a running companion.
+                    return;
+                }
                 sleep(RETRY_DELAY_MAX).await;
             }
         }
