election: an epoch exceeds that of the fence as well

What callers would see: an attempt that runs twice, or a start that a worker turns away as old: two owners with the same epoch number their attempts alike, and no fence tells them apart.

Cause: the next epoch followed from the term alone. The term can be older than the last takeover: another writer may have restored it, and the replacement of an unreadable term has no condition, so that the store may execute it seconds later, over the term of an owner that has taken over in the meantime.

The fence is written by takeovers only. Each takeover now reads it, and its epoch counts, too; if it can't be read, the observation of the owner is kept, so that the next attempt follows at once. The replacement depends on the fence's revision, so that a late one doesn't depose an owner.

--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -208,16 +208,18 @@
     let Some(last_seen) = observed.take() else {
         return;
     };
-    let epoch = match next_epoch(shared, &last_seen).await {
-        Ok(epoch) => epoch,
+    let fence = match read_fence(shared).await {
+        Ok(fence) => fence,
         Err(error) => {
             warn!(shared.log, "epoch_unknown"; "error" => %error);
+            *observed = Some(last_seen);
             sleep(RETRY_DELAY).await;
             return;
         }
     };
+    let epoch = next_epoch(&last_seen, fence.as_ref());
     if last_seen.is_unreadable() {
-        replace_unreadable_owner(shared, epoch).await;
+        replace_unreadable_owner(shared, epoch, fence.as_ref()).await;
         return;
     }
     let term = own_term(shared, epoch);
@@ -261,22 +263,16 @@
 
 /// Returns an epoch that exceeds all earlier ones.
 ///
-/// Without a readable term, it follows from the fence: from its value, or else from the revisions.
-/// An epoch grows by one with each takeover, which is a write, so that it never exceeds the
-/// revision at which it was written.
-async fn next_epoch(shared: &Shared, last_seen: &ObservedOwner) -> Result<Epoch, Error> {
-    if let Some(epoch) = last_seen.epoch() {
-        return Ok(epoch + 1);
-    }
-    let fence = read_fence(shared).await?;
-    let recorded_epoch = fence
-        .as_ref()
-        .and_then(|item| Term::parse_epoch(&item.value));
-    if let Some(epoch) = recorded_epoch {
-        return Ok(epoch + 1);
+/// The term may be older than the fence, which only a takeover writes, so that both count. Without
+/// either epoch, it follows from the revisions. An epoch grows by one with each takeover, which is a
+/// write, so that it never exceeds the revision at which it was written.
+fn next_epoch(last_seen: &ObservedOwner, fence: Option<&Item>) -> Epoch {
+    let recorded_epoch = fence.and_then(|item| Term::parse_epoch(&item.value));
+    if let Some(epoch) = last_seen.epoch().max(recorded_epoch) {
+        return epoch + 1;
     }
     let fence_revision = fence.map_or(0, |item| item.revision);
-    Ok(fence_revision.max(last_seen.revision) + 1)
+    fence_revision.max(last_seen.revision) + 1
 }
 
 /// Reads the fence, if it exists and can be read.
@@ -293,18 +289,24 @@
 
 /// Replaces an owner's key that can't be read by the term of an owner that doesn't exist.
 ///
-/// Its revision is unknown, so that a takeover can't depend on it. The holder, if there is one,
+/// Its revision is unknown, so that a takeover can't depend on it. The fence is a condition, so that
+/// a replacement that is executed late doesn't remove a later owner. The holder, if there is one,
 /// fails to renew the term, and has stopped acting when the entries have seen the term unchanged for
 /// [`TAKEOVER_MICROS`].
-async fn replace_unreadable_owner(shared: &Shared, epoch: Epoch) {
+async fn replace_unreadable_owner(shared: &Shared, epoch: Epoch, fence: Option<&Item>) {
     let term = Term {
         address: NO_ADDRESS,
         ..own_term(shared, epoch)
     };
-    let transaction = Transaction::default().put(key::OWNER, term.to_bytes());
+    let mut transaction = Transaction::default().put(key::OWNER, term.to_bytes());
+    if let Some(fence) = fence {
+        transaction = transaction.expect_revision(key::FENCE, fence.revision);
+    }
     let deadline = Instant::now() + CALL_TIMEOUT;
     match shared.store.commit(transaction, deadline).await {
-        Ok(_) => warn!(shared.log, "unreadable_owner_replaced"; "epoch" => epoch),
+        Ok(Commit::Done(_)) => warn!(shared.log, "unreadable_owner_replaced"; "epoch" => epoch),
+        // Another owner has taken over.
+        Ok(Commit::Conflict { .. }) => {}
         Err(error) => {
             warn!(shared.log, "replacement_failed"; "epoch" => epoch, "error" => %error);
             sleep(RETRY_DELAY).await;
