--- a/crates/node/src/entry/routing.rs
+++ b/crates/node/src/entry/routing.rs
@@ -6,6 +6,9 @@
 
 use super::{Entry, Shared, Target, snapshot::Snapshot};
 
+/// Maximum number of characters of a host name or a path in a log line.
+const EXCERPT_CHARS_MAX: usize = 120;
+
 impl Entry {
     /// Returns the queue of a request.
     ///
@@ -86,7 +89,12 @@
     let Some(suppressed) = shared.take_line(now) else {
         return;
     };
-    info!(shared.log, "route_unknown"; "host" => host, "path" => path,
+    info!(shared.log, "route_unknown"; "host" => excerpt(host), "path" => excerpt(path),
         "version" => snapshot.configuration.version,
         "age_ms" => snapshot.age_micros(now) / 1_000, "suppressed" => suppressed);
 }
+
+/// Returns the beginning of a text that a client determines.
+fn excerpt(text: &str) -> String {
+    text.chars().take(EXCERPT_CHARS_MAX).collect()
+}
--- a/crates/node/src/entry/snapshot.rs
+++ b/crates/node/src/entry/snapshot.rs
@@ -13,7 +13,8 @@
     pub(super) configuration: Arc<Configuration>,
     /// Encoded form, for entries that can't read it from the store.
     pub(super) value: Bytes,
-    /// Latest time at which the store is known to have held no newer configuration.
+    /// Latest time at which the store is known to have held no newer configuration that can be
+    /// read.
     pub(super) confirmed_at: Time,
 }
 
