--- a/crates/node/src/entry/observed_owner.rs
+++ b/crates/node/src/entry/observed_owner.rs
@@ -10,7 +10,7 @@
 pub(super) enum Holding {
     /// The key doesn't exist.
     Absent,
-    /// A term.
+    /// The term of an owner.
     Term(Term),
     /// A value that isn't a term, or nothing after something else. The holder may still act.
     Odd,
