Review case 4: a gang with checkpoints never forms again after a crash

Cause: the members of a gang are started with the checkpoints of their own tasks, where all must carry the same value.

Added: case 4, a script.

--- a/review/standin/src/cases/gang.rs
+++ b/review/standin/src/cases/gang.rs
@@ -29,6 +29,7 @@
     if has_trouble {
         sleep_ms(2_600);
         cluster.crash_worker(whole.worker);
+        cluster.break_gang(&whole.task, whole.attempt);
         sleep_ms(1_000);
         cluster
             .start_worker(whole.worker)
--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -285,6 +285,13 @@
         }
     }
 
+    /// Tells the members of a gang that another one has ended with its worker.
+    pub fn break_gang(&self, task: &str, attempt: u64) {
+        let body = format!("crash {task} {attempt} - 0");
+        let timeout = Duration::from_secs(1);
+        let _ = http::call(self.gang_address(), ("POST", "/"), &[], &body, timeout);
+    }
+
     pub fn signal_entry(&self, index: usize, signal: i32) {
         if let Some(child) = &self.entries[index] {
             // The process is a child that has not been waited for, so that the id is its own.
