Review case 1: tasks of a removed side machine are never started again

Cause: the owner's timeout for a silent companion starts anew with each order that it sends, and it sends one every 0.4 s, so that the machine counts as connected for ever.

The former case 5 (a count that is cut when all entries stop) gives way to it; the others move.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -4,7 +4,7 @@
 mod frame;
 mod gang;
 mod heartbeat;
-mod stop;
+mod removed;
 
 use std::{path::Path, process::ExitCode, sync::mpsc, thread, time::Duration};
 
@@ -26,7 +26,7 @@
         "frame" => frame::run,
         "gang" => gang::run,
         "heartbeat" => heartbeat::run,
-        "stop" => stop::run,
+        "removed" => removed::run,
         _ => {
             say("no such case");
             return ExitCode::from(2);
--- a/review/standin/src/cases/ends.rs
+++ b/review/standin/src/cases/ends.rs
@@ -23,6 +23,7 @@
              \"memMb\":64,\"estimateMs\":8000}}]}}"
         );
         cluster.submit(id, &body)?;
+        sleep_ms(50);
     }
     let all_started = || {
         let events = record.events();
