entry: a companion that is silent while it gets orders is noticed

Cause: the timeout for the next update was created anew in each turn of the session's loop, and each order that is sent is a turn. Orders go out every 0.4 s, so that the 1.5 s never passed.

The deadline now outlives the sending of orders; only an update moves it. What follows a lost session was in place: attempts are released when the last lease of the host must have ended.

--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, debug, info};
 use tokio::{
     sync::mpsc,
-    time::{Duration, sleep, timeout},
+    time::{Duration, Instant, sleep, timeout, timeout_at},
 };
 use toucanquay_model::{Epoch, Error, ErrorKind, session::Update};
 use toucanquay_wire::{Client, Frame, Stream, delta::Decoder};
@@ -163,6 +163,8 @@
     let (orders_sender, mut orders_receiver) = mpsc::channel(ORDER_QUEUE_CAPACITY);
     let mut orders_sender = Some(orders_sender);
     let mut decoder: Option<Decoder> = None;
+    // It outlives the sending of orders: the companion is only heard through its own frames.
+    let mut next_update_deadline = Instant::now() + IDLE_TIMEOUT;
     let mark_established = |error: Error, is_established: bool| {
         if is_established {
             error.field(ESTABLISHED)
@@ -173,7 +175,7 @@
     loop {
         let is_established = orders_sender.is_none();
         tokio::select! {
-            frame = timeout(IDLE_TIMEOUT, receiver.recv()) => {
+            frame = timeout_at(next_update_deadline, receiver.recv()) => {
                 let idle_error = |_elapsed| {
                     Error::new(ErrorKind::PeerUnavailable).context("silent")
                 };
@@ -197,6 +199,7 @@
                         return Err(mark_established(error, is_established));
                     }
                 };
+                next_update_deadline = Instant::now() + IDLE_TIMEOUT;
                 if let Some(orders) = orders_sender.take() {
                     let connected = Event::Connected(name.to_owned(), orders);
                     if mailbox.send(connected).await.is_err() {
