companion: a relay to a silent companion is closed while orders go out

Each direction now has its own time, for the next frame and for sending it.

The test relay_to_a_companion_that_falls_silent_while_it_gets_orders_is_closed failed before: the relay was open after 5 s of orders every 0.2 s.

--- a/crates/node/src/companion/relay.rs
+++ b/crates/node/src/companion/relay.rs
@@ -5,14 +5,14 @@
 use slog::info;
 use tokio::time::{Duration, timeout};
 use toucanquay_model::{Error, ErrorKind};
-use toucanquay_wire::{Client, Stream};
+use toucanquay_wire::{Client, Receiver, Sender, Stream};
 
 use super::Shared;
 
 /// Timeout for connecting to the companion.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time without a frame in either direction after which the relay is closed.
+/// Time without a frame from one of the peers, or for sending one, after which the relay is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Forwards frames until either side closes its stream.
@@ -45,24 +45,26 @@
     Client::connect(address).await?.open().await
 }
 
+/// Forwards frames in both directions until one of them ends.
 async fn forward_frames(owner: Stream, companion: Stream) -> Result<(), Error> {
-    let (mut owner_sender, mut owner_receiver) = owner.split();
-    let (mut companion_sender, mut companion_receiver) = companion.split();
-    let closed = || Error::new(ErrorKind::PeerUnavailable).context("closed");
+    let (owner_sender, owner_receiver) = owner.split();
+    let (companion_sender, companion_receiver) = companion.split();
+    tokio::select! {
+        ended = forward_direction(owner_receiver, companion_sender) => ended,
+        ended = forward_direction(companion_receiver, owner_sender) => ended,
+    }
+}
+
+/// Forwards the frames of one peer until it is silent, or the other one takes none any more.
+async fn forward_direction(mut from: Receiver, mut to: Sender) -> Result<(), Error> {
     loop {
-        let forward_frame = async {
-            tokio::select! {
-                frame = owner_receiver.recv() => {
-                    companion_sender.send(&frame?.ok_or_else(closed)?).await
-                }
-                frame = companion_receiver.recv() => {
-                    owner_sender.send(&frame?.ok_or_else(closed)?).await
-                }
-            }
+        let received = timeout(IDLE_TIMEOUT, from.recv()).await;
+        let silent = |_elapsed| Error::new(ErrorKind::PeerUnavailable).context("silent");
+        let Some(frame) = received.map_err(silent)?? else {
+            return Err(Error::new(ErrorKind::PeerUnavailable).context("closed"));
         };
-        let idle_error = |_elapsed| Error::new(ErrorKind::PeerUnavailable).context("silent");
-        timeout(IDLE_TIMEOUT, forward_frame)
-            .await
-            .map_err(idle_error)??;
+        let sent = timeout(IDLE_TIMEOUT, to.send(&frame)).await;
+        let blocked = |_elapsed| Error::new(ErrorKind::PeerUnavailable).context("not sent in time");
+        sent.map_err(blocked)??;
     }
 }
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -11,17 +11,22 @@
     },
 };
 
+use futures_util::FutureExt;
 use support::{log::Lines, memory::Memory};
-use tokio::time::{Duration, Instant, sleep, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
-use toucanquay_model::{Resources, Time, session};
+use toucanquay_model::{
+    Error, ErrorKind, Resources, Time,
+    session::{self, Orders},
+};
 use toucanquay_node::{
-    Configuration, Entry,
+    Companion, Configuration, Entry, Store, Worker, companion,
     configuration::Source,
     entry::{self, Registration},
     key,
+    worker::Reply,
 };
-use toucanquay_wire::{Frame, Server, Stream};
+use toucanquay_wire::{Client, Frame, Server, Stream};
 
 /// Time within which an owner must have a session to a companion.
 const SESSION_TIMEOUT: Duration = Duration::from_secs(8);
@@ -29,6 +34,12 @@
 /// Time within which an owner must have closed a session to a silent companion.
 const NOTICED_WITHIN: Duration = Duration::from_secs(3);
 
+/// Time within which a relay to a silent companion must be closed.
+const RELAY_CLOSED_WITHIN: Duration = Duration::from_secs(5);
+
+/// Interval between the orders that a relay forwards.
+const ORDER_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between the updates of a companion.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -134,6 +145,30 @@
     }
 }
 
+/// Returns a companion whose store and worker refuse all calls.
+async fn start_companion(name: &str, listen: SocketAddr) -> Companion {
+    let unavailable = || Error::new(ErrorKind::StoreUnavailable);
+    let store = Store::new(move |_call, _deadline| async move { Err(unavailable()) }.boxed());
+    let worker = Worker::new(|_call, _deadline| async { Reply::ConnectionRefused }.boxed());
+    let settings = companion::Settings {
+        name: name.to_owned(),
+        process: 1,
+        listen,
+    };
+    let companion = Companion::start(settings, store, worker, &Lines::default().logger()).await;
+    companion.expect("the companion starts")
+}
+
+/// Opens a session to a companion through another one.
+async fn open_relayed(relay: SocketAddr, target: SocketAddr) -> Stream {
+    let client = Client::connect(relay).await.expect("a connection");
+    let mut stream = client.open().await.expect("a stream");
+    for frame in [Frame::Relay(target), Frame::Session(1)] {
+        stream.send(&frame).await.expect("the frame is sent");
+    }
+    stream
+}
+
 /// Waits until an event was logged. Returns whether it was within the timeout.
 async fn is_logged(lines: &Lines, event: &str, within: Duration) -> bool {
     let deadline = Instant::now() + within;
@@ -146,6 +181,33 @@
     false
 }
 
+/// Guards against a relay that is kept open for a silent companion, because each of the owner's
+/// orders starts the time anew after which it is closed.
+#[tokio::test]
+async fn relay_to_a_companion_that_falls_silent_while_it_gets_orders_is_closed() {
+    let stop = CancellationToken::new();
+    let host = Host::start("side-1", stop.clone()).await;
+    let relay = free_address();
+    let _companion = start_companion("side-2", relay).await;
+    let mut stream = open_relayed(relay, host.address).await;
+    let first = stream.recv().await;
+    host.is_silent.store(true, Ordering::Relaxed);
+
+    let (mut sender, mut receiver) = stream.split();
+    let sending = tokio::spawn(async move {
+        while sender.send(&Frame::Orders(Orders::default())).await.is_ok() {
+            sleep(ORDER_INTERVAL).await;
+        }
+    });
+    let closing = async { while let Ok(Some(_update)) = receiver.recv().await {} };
+    let is_closed = timeout(RELAY_CLOSED_WITHIN, closing).await.is_ok();
+
+    sending.abort();
+    stop.cancel();
+    assert!(matches!(first, Ok(Some(Frame::Update(_)))), "{first:?}");
+    assert!(is_closed, "the relay is open");
+}
+
 /// Guards against an owner that regards a silent companion as alive, because each of its own orders
 /// starts the time anew for which it waits for an update.
 #[tokio::test]
