companion: a worker that answers no call any more isn't reported as alive

Cause: only a refused connection, a deregistration or a later life of the worker made its companion give it up. Each of its updates went on to extend the lease that the owner counts on, so that the attempts were never released.

Why it works: after two failed requests for its list, and 1.5 s after the last one that was answered, the worker is reported as silent. The owner's orders then extend no lease, it gets no tasks, and the existing expiry releases its attempts when the last lease must have ended. A worker that was only frozen and is heard again before keeps its attempts. Heartbeats don't end a silence, as they don't renew a lease. Rejections of starts by the companion of a silent worker take effect at once.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -66,7 +66,14 @@
     has_worker_exited: bool,
     last_heartbeat: u64,
     incarnation: Incarnation,
+    /// When the last list was requested.
     listed_at: Option<Time>,
+    /// When the last list arrived.
+    list_received_at: Time,
+    /// Number of failed requests for a list since then.
+    failed_lists: u32,
+    /// Whether the worker is silent, so that its lease must not be extended.
+    is_worker_silent: bool,
     /// Whether a complete list has shown what this incarnation of the worker runs.
     has_complete_list: bool,
     /// When an attempt that uses idle processors last started or ended.
@@ -100,6 +107,9 @@
             last_heartbeat: 0,
             incarnation: 0,
             listed_at: None,
+            list_received_at: Time::ZERO,
+            failed_lists: 0,
+            is_worker_silent: false,
             has_complete_list: false,
             samples_invalidated_at: Time::ZERO,
             has_sample: false,
@@ -241,7 +251,8 @@
             is_settled: self.is_settled(),
             has_sample: std::mem::take(&mut self.has_sample),
             // The worker is reported only once a complete list has shown what it runs.
-            worker: self.worker.clone().filter(|_| self.has_complete_list),
+            worker: self.worker.clone().filter(|_| self.is_worker_reported()),
+            is_worker_silent: self.is_worker_silent,
             runs: runs.collect(),
             ends: self.ends.clone(),
             crashes: self.crashes.clone(),
@@ -289,7 +300,7 @@
             self.runs.len(),
             self.runs.values().filter(rejected).count(),
             self.runs.values().filter(probed).count(),
-            self.has_complete_list,
+            self.is_worker_reported(),
         )
     }
 
@@ -328,6 +339,12 @@
             .fold(Resources::ZERO, |sum, profile| sum.plus(&profile.occupied))
     }
 
+    /// Returns whether updates contain the worker: a complete list has shown what it runs, and it
+    /// isn't silent.
+    const fn is_worker_reported(&self) -> bool {
+        self.has_complete_list && !self.is_worker_silent
+    }
+
     /// Returns whether no unknown start of a former owner can still take effect: the worker has
     /// answered a call of the current epoch, and ignores calls of lower ones.
     const fn is_settled(&self) -> bool {
@@ -378,6 +395,8 @@
         self.last_listed_end = 0;
         self.acknowledged = 0;
         self.listed_at = None;
+        self.failed_lists = 0;
+        self.is_worker_silent = false;
         self.has_complete_list = false;
         self.fenced_epoch = 0;
     }
@@ -482,6 +501,9 @@
         if worker.is_draining {
             return Some(Rejection::Draining);
         }
+        if self.is_worker_silent {
+            return Some(Rejection::Refused);
+        }
         if lease_until < now.plus_micros(self.settings.start_lease_micros_min) {
             return Some(Rejection::LeaseOver);
         }
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -9,6 +9,9 @@
     Action, AttemptList, ListedAttempt, Runner, SAMPLE_DELAY_MICROS, attempt_state::AttemptState,
 };
 
+/// Number of consecutive failed requests for a list after which a worker may count as silent.
+const FAILED_LISTS_MIN: u32 = 2;
+
 impl Runner {
     /// Processes the worker's list of attempts. Returns the paces to set.
     pub fn apply_list(&mut self, list: AttemptList, now: Time) -> Vec<Action> {
@@ -22,6 +25,9 @@
             return Vec::new();
         }
         self.listed_at = Some(list.called_at);
+        self.list_received_at = now;
+        self.failed_lists = 0;
+        self.is_worker_silent = false;
         if !list.is_partial {
             self.has_complete_list = true;
             self.fenced_epoch = self.fenced_epoch.max(list.epoch);
@@ -56,6 +62,24 @@
         Vec::new()
     }
 
+    /// Records that a request for the worker's list failed. Returns whether the worker counts as
+    /// silent from now on.
+    ///
+    /// Heartbeats don't end a silence: only a list shows that the worker's lease was renewed. One
+    /// request is not enough: it may be lost with its connection, or with the time for which this
+    /// process was paused.
+    pub fn record_failed_list(&mut self, now: Time) -> bool {
+        self.failed_lists = self.failed_lists.saturating_add(1);
+        let silent_at = self
+            .list_received_at
+            .plus_micros(self.settings.silence_micros);
+        let is_silent =
+            self.has_complete_list && self.failed_lists >= FAILED_LISTS_MIN && now >= silent_at;
+        let has_changed = is_silent && !self.is_worker_silent;
+        self.is_worker_silent |= is_silent;
+        has_changed
+    }
+
     /// Processes an attempt that the worker lists as running. Returns whether its gauge was
     /// renewed.
     fn merge_listed(&mut self, listed: ListedAttempt, now: Time) -> bool {
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -12,6 +12,9 @@
     /// Length of the worker's lease, counted from the sending of the update that the owner's orders
     /// answer, in microseconds.
     pub lease_micros: u64,
+    /// Time since the last list after which a worker that leaves requests for it unanswered is
+    /// silent, in microseconds.
+    pub silence_micros: u64,
     /// Minimum remaining time of the lease for a start, in microseconds.
     pub start_lease_micros_min: u64,
     /// Time after which a start without an outcome is resolved by a stop, in microseconds.
@@ -47,6 +50,7 @@
             host,
             process,
             lease_micros,
+            silence_micros: 1_500_000,
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
             retry_micros: 500_000,
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -29,6 +29,8 @@
     pub(super) worker: Option<Worker>,
     /// The last known worker process has begun to drain.
     pub(super) is_worker_draining: bool,
+    /// The agent has reported that the worker is silent, and nothing else about it since.
+    pub(super) is_worker_silent: bool,
     pub(super) is_connected: bool,
     /// No update of the current session that contains a worker has been processed yet.
     pub(super) is_first_update: bool,
@@ -95,6 +97,7 @@
             worker_incarnation: 0,
             worker: None,
             is_worker_draining: false,
+            is_worker_silent: false,
             is_connected: false,
             is_first_update: true,
             is_agent_restarted: false,
--- a/crates/control/src/scheduler/loss.rs
+++ b/crates/control/src/scheduler/loss.rs
@@ -7,6 +7,6 @@
     Exited,
     /// The worker's process has restarted.
     Restarted,
-    /// The agent was silent until the worker's lease had ended. The worker may be well.
+    /// The agent or the worker was silent until the worker's lease had ended. The worker may be well.
     Silent,
 }
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -32,12 +32,15 @@
             host.lease_end_bound = self.settings.lease_end_bound(now);
         } else {
             // The orders must not extend a lease that the owner can't tell to be of use: the worker
-            // may have ended together with the former agent, and then nobody reports its end.
+            // may be lost without a sign, or may have ended together with the former agent, and then
+            // nobody reports its end.
             host.update_stamp = Time::ZERO;
         }
         self.apply_worker(key, update, is_agent_restarted, now);
         self.apply_crashes(key, update, now);
-        if update.worker.is_some() {
+        if update.worker.is_none() {
+            self.apply_rejections(key, update, now);
+        } else {
             self.apply_ends(key, update, now);
             self.apply_runs(key, update, now);
             self.release_missing_runs(key, update, is_first_update, now);
@@ -59,7 +62,7 @@
     }
 
     /// Releases the attempts on hosts whose leases have ended: those that are disconnected, and
-    /// those whose agent doesn't know its worker.
+    /// those whose agent doesn't know its worker or doesn't hear from it.
     pub(super) fn expire_hosts(&mut self, now: Time) {
         let is_expired = |host: &super::Host| {
             (!host.is_connected || host.worker.is_none())
@@ -81,9 +84,11 @@
         let host = &mut self.hosts[key];
         let Some(worker) = &update.worker else {
             // A restarted agent does not know the worker yet. An agent that did know it reports
-            // that the worker is gone.
-            let is_gone = !is_agent_restarted && host.worker.is_some();
+            // that the worker is silent or gone.
+            let was_known = host.worker.is_some() || host.is_worker_silent;
+            let is_gone = !is_agent_restarted && !update.is_worker_silent && was_known;
             host.worker = None;
+            host.is_worker_silent = update.is_worker_silent;
             if is_gone {
                 self.handle_worker_loss(key, Loss::Exited, now);
             }
@@ -102,6 +107,7 @@
             .as_ref()
             .is_some_and(|former| former.is_draining);
         host.is_worker_draining = worker.is_draining;
+        host.is_worker_silent = false;
         if host.worker.as_ref() != Some(worker) {
             host.worker = Some(worker.clone());
             self.mark_host_changed(key);
@@ -121,6 +127,7 @@
             attempts: host.runs.len(),
         });
         host.worker = None;
+        host.is_worker_silent = false;
         host.worker_incarnation = 0;
         host.unacknowledged_ends.clear();
         host.last_end = 0;
@@ -205,6 +212,17 @@
         }
     }
 
+    /// Releases the attempts that an agent has rejected. They never run, whatever its worker does.
+    fn apply_rejections(&mut self, key: HostKey, update: &Update, now: Time) {
+        for reported in &update.runs {
+            if matches!(reported.phase, RunPhase::Rejected(_))
+                && let Some(run) = self.find_run_on_host(key, reported)
+            {
+                self.update_run(run, reported, now);
+            }
+        }
+    }
+
     /// Updates a known attempt from the agent's report.
     fn update_run(&mut self, key: RunKey, reported: &ReportedRun, now: Time) {
         if let RunPhase::Rejected(reason) = reported.phase {
--- a/crates/control/tests/fleet/host.rs
+++ b/crates/control/tests/fleet/host.rs
@@ -113,6 +113,7 @@
             is_settled: true,
             has_sample: true,
             worker: Some(self.worker.clone()),
+            is_worker_silent: false,
             runs: self.attempts.iter().map(status).collect(),
             ends: self.ends.clone(),
             crashes: Vec::new(),
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -119,6 +119,7 @@
         is_settled: true,
         has_sample: true,
         worker: Some(worker()),
+        is_worker_silent: false,
         runs: Vec::new(),
         ends: Vec::new(),
         crashes: Vec::new(),
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -898,3 +898,82 @@
     );
     assert!(confirmed.len() <= 8, "{confirmed:?}");
 }
+
+/// Returns a runner whose worker has left two requests for its list unanswered, at these times.
+fn runner_after_failed_lists(millis: [u64; 2]) -> Runner {
+    let mut runner = runner(1);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    runner.record_start_outcome(task(1, 0, 0), 1, CallOutcome::Done, at(2));
+    for millis in millis {
+        runner.record_failed_list(at(millis));
+    }
+    runner
+}
+
+/// Guards against a worker that is lost without a sign and counts as alive, because its companion
+/// goes on to report it.
+#[test]
+fn worker_that_leaves_its_lists_unanswered_is_reported_as_silent() {
+    let mut runner = runner_after_failed_lists([1_500, 2_800]);
+
+    let update = runner.next_update(at(2_801));
+
+    assert_eq!((update.worker, update.is_worker_silent), (None, true));
+    assert_eq!(update.runs.len(), 1, "it may still run its attempts");
+}
+
+/// Guards against a heartbeat that ends the silence of a worker whose lease isn't renewed.
+#[test]
+fn heartbeat_does_not_end_a_silence() {
+    let mut runner = runner_after_failed_lists([1_500, 2_800]);
+    runner.record_heartbeat(heartbeat(2));
+
+    let update = runner.next_update(at(3_000));
+
+    assert!(update.is_worker_silent);
+}
+
+/// Guards against a worker that was frozen and isn't used again, or loses its attempts.
+#[test]
+fn list_ends_a_silence() {
+    let mut runner = runner_after_failed_lists([1_500, 2_800]);
+    let mut list = empty_list(at(3_000));
+    list.running.push(listed(task(1, 0, 0), 1));
+    runner.apply_list(list, at(3_010));
+
+    let update = runner.next_update(at(3_011));
+
+    assert!(update.worker.is_some());
+    assert!(!update.is_worker_silent);
+    assert_eq!(update.runs.len(), 1);
+}
+
+/// Guards against a silence for requests that were lost with their connections or while the
+/// companion was paused.
+#[rstest]
+#[case::one_request([5_000, 0])]
+#[case::within_a_moment([700, 900])]
+fn lost_requests_are_no_silence(#[case] millis: [u64; 2]) {
+    let mut runner = runner(1);
+    for millis in millis.into_iter().filter(|millis| *millis > 0) {
+        runner.record_failed_list(at(millis));
+    }
+
+    let update = runner.next_update(at(5_001));
+
+    assert!(update.worker.is_some());
+}
+
+/// Guards against a start that is sent to a silent worker, where it may or may not take effect until
+/// the lease ends.
+#[test]
+fn start_on_a_silent_worker_is_rejected() {
+    let mut runner = runner_after_failed_lists([1_500, 2_800]);
+
+    let orders = starts(1, 2, at(2_900), vec![start(task(2, 0, 0), 2)]);
+    let actions = runner.apply_orders(&orders, at(2_901));
+
+    assert!(actions.is_empty());
+    let refused = Phase::Rejected(Rejection::Refused);
+    assert_eq!(phases(&mut runner, at(2_902)), [Phase::Running, refused]);
+}
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -12,7 +12,7 @@
 use toucanquay_model::{
     Time,
     graph::{Id, Progress, Schedule, State, Step},
-    session::{Ending, Phase, Rejection, Stop, Worker},
+    session::{Ending, Phase, Rejection, Start, Stop, Update, Worker},
 };
 
 /// Returns the scheduler of an owner that has taken over a job with one task and does not wait for
@@ -152,6 +152,122 @@
     assert_eq!(elsewhere.starts.len(), starts);
 }
 
+/// Returns an update from a host whose worker leaves its agent's calls unanswered.
+fn silent_update(host: &str, number: u64) -> Update {
+    Update {
+        worker: None,
+        is_worker_silent: true,
+        ..update(host, number)
+    }
+}
+
+/// Returns a scheduler with one task, on `h1`, whose worker falls silent while another host is free,
+/// and the number of the task's attempt.
+fn scheduler_with_a_silent_worker() -> (Scheduler, u64) {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let started = orders(&mut scheduler, "h1", at(1));
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(2));
+    scheduler.update(&silent_update("h1", 2), at(3_000));
+    (scheduler, started.starts[0].attempt)
+}
+
+/// Guards against tasks of a worker that is lost without a sign and that are never started again,
+/// since its agent lives on, and against starting them while the worker may still run them.
+#[rstest]
+#[case::while_the_lease_lasts(6_000, 0)]
+#[case::after_the_lease(6_500, 1)]
+fn task_of_a_silent_worker_waits_for_the_end_of_the_lease(
+    #[case] millis: u64,
+    #[case] starts: usize,
+) {
+    let (mut scheduler, _attempt) = scheduler_with_a_silent_worker();
+    scheduler.update(&silent_update("h1", 3), at(5_900));
+
+    let elsewhere = orders(&mut scheduler, "h2", at(millis));
+
+    assert_eq!(elsewhere.starts.len(), starts);
+}
+
+/// Guards against orders that extend the lease of a silent worker, on which its tasks then run when
+/// they are started elsewhere.
+#[test]
+fn orders_to_a_silent_worker_extend_no_lease() {
+    let (mut scheduler, _attempt) = scheduler_with_a_silent_worker();
+
+    let renewal = orders(&mut scheduler, "h1", at(3_100));
+
+    assert_eq!(renewal.stamp, Time::ZERO);
+}
+
+/// Guards against a worker that was frozen for less than its lease and loses its tasks.
+#[test]
+fn task_of_a_worker_that_is_heard_again_within_its_lease_runs_on() {
+    let (mut scheduler, attempt) = scheduler_with_a_silent_worker();
+    let mut heard = update("h1", 3);
+    let running = attempt_status(task(1, 0, 0), attempt, Phase::Running);
+    heard.runs.push(running);
+    scheduler.update(&heard, at(6_000));
+
+    let elsewhere = orders(&mut scheduler, "h2", at(8_000));
+    let renewal = orders(&mut scheduler, "h1", at(8_001));
+
+    assert!(elsewhere.starts.is_empty(), "{elsewhere:?}");
+    assert!(renewal.stops.is_empty(), "{renewal:?}");
+    assert_eq!(renewal.stamp, heard.stamp);
+}
+
+/// Guards against a worker that was given up and isn't used any more when it is heard again.
+#[test]
+fn worker_that_is_heard_again_after_its_lease_is_used_again() {
+    let (mut scheduler, attempt) = scheduler_with_a_silent_worker();
+    let moved = orders(&mut scheduler, "h2", at(7_000));
+    scheduler.accept(Id::new(2), accepted_job(vec![step(8)]), at(7_000));
+    let mut heard = update("h1", 3);
+    let lapsed = end(1, task(1, 0, 0), attempt, Ending::Expired);
+    heard.ends.push(lapsed);
+    scheduler.update(&heard, at(9_000));
+
+    let again = orders(&mut scheduler, "h1", at(9_001));
+
+    assert_eq!(moved.starts.len(), 1);
+    let is_second_job = |start: &Start| start.task.job == Id::new(2);
+    assert!(!again.starts.is_empty(), "the worker isn't used");
+    assert!(again.starts.iter().all(is_second_job), "{again:?}");
+}
+
+/// Guards against waiting for the lease of a worker that was silent and is known to have exited.
+#[test]
+fn task_of_a_silent_worker_that_has_exited_is_started_at_once() {
+    let (mut scheduler, _attempt) = scheduler_with_a_silent_worker();
+    let exited = Update {
+        worker: None,
+        ..update("h1", 3)
+    };
+    scheduler.update(&exited, at(3_500));
+
+    let elsewhere = orders(&mut scheduler, "h2", at(3_501));
+
+    assert_eq!(elsewhere.starts.len(), 1);
+}
+
+/// Guards against a start that a silent worker's agent has rejected and that waits for the lease.
+#[test]
+fn rejection_of_a_silent_workers_agent_takes_effect() {
+    let (mut scheduler, attempt) = scheduler_with_a_silent_worker();
+    let mut rejecting = silent_update("h1", 3);
+    let rejected = Phase::Rejected(Rejection::Refused);
+    rejecting
+        .runs
+        .push(attempt_status(task(1, 0, 0), attempt, rejected));
+    scheduler.update(&rejecting, at(3_100));
+
+    let elsewhere = orders(&mut scheduler, "h2", at(3_200));
+
+    assert_eq!(elsewhere.starts.len(), 1);
+}
+
 /// Guards against waiting for the lease of a worker that is known to have restarted.
 #[test]
 fn task_of_a_restarted_worker_is_started_at_once() {
--- a/crates/model/src/session/update.rs
+++ b/crates/model/src/session/update.rs
@@ -25,8 +25,11 @@
     pub applied: u64,
     /// Whether every start ordered by an earlier owner that can still take effect is listed here.
     pub is_settled: bool,
-    /// The worker, or `None` if it has not announced itself yet or is gone.
+    /// The worker, or `None` if it has not announced itself yet, is silent or is gone.
     pub worker: Option<Worker>,
+    /// Whether the worker is silent: it leaves its agent's calls unanswered, and may go on running
+    /// its attempts until its lease ends.
+    pub is_worker_silent: bool,
     /// Whether the measurements in `runs` are new since the last update and valid for the current
     /// attempts, that is, no attempt that uses idle processors was started or ended just before.
     pub has_sample: bool,
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use slog::info;
+use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use toucanquay_control::runner::AttemptList;
 
@@ -17,7 +17,8 @@
 const LIST_WAIT_MS: u64 = 500;
 
 /// Long-poll timeout while attempts are paced by the latency that the worker reports, which it
-/// updates every 250 ms, or while the owner waits to learn whether the worker outlives a start.
+/// updates every 250 ms, while the owner waits to learn whether the worker outlives a start, or
+/// after a failed list.
 const URGENT_WAIT_MS: u64 = 125;
 
 /// Time to wait for ended attempts to be acknowledged before the next list. A list returns at once
@@ -37,6 +38,7 @@
 /// Runs until the companion stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut refusals = 0;
+    let mut has_failed = false;
     loop {
         let has_ends = shared.runner().has_unacknowledged_ends();
         if has_ends {
@@ -45,14 +47,19 @@
         }
         let is_urgent = {
             let runner = shared.runner();
-            runner.needs_pacing() || runner.has_probe()
+            has_failed || runner.needs_pacing() || runner.has_probe()
         };
         let wait_ms = if is_urgent {
             URGENT_WAIT_MS
         } else {
             LIST_WAIT_MS
         };
-        match renew_lease(&shared, wait_ms).await {
+        let reply = renew_lease(&shared, wait_ms).await;
+        has_failed = !matches!(reply, Reply::Attempts(_));
+        if has_failed {
+            record_failed_list(&shared);
+        }
+        match reply {
             Reply::Attempts(list) => {
                 refusals = 0;
                 let is_partial = list.is_partial;
@@ -126,6 +133,15 @@
     }
 }
 
+/// Tells the owner once the worker counts as silent, so that it is given no more tasks, and its
+/// lease is not extended.
+fn record_failed_list(shared: &Shared) {
+    if shared.runner().record_failed_list(shared.clock.now()) {
+        warn!(shared.log, "worker_silent"; "reason" => "its lists fail");
+        shared.update_needed.notify_one();
+    }
+}
+
 fn record_worker_exit(shared: &Shared) {
     let mut runner = shared.runner();
     if runner.worker().is_some() {
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -7,7 +7,7 @@
 
 use futures_util::FutureExt;
 use slog::{Discard, Logger, o};
-use tokio::time::{Duration, sleep, timeout};
+use tokio::time::{Duration, sleep, sleep_until, timeout};
 use toucanquay_control::runner::{AttemptList, CallOutcome, Heartbeat};
 use toucanquay_model::{Error, ErrorKind, Resources, Time, session};
 use toucanquay_node::{Clock, Companion, Store, Worker, companion, worker::Reply};
@@ -35,6 +35,22 @@
     })
 }
 
+/// Returns a worker whose first reply is an empty list, and that leaves all later calls unanswered.
+fn worker_that_falls_silent() -> Worker {
+    let calls = AtomicUsize::new(0);
+    Worker::new(move |_call, deadline| {
+        let is_first = calls.fetch_add(1, Ordering::Relaxed) == 0;
+        async move {
+            if is_first {
+                return Reply::Attempts(empty_list(Clock.now()));
+            }
+            sleep_until(deadline).await;
+            Reply::Outcome(CallOutcome::Unknown)
+        }
+        .boxed()
+    })
+}
+
 fn empty_list(called_at: Time) -> AttemptList {
     AttemptList {
         incarnation: INCARNATION,
@@ -97,3 +113,25 @@
 
     assert!(worker.is_some(), "the worker is regarded as gone");
 }
+
+/// Guards against a worker that is lost without a sign and whose tasks are never started again,
+/// because its companion goes on to report it.
+#[tokio::test]
+async fn worker_that_answers_no_call_any_more_is_not_reported_as_alive() {
+    let settings = companion::Settings {
+        name: "h".to_owned(),
+        process: 1,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let log = Logger::root(Discard, o!());
+    let worker = worker_that_falls_silent();
+    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
+    let companion = companion.expect("the companion starts");
+    companion.record_heartbeat(heartbeat());
+    sleep(Duration::from_millis(4_000)).await;
+
+    let worker = reported_worker(address).await;
+
+    assert!(worker.is_none(), "{worker:?}");
+}
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -313,6 +313,7 @@
         applied: 0,
         is_settled: true,
         worker: None,
+        is_worker_silent: false,
         has_sample: false,
         runs: Vec::new(),
         ends: Vec::new(),
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -139,6 +139,7 @@
             is_draining: false,
             remaining_ms: None,
         }),
+        is_worker_silent: false,
         runs: Vec::new(),
         ends: Vec::new(),
         crashes: Vec::new(),
--- a/crates/wire/src/delta/decoder.rs
+++ b/crates/wire/src/delta/decoder.rs
@@ -51,6 +51,7 @@
         if let Some(worker) = delta.worker {
             self.last.worker = worker;
         }
+        self.last.is_worker_silent = delta.is_worker_silent;
         self.last.number = delta.number;
         self.last.stamp = delta.stamp;
         self.last.epoch = delta.epoch;
--- a/crates/wire/src/delta/encoder.rs
+++ b/crates/wire/src/delta/encoder.rs
@@ -83,6 +83,7 @@
             is_settled: update.is_settled,
             has_sample: update.has_sample,
             worker,
+            is_worker_silent: update.is_worker_silent,
             added,
             changed,
             removed,
--- a/crates/wire/src/delta/message.rs
+++ b/crates/wire/src/delta/message.rs
@@ -23,8 +23,11 @@
     pub is_settled: bool,
     /// Whether the measurements are new and valid for the current attempts.
     pub has_sample: bool,
-    /// The worker, if its description has changed. The inner value is `None` if the worker is gone.
+    /// The worker, if its description has changed. The inner value is `None` if the worker is silent
+    /// or gone.
     pub worker: Option<Option<Worker>>,
+    /// Whether the worker is silent.
+    pub is_worker_silent: bool,
     /// Attempts that were not listed before, with the slots that identify them in later messages.
     pub added: Vec<(u32, AttemptStatus)>,
     /// Attempts whose status has changed.
--- a/crates/wire/tests/delta.rs
+++ b/crates/wire/tests/delta.rs
@@ -65,6 +65,7 @@
         is_settled: true,
         has_sample: false,
         worker: Some(worker(1)),
+        is_worker_silent: false,
         runs,
         ends,
         crashes: Vec::new(),
@@ -196,3 +197,24 @@
     assert_eq!(error.kind(), ErrorKind::Protocol);
     assert_eq!(error.invalid_field(), Some("removed"));
 }
+
+/// Guards against an owner that releases the attempts of a silent worker at once, because it learns
+/// only that the worker isn't reported.
+#[test]
+fn silence_of_a_worker_is_carried_over() {
+    let first = update(1, Vec::new(), Vec::new());
+    let (mut encoder, mut decoder) = session(&first);
+    let silent = Update {
+        worker: None,
+        is_worker_silent: true,
+        ..update(2, Vec::new(), Vec::new())
+    };
+    let heard = update(3, Vec::new(), Vec::new());
+
+    let restored = [&silent, &heard].map(|update| {
+        let delta = encoder.encode(update.clone(), false);
+        decoder.decode(delta).expect("a valid difference")
+    });
+
+    assert_eq!(restored, [silent, heard]);
+}
