companion: unanswered calls between refused connections don't count as life

Only an answer sets the count back now.

The test worker_that_refuses_connections_between_unanswered_calls_is_gone failed before: the worker was still reported.

--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -4,7 +4,7 @@
 
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, timeout};
-use toucanquay_control::runner::AttemptList;
+use toucanquay_control::runner::{AttemptList, CallOutcome};
 
 use super::{Shared, executor};
 use crate::{
@@ -31,8 +31,8 @@
 /// Delay before a failed list is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Number of consecutive refused connections after which the worker's process is considered to have
-/// exited.
+/// Number of refused connections without an answer in between after which the worker's process is
+/// considered to have exited.
 const REFUSALS_MIN: u32 = 2;
 
 /// Runs until the companion stops.
@@ -77,8 +77,11 @@
                 }
                 let _ = timeout(RETRY_DELAY, shared.list_needed.notified()).await;
             }
-            Reply::Outcome(_) => {
-                refusals = 0;
+            Reply::Outcome(outcome) => {
+                // Without an answer, there is no sign that the process lives on.
+                if outcome != CallOutcome::Unknown {
+                    refusals = 0;
+                }
                 sleep(RETRY_DELAY).await;
             }
         }
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -22,14 +22,14 @@
 }
 
 /// Returns a worker whose first reply is an empty list. After that, it refuses every other
-/// connection.
-fn worker_that_refuses_every_other_connection() -> Worker {
+/// connection, and the other calls have this outcome.
+fn worker_that_refuses_every_other_connection(outcome: CallOutcome) -> Worker {
     let calls = AtomicUsize::new(0);
     Worker::new(move |_call, _deadline| {
         let reply = match calls.fetch_add(1, Ordering::Relaxed) {
             0 => Reply::Attempts(empty_list(Clock.now())),
             call if call % 2 == 1 => Reply::ConnectionRefused,
-            _ => Reply::Outcome(CallOutcome::Refused),
+            _ => Reply::Outcome(outcome),
         };
         async move { reply }.boxed()
     })
@@ -102,7 +102,7 @@
         listen: free_address(),
     };
     let address = settings.listen;
-    let worker = worker_that_refuses_every_other_connection();
+    let worker = worker_that_refuses_every_other_connection(CallOutcome::Refused);
     let log = Logger::root(Discard, o!());
     let companion = Companion::start(settings, refusing_store(), worker, &log).await;
     let companion = companion.expect("the companion starts");
@@ -135,3 +135,25 @@
 
     assert!(worker.is_none(), "{worker:?}");
 }
+
+/// Guards against a worker that has exited and counts as alive, because calls without an answer
+/// between the refused connections set their count back.
+#[tokio::test]
+async fn worker_that_refuses_connections_between_unanswered_calls_is_gone() {
+    let settings = companion::Settings {
+        name: "h".to_owned(),
+        process: 1,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let log = Logger::root(Discard, o!());
+    let worker = worker_that_refuses_every_other_connection(CallOutcome::Unknown);
+    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
+    let companion = companion.expect("the companion starts");
+    companion.record_heartbeat(heartbeat());
+    sleep(Duration::from_millis(1_000)).await;
+
+    let worker = reported_worker(address).await;
+
+    assert!(worker.is_none(), "{worker:?}");
+}
