runner: a heartbeat alone replaces no worker

Cause: a later start time in any heartbeat began another incarnation and dropped all attempts. Neither its id nor the worker was asked.

Why it works: the worker's own list now has to confirm a later incarnation. Until then the known worker holds, and starts are rejected until a list that was requested after the announcement arrives: one that reached a later incarnation would run there unknown to the owner.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -65,6 +65,11 @@
     /// Whether the worker has exited and no later incarnation was seen.
     has_worker_exited: bool,
     last_heartbeat: u64,
+    /// Last heartbeat of an incarnation that the worker itself has not confirmed by a list.
+    unconfirmed_heartbeat: Option<Heartbeat>,
+    /// When that incarnation was first announced, until a later list of the known incarnation
+    /// refutes it.
+    announced_at: Option<Time>,
     incarnation: Incarnation,
     /// When the last list was requested.
     listed_at: Option<Time>,
@@ -105,6 +110,8 @@
             worker_id: String::new(),
             has_worker_exited: false,
             last_heartbeat: 0,
+            unconfirmed_heartbeat: None,
+            announced_at: None,
             incarnation: 0,
             listed_at: None,
             list_received_at: Time::ZERO,
@@ -122,17 +129,22 @@
         }
     }
 
-    /// Processes a heartbeat of the worker. Returns whether it changed the known state.
+    /// Processes a heartbeat of the worker. Returns whether it changed the known state or announced
+    /// another incarnation.
     ///
-    /// Heartbeats of a former incarnation and those that arrive out of order are ignored.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat) -> bool {
+    /// Heartbeats of a former incarnation and those that arrive out of order are ignored. One of a
+    /// later incarnation may come from another writer, so that it takes effect only when a list of
+    /// the worker confirms it: until then, the known incarnation holds.
+    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
         if heartbeat.worker.incarnation < self.incarnation {
             return false;
         }
         if heartbeat.worker.incarnation > self.incarnation {
-            self.begin_incarnation(heartbeat.worker.incarnation);
+            return self.announce_incarnation(heartbeat, now);
         }
-        if heartbeat.sequence <= self.last_heartbeat && self.worker.is_some() {
+        let is_known = self.worker.is_some();
+        let is_other = heartbeat.id != self.worker_id || heartbeat.sequence <= self.last_heartbeat;
+        if is_known && is_other {
             return false;
         }
         self.last_heartbeat = heartbeat.sequence;
@@ -148,10 +160,21 @@
         is_changed
     }
 
-    /// Processes the deregistration of the worker, which exits. A late one of a former incarnation
-    /// is ignored. Returns whether the worker has exited.
+    /// Keeps a heartbeat of a later incarnation. Returns whether it is the first one.
+    fn announce_incarnation(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
+        let incarnation = heartbeat.worker.incarnation;
+        let former = self.unconfirmed_heartbeat.replace(heartbeat);
+        let is_first = former.is_none_or(|former| former.worker.incarnation != incarnation);
+        if is_first {
+            self.announced_at = Some(now);
+        }
+        is_first
+    }
+
+    /// Processes the deregistration of the worker, which exits. One of another incarnation is
+    /// ignored. Returns whether the worker has exited.
     pub fn deregister_worker(&mut self, id: &str, incarnation: Option<Incarnation>) -> bool {
-        let is_current = incarnation.is_none_or(|incarnation| incarnation >= self.incarnation);
+        let is_current = incarnation.is_none_or(|incarnation| incarnation == self.incarnation);
         if self.worker_id != id || !is_current {
             return false;
         }
@@ -380,7 +403,7 @@
         });
     }
 
-    fn begin_incarnation(&mut self, incarnation: Incarnation) {
+    fn begin_incarnation(&mut self, incarnation: Incarnation, now: Time) {
         self.record_crash();
         self.incarnation = incarnation;
         self.worker = None;
@@ -388,6 +411,12 @@
         self.runs.clear();
         self.ends.clear();
         self.reset_incarnation();
+        let confirmed = self
+            .unconfirmed_heartbeat
+            .take_if(|heartbeat| heartbeat.worker.incarnation <= incarnation);
+        if let Some(heartbeat) = confirmed {
+            self.record_heartbeat(heartbeat, now);
+        }
     }
 
     const fn reset_incarnation(&mut self) {
@@ -395,6 +424,7 @@
         self.last_listed_end = 0;
         self.acknowledged = 0;
         self.listed_at = None;
+        self.announced_at = None;
         self.failed_lists = 0;
         self.is_worker_silent = false;
         self.has_complete_list = false;
@@ -501,7 +531,8 @@
         if worker.is_draining {
             return Some(Rejection::Draining);
         }
-        if self.is_worker_silent {
+        // A start that reaches a later incarnation would run there unknown to the owner.
+        if self.is_worker_silent || self.announced_at.is_some() {
             return Some(Rejection::Refused);
         }
         if lease_until < now.plus_micros(self.settings.start_lease_micros_min) {
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -19,12 +19,13 @@
             return Vec::new();
         }
         if list.incarnation > self.incarnation {
-            self.begin_incarnation(list.incarnation);
+            self.begin_incarnation(list.incarnation, now);
         }
         if self.listed_at.is_some_and(|last| list.called_at < last) {
             return Vec::new();
         }
         self.listed_at = Some(list.called_at);
+        self.announced_at.take_if(|at| list.called_at >= *at);
         self.list_received_at = now;
         self.failed_lists = 0;
         self.is_worker_silent = false;
--- a/crates/node/src/companion.rs
+++ b/crates/node/src/companion.rs
@@ -64,7 +64,10 @@
         let shared = &self.shared;
         let (id, incarnation) = (heartbeat.id.clone(), heartbeat.worker.incarnation);
         let is_draining = heartbeat.worker.is_draining;
-        if shared.runner().record_heartbeat(heartbeat) {
+        if shared
+            .runner()
+            .record_heartbeat(heartbeat, shared.clock.now())
+        {
             info!(shared.log, "worker_announced"; "worker" => id, "incarnation" => incarnation,
                 "is_draining" => is_draining);
             shared.update_needed.notify_one();
