runner: an attempt that a cut list of ends doesn't name is kept

Cause: a worker lists 500 ends at a time, and later ones only when the first are acknowledged, for which the store is needed. The companion took the list for a complete one and dropped the attempts that it didn't name; the owner started their tasks again.

Why it works: a list with as many ends as a worker lists at a time is marked. It shows what runs and what has ended, resolves nothing that it doesn't name, and settles no epoch. The worker is still reported, so that its ends are acknowledged and the rest is listed.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -57,8 +57,8 @@
     last_applied: u64,
     last_update: u64,
     lease_until: Time,
-    /// Highest epoch of a call that this incarnation of the worker has answered with a complete
-    /// list. It ignores calls of lower epochs.
+    /// Highest epoch of a call that this incarnation of the worker has answered with a list of all
+    /// attempts and ends. It ignores calls of lower epochs.
     fenced_epoch: Epoch,
     worker: Option<Worker>,
     worker_id: String,
--- a/crates/control/src/runner/attempt_list.rs
+++ b/crates/control/src/runner/attempt_list.rs
@@ -20,4 +20,7 @@
     /// Whether attempts may be missing from both lists, because the worker's reply can't be read
     /// in full.
     pub is_partial: bool,
+    /// Whether the worker may have more ends than it has listed. Attempts that are in neither list
+    /// may have ended.
+    pub has_more_ends: bool,
 }
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -31,6 +31,9 @@
         self.is_worker_silent = false;
         if !list.is_partial {
             self.has_complete_list = true;
+        }
+        let is_exhaustive = !list.is_partial && !list.has_more_ends;
+        if is_exhaustive {
             self.fenced_epoch = self.fenced_epoch.max(list.epoch);
         }
         let called_at = list.called_at;
@@ -50,7 +53,7 @@
         let sample_valid_at = self.samples_invalidated_at.plus_micros(SAMPLE_DELAY_MICROS);
         let is_sample = is_renewed && now >= sample_valid_at;
         self.has_sample |= is_sample;
-        if !list.is_partial {
+        if is_exhaustive {
             self.resolve_unlisted(called_at);
         }
         if is_sample {
@@ -110,8 +113,8 @@
         }
     }
 
-    /// Resolves the attempts that a complete list requested at `called_at` would show if they were on
-    /// the worker, but doesn't.
+    /// Resolves the attempts that an exhaustive list requested at `called_at` would show if they were
+    /// on the worker or had ended there, but doesn't.
     fn resolve_unlisted(&mut self, called_at: Time) {
         self.runs.retain(|_, state| {
             let is_resolvable = state.outcome_known_at.is_some_and(|at| called_at >= at);
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -194,6 +194,7 @@
         running: Vec::new(),
         finished: Vec::new(),
         is_partial: false,
+        has_more_ends: false,
     }
 }
 
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -131,6 +131,7 @@
             running: running.collect(),
             finished: self.finished.clone(),
             is_partial: false,
+            has_more_ends: false,
         }
     }
 
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1101,3 +1101,47 @@
     let refused = Phase::Rejected(Rejection::Refused);
     assert_eq!(phases(&mut runner, at(2_902)), [Phase::Running, refused]);
 }
+
+/// Returns a list that names only the first ends, of which there are more.
+fn cut_list(millis: u64) -> AttemptList {
+    AttemptList {
+        epoch: 1,
+        finished: vec![end(1, task(9, 0, 0), 5, Ending::Done)],
+        has_more_ends: true,
+        ..empty_list(at(millis))
+    }
+}
+
+/// Guards against a task that is done and starts again, because its end comes after those that the
+/// worker lists at a time.
+#[test]
+fn attempt_whose_end_is_not_listed_yet_is_kept() {
+    let mut runner = runner(1);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    runner.record_start_outcome(task(1, 0, 0), 1, CallOutcome::Done, at(2));
+
+    runner.apply_list(cut_list(500), at(501));
+    let cut = runner.next_update(at(502));
+    let mut rest = empty_list(at(600));
+    rest.finished = vec![end(2, task(1, 0, 0), 1, Ending::Done)];
+    runner.apply_list(rest, at(601));
+    let whole = runner.next_update(at(602));
+
+    assert_eq!(cut.runs.len(), 1, "{cut:?}");
+    assert!(whole.runs.is_empty(), "{whole:?}");
+    assert_eq!(whole.ends.last().map(|end| end.number), Some(2));
+}
+
+/// Guards against a worker whose ends are never acknowledged, since it isn't reported while it lists
+/// only some of them, and against an owner that starts tasks whose ends it doesn't know.
+#[test]
+fn worker_with_more_ends_is_reported_and_not_settled() {
+    let mut runner = runner(1);
+
+    runner.apply_list(cut_list(500), at(501));
+    let update = runner.next_update(at(502));
+
+    assert!(update.worker.is_some());
+    assert_eq!(update.ends.len(), 1);
+    assert!(!update.is_settled);
+}
