entry: a stopping entry answers each request that it has read

Cause: a request may wait for an owner or the store until its own deadline, while the process closes its connections 4.8 s after the signal.

Why it works: the entry knows from the signal on by when it must have answered, and no request gets a later deadline.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 
 use slog::{Logger, info, o};
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 use toucanquay_model::Error;
 use toucanquay_wire::Server;
 
@@ -85,10 +85,28 @@
         self.shared.drain.is_cancelled()
     }
 
+    /// Returns the time by which a request must be answered: its own deadline, but no later than
+    /// the time by which a draining entry must have answered all requests.
+    #[must_use]
+    pub fn answer_deadline(&self, deadline: Instant) -> Instant {
+        let answer_by = self.shared.answer_by.get();
+        answer_by.map_or(deadline, |answer_by| deadline.min(*answer_by))
+    }
+
+    /// Waits until a draining entry must have answered all requests.
+    pub async fn answers_due(&self) {
+        self.shared.drain.cancelled().await;
+        if let Some(answer_by) = self.shared.answer_by.get() {
+            sleep_until(*answer_by).await;
+        }
+    }
+
     /// Releases ownership and reports the entry as not ready. The entry continues to serve
-    /// requests.
-    pub async fn drain(&self) {
+    /// requests, and answers all of them by `answer_by`.
+    pub async fn drain(&self, answer_by: Instant) {
         info!(self.shared.log, "entry_draining");
+        // The time of the first call holds.
+        let _ = self.shared.answer_by.set(answer_by);
         self.shared.drain.cancel();
         let deregistered = self.shared.deregistered.cancelled();
         let released = self.shared.released.cancelled();
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -2,12 +2,15 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
 };
 
 use slog::Logger;
 use smallvec::SmallVec;
-use tokio::sync::{Notify, mpsc};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::Instant,
+};
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::Time;
 use toucanquay_wire::Pool;
@@ -36,6 +39,9 @@
     pub(super) stop: CancellationToken,
     /// Makes the entry give up ownership and never acquire it again.
     pub(super) drain: CancellationToken,
+    /// Time by which the draining entry must have answered all requests; set before
+    /// [`drain`](Self::drain) is cancelled.
+    pub(super) answer_by: OnceLock<Instant>,
     /// Cancelled after [`drain`](Self::drain), once ownership is released or if it wasn't held.
     pub(super) released: CancellationToken,
     /// Cancelled after [`drain`](Self::drain), once the registration is removed.
@@ -72,6 +78,7 @@
             pool: Pool::new(),
             stop: CancellationToken::new(),
             drain: CancellationToken::new(),
+            answer_by: OnceLock::new(),
             released: CancellationToken::new(),
             deregistered: CancellationToken::new(),
             configuration_confirmed: Notify::new(),
