scheduler: orders are split into messages that fit in a frame

Cause: all starts for a host went out in one message, which grew beyond the largest frame. The encoder's error ended the session, the starts were taken back, and the same tasks were placed in the same way again.

Why it works: a message has at most 256 KiB of starts; the rest follows. A start that waits doesn't count as sent, so that no update releases it, and a stop isn't sent before its start.

starts_of_a_backlog_are_split (two of three cases) and start_of_a_later_message_is_not_released failed before.

--- a/crates/control/src/scheduler/orders.rs
+++ b/crates/control/src/scheduler/orders.rs
@@ -1,9 +1,25 @@
 //! Sessions with agents and the orders sent to them.
 
-use toucanquay_model::{Time, session::Orders};
+use std::collections::BTreeSet;
+
+use toucanquay_model::{
+    Time,
+    graph::Task,
+    session::{Orders, Start, Stop},
+};
 
 use super::{Scheduler, host::Host, key::HostKey};
 
+/// Maximum size of the starts in one message, in bytes. A message has at least one start. It is far
+/// below the maximum size of a frame, and a slow link sends it well within a session's timeout.
+const STARTS_BYTES_MAX: usize = 256 * 1024;
+
+/// Upper bound for the size of a start without its payload and checkpoint, in bytes.
+const START_BYTES: usize = 128;
+
+/// Maximum number of stops, of profiles and of effects in one message.
+const ITEMS_MAX: usize = 2_048;
+
 impl Scheduler {
     /// Begins a session with a host's agent. Discards the pending orders of the former session.
     pub fn connect(&mut self, name: &str) {
@@ -58,6 +74,9 @@
         if !host.is_connected || host.update_number == 0 {
             return None;
         }
+        let starts = take_starts(&mut host.starts);
+        let unsent: BTreeSet<Task> = host.starts.iter().map(|start| start.task).collect();
+        let stops = take_stops(&mut host.stops, &unsent);
         host.orders_sent += 1;
         host.orders_sent_at = now;
         host.acknowledged_sent = host.acknowledged;
@@ -70,13 +89,21 @@
             worker: host.worker_incarnation,
             acknowledged: host.acknowledged,
             crashes_acknowledged: host.crashes_acknowledged,
-            starts: std::mem::take(&mut host.starts),
-            stops: std::mem::take(&mut host.stops),
-            profiles: std::mem::take(&mut host.profiles),
-            effects: std::mem::take(&mut host.effects),
+            starts,
+            stops,
+            profiles: take_items(&mut host.profiles),
+            effects: take_items(&mut host.effects),
         };
+        let unsent_stops = host.stops.iter().map(|stop| stop.task);
+        let unsent: BTreeSet<Task> = unsent.into_iter().chain(unsent_stops).collect();
         for key in &host.runs {
-            if let Some(run) = self.runs.get_mut(*key) {
+            let Some(run) = self.runs.get_mut(*key) else {
+                continue;
+            };
+            let job = self.jobs.get(run.job);
+            let is_unsent = !unsent.is_empty()
+                && job.is_some_and(|job| unsent.contains(&job.task_id(run.place)));
+            if !is_unsent {
                 run.orders_number.get_or_insert(orders.number);
             }
         }
@@ -118,3 +145,38 @@
         key
     }
 }
+
+/// Takes the first starts that fit in one message. The payload of a job is sent once.
+fn take_starts(starts: &mut Vec<Start>) -> Vec<Start> {
+    let mut bytes = 0;
+    let mut last_job = None;
+    let mut fits = |start: &Start| {
+        let job = start.task.job;
+        if last_job.replace(job) != Some(job) {
+            bytes += start.payload.len();
+        }
+        bytes += START_BYTES + start.checkpoint.as_ref().map_or(0, String::len);
+        bytes <= STARTS_BYTES_MAX
+    };
+    let fitting = starts.iter().take_while(|start| fits(start)).count();
+    let count = fitting.max(1).min(starts.len());
+    starts.drain(..count).collect()
+}
+
+/// Takes the stops for one message. A stop waits for the message with its start: if it came before,
+/// the start would take effect.
+fn take_stops(stops: &mut Vec<Stop>, unsent_starts: &BTreeSet<Task>) -> Vec<Stop> {
+    let mut taken = 0;
+    let take = |stop: &mut Stop| {
+        let is_taken = taken < ITEMS_MAX && !unsent_starts.contains(&stop.task);
+        taken += usize::from(is_taken);
+        is_taken
+    };
+    stops.extract_if(.., take).collect()
+}
+
+/// Takes the first items, as many as one message has.
+fn take_items<T>(items: &mut Vec<T>) -> Vec<T> {
+    let count = items.len().min(ITEMS_MAX);
+    items.drain(..count).collect()
+}
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -10,9 +10,9 @@
 use rstest::rstest;
 use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
 use toucanquay_model::{
-    Time,
+    Resources, Time,
     graph::{Id, Progress, Schedule, State, Step},
-    session::{Ending, Phase, Rejection, Start, Stop, Update, Worker},
+    session::{Ending, Orders, Phase, Rejection, Start, Stop, Update, Worker},
 };
 
 /// Returns the scheduler of an owner that has taken over a job with one task and does not wait for
@@ -901,3 +901,108 @@
 
     assert!(resolving.iter().all(|orders| orders.starts.is_empty()));
 }
+
+/// Size of a large payload, in bytes.
+const PAYLOAD_BYTES: usize = 4_000;
+
+/// Returns the scheduler of an owner with one host and this many jobs, each with one small task and
+/// a large payload.
+fn scheduler_with_a_backlog(jobs: u64) -> Scheduler {
+    let mut scheduler = owner(1, &["h1"]);
+    for id in 1..=jobs {
+        let mut job = accepted_job(vec![Step {
+            demand: Resources {
+                processors_milli: 10,
+                ..Resources::ZERO
+            },
+            ..step(1)
+        }]);
+        job.job.payload = "x".repeat(PAYLOAD_BYTES);
+        scheduler.accept(Id::new(id), job, at(0));
+    }
+    scheduler
+}
+
+/// Returns all orders for a host that are due at a time.
+fn due_orders(scheduler: &mut Scheduler, host: &str, now: Time) -> Vec<Orders> {
+    let mut messages = vec![orders(scheduler, host, now)];
+    while scheduler.due_hosts(now).iter().any(|due| due == host) {
+        messages.push(orders(scheduler, host, now));
+    }
+    messages
+}
+
+/// Guards against a backlog that never starts, because the orders for it are longer than a frame and
+/// are placed in the same way again.
+#[rstest]
+#[case::few(10, 1)]
+#[case::more_than_a_message(100, 2)]
+#[case::more_than_a_frame(1_000, 16)]
+fn starts_of_a_backlog_are_split(#[case] jobs: u64, #[case] messages_min: usize) {
+    let mut scheduler = scheduler_with_a_backlog(jobs);
+
+    let messages = due_orders(&mut scheduler, "h1", at(1));
+
+    let payload_bytes = |orders: &Orders| orders.starts.len() * PAYLOAD_BYTES;
+    let largest = messages.iter().map(payload_bytes).max();
+    let started: usize = messages.iter().map(|orders| orders.starts.len()).sum();
+    assert_eq!(started as u64, jobs);
+    assert!(
+        messages.len() >= messages_min,
+        "{} messages",
+        messages.len()
+    );
+    assert!(largest <= Some(256 * 1024), "{largest:?} bytes");
+}
+
+/// Guards against a start that waits for a later message and is taken for one that was lost.
+#[test]
+fn start_of_a_later_message_is_not_released() {
+    let mut scheduler = scheduler_with_a_backlog(100);
+    let first = orders(&mut scheduler, "h1", at(1));
+    let mut applied = update("h1", 2);
+    applied.applied = first.number;
+    for start in &first.starts {
+        let status = attempt_status(start.task, start.attempt, Phase::Running);
+        applied.runs.push(status);
+    }
+    scheduler.update(&applied, at(2));
+
+    let second = orders(&mut scheduler, "h1", at(3));
+
+    assert_eq!(first.starts.len() + second.starts.len(), 100);
+    let numbers = |orders: &Orders| -> Vec<u64> {
+        let starts = orders.starts.iter();
+        starts.map(|start| start.attempt).collect()
+    };
+    let last = numbers(&first).into_iter().max();
+    assert!(numbers(&second).into_iter().min() > last, "{second:?}");
+}
+
+/// Guards against a cancelled task that is started, because its stop was sent before its start.
+#[test]
+fn stop_is_not_sent_before_its_start() {
+    let mut scheduler = scheduler_with_a_backlog(100);
+    let first = orders(&mut scheduler, "h1", at(1));
+    for id in 1..=100 {
+        scheduler.cancel(Id::new(id), at(2));
+    }
+
+    let second = orders(&mut scheduler, "h1", at(3));
+    let third = orders(&mut scheduler, "h1", at(4));
+
+    let sent = |orders: &Orders| {
+        orders
+            .starts
+            .iter()
+            .map(|start| start.task)
+            .collect::<Vec<_>>()
+    };
+    let mut started = sent(&first);
+    for orders in [&second, &third] {
+        started.extend(sent(orders));
+        let mut stops = orders.stops.iter();
+        assert!(stops.all(|stop| started.contains(&stop.task)), "{orders:?}");
+    }
+    assert_eq!(second.stops.len() + third.stops.len(), 100);
+}
