--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -22,6 +22,9 @@
 /// milliseconds.
 const STOP_MS_MAX: u64 = 3_000;
 
+/// Timeout of a call to a worker, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
 /// Time for which an owner may act after its last renewal, in milliseconds.
 const OWNERSHIP_MS: u64 = 1_600;
 
@@ -77,6 +80,8 @@
     partitioned_until: Time,
     /// Until then, the worker turns most calls away without doing anything.
     busy_until: Time,
+    /// Until then, the worker answers no call, and runs on. Calls take effect afterwards.
+    silent_until: Time,
     /// When a task that crashes the worker does so.
     crash_at: Time,
     next_list_at: Time,
@@ -100,6 +105,8 @@
     rng: StdRng,
     /// Random numbers for busy workers and deadly tasks; `None` if there are none.
     fault_rng: Option<StdRng>,
+    /// Random numbers for silent workers; `None` if there are none.
+    silence_rng: Option<StdRng>,
     now_ms: u64,
     epoch: u64,
     owner: Option<Scheduler>,
@@ -125,6 +132,8 @@
     pub starts: u64,
     /// Number of stops that busy workers turned away.
     pub stops_turned_away: u64,
+    /// Number of times that a worker fell silent.
+    pub silences: u64,
     /// Number of workers that deadly tasks crashed.
     pub deadly_crashes: u64,
 }
@@ -135,6 +144,7 @@
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
             fault_rng: None,
+            silence_rng: None,
             now_ms: 0,
             epoch: 0,
             owner: None,
@@ -153,6 +163,7 @@
             faults: 0,
             starts: 0,
             stops_turned_away: 0,
+            silences: 0,
             deadly_crashes: 0,
         };
         for number in 0..hosts {
@@ -172,6 +183,12 @@
     }
 
     /// Lets each call to a worker take some time, in milliseconds.
+    /// Adds workers that are silent for some time.
+    pub fn with_silent_workers(mut self, seed: u64) -> Self {
+        self.silence_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
     pub const fn with_call_millis(mut self, millis: u64) -> Self {
         self.call_millis = millis;
         self
@@ -193,6 +210,7 @@
             }
             self.inject_fault();
             self.occupy_worker();
+            self.silence_worker();
             self.advance();
         }
         self.is_fault_free = true;
@@ -230,6 +248,7 @@
             session: None,
             partitioned_until: Time::ZERO,
             busy_until: Time::ZERO,
+            silent_until: Time::ZERO,
             crash_at: Time::NEVER,
             next_list_at: Time::ZERO,
             next_update_at: Time::ZERO,
@@ -316,6 +335,39 @@
         self.hosts[index].busy_until = at(self.now_ms + millis);
     }
 
+    /// Makes a random worker silent for some time, often for longer than its lease.
+    fn silence_worker(&mut self) {
+        let Some(rng) = &mut self.silence_rng else {
+            return;
+        };
+        if rng.random_range(0..200) != 0 {
+            return;
+        }
+        let index = rng.random_range(0..self.hosts.len());
+        let millis = rng.random_range(500..15_000);
+        self.hosts[index].silent_until = at(self.now_ms + millis);
+        self.silences += 1;
+    }
+
+    fn is_silent(&self, index: usize) -> bool {
+        !self.is_fault_free && self.time() < self.hosts[index].silent_until
+    }
+
+    /// Leaves a call unanswered, and carries it out when the worker is no longer silent.
+    fn postpone_call(&mut self, index: usize, call: Call) {
+        let unanswered = match &call {
+            Call::Start(start, ..) => {
+                Call::Started(start.task, start.attempt, CallOutcome::Unknown)
+            }
+            Call::Stop(stop, _) => Call::Stopped(stop.task, stop.attempt, CallOutcome::Unknown),
+            _ => return,
+        };
+        self.schedule_call(index, CALL_TIMEOUT_MS, unanswered);
+        let until = self.hosts[index].silent_until.as_micros();
+        let millis = until.saturating_sub(self.time().as_micros()) / 1_000;
+        self.schedule_call(index, millis + 1, call);
+    }
+
     /// Returns whether a worker turns a call away.
     fn is_turned_away(&mut self, index: usize) -> bool {
         let is_busy = !self.is_fault_free && self.time() < self.hosts[index].busy_until;
@@ -329,6 +381,7 @@
         let worker = self.hosts[index].worker.clone();
         let mut host = Host {
             busy_until: self.hosts[index].busy_until,
+            silent_until: self.hosts[index].silent_until,
             crash_at: self.hosts[index].crash_at,
             ..self.host(name, process, worker)
         };
@@ -476,6 +529,9 @@
         let random = self.rng.random();
         let is_lost = !self.is_fault_free && self.rng.random_range(0..25) == 0;
         match call {
+            Call::Start(..) | Call::Stop(..) if self.is_silent(index) => {
+                self.postpone_call(index, call);
+            }
             Call::Start(start, ..) if self.is_turned_away(index) => {
                 let outcome = CallOutcome::Unavailable;
                 self.schedule_reply(index, Call::Started(start.task, start.attempt, outcome));
@@ -566,7 +622,13 @@
             return;
         }
         let now = self.time();
+        let is_silent = self.is_silent(index);
         let host = &mut self.hosts[index];
+        if is_silent {
+            host.next_list_at = now.plus_millis(CALL_TIMEOUT_MS);
+            host.runner.record_failed_list(now);
+            return;
+        }
         let (lease, acknowledged) = (host.runner.lease_until(), host.runner.acknowledged());
         let list = host
             .worker
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -83,3 +83,25 @@
 fn regression_of_suspects(#[values(138, 144, 158, 191, 494, 953)] seed: u64) {
     simulate(seed);
 }
+
+/// Guards against tasks of a silent worker that run twice, because they were started elsewhere before
+/// its lease had ended.
+#[test]
+fn tasks_of_silent_workers_run_once() {
+    let first = env_number("TOUCANQUAY_GRAPH_SEED");
+    let seeds = match first {
+        Some(seed) => seed..seed + 1,
+        None => 0..env_number("TOUCANQUAY_GRAPH_RUNS").unwrap_or(RUNS),
+    };
+
+    let simulations = seeds.map(|seed| {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        let mut simulation = Simulation::new(seed, 3 + seed % 4).with_silent_workers(seed);
+        simulation.run(FAULTS_MS);
+        simulation
+    });
+    let silences: u64 = simulations.map(|simulation| simulation.silences).sum();
+
+    println!("{silences} silences");
+    assert!(silences > 0 || first.is_some(), "workers fall silent");
+}
