--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -5,7 +5,7 @@
 #[expect(dead_code, reason = "not every test uses all fixtures")]
 mod graph;
 
-use std::env;
+use std::{env, ops::Range};
 
 use graph::simulation::Simulation;
 use rstest::rstest;
@@ -20,6 +20,17 @@
     env::var(name).ok()?.parse().ok()
 }
 
+/// Returns the seeds to play, and whether they are a single one that is replayed.
+fn seeds() -> (Range<u64>, bool) {
+    match env_number("TOUCANQUAY_GRAPH_SEED") {
+        Some(seed) => (seed..seed + 1, true),
+        None => (
+            0..env_number("TOUCANQUAY_GRAPH_RUNS").unwrap_or(RUNS),
+            false,
+        ),
+    }
+}
+
 fn simulate(seed: u64) -> Simulation {
     println!("TOUCANQUAY_GRAPH_SEED={seed}");
     let mut simulation =
@@ -34,11 +45,7 @@
 /// executed late.
 #[test]
 fn invariants_hold_under_faults() {
-    let first = env_number("TOUCANQUAY_GRAPH_SEED");
-    let seeds = match first {
-        Some(seed) => seed..seed + 1,
-        None => 0..env_number("TOUCANQUAY_GRAPH_RUNS").unwrap_or(RUNS),
-    };
+    let (seeds, is_replay) = seeds();
 
     let simulations: Vec<Simulation> = seeds.map(simulate).collect();
 
@@ -59,14 +66,8 @@
         faults > 0 && starts > faults,
         "the simulations inject faults and start attempts"
     );
-    assert!(
-        turned_away > 0 || first.is_some(),
-        "busy workers turn stops away"
-    );
-    assert!(
-        crashes > 0 || first.is_some(),
-        "deadly tasks crash their workers"
-    );
+    assert!(turned_away > 0 || is_replay, "busy workers turn stops away");
+    assert!(crashes > 0 || is_replay, "deadly tasks crash their workers");
 }
 
 /// Guards against regressions that these seeds reveal: a start that reached a restarted worker (0),
@@ -88,11 +89,7 @@
 /// its lease had ended.
 #[test]
 fn tasks_of_silent_workers_run_once() {
-    let first = env_number("TOUCANQUAY_GRAPH_SEED");
-    let seeds = match first {
-        Some(seed) => seed..seed + 1,
-        None => 0..env_number("TOUCANQUAY_GRAPH_RUNS").unwrap_or(RUNS),
-    };
+    let (seeds, is_replay) = seeds();
 
     let simulations = seeds.map(|seed| {
         println!("TOUCANQUAY_GRAPH_SEED={seed}");
@@ -103,5 +100,5 @@
     let silences: u64 = simulations.map(|simulation| simulation.silences).sum();
 
     println!("{silences} silences");
-    assert!(silences > 0 || first.is_some(), "workers fall silent");
+    assert!(silences > 0 || is_replay, "workers fall silent");
 }
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -79,6 +79,19 @@
     listener.local_addr().expect("the bound address")
 }
 
+/// Starts a companion of a worker. Returns it and the address at which it accepts sessions.
+async fn start_companion(worker: Worker) -> (Companion, SocketAddr) {
+    let settings = companion::Settings {
+        name: "h".to_owned(),
+        process: 1,
+        listen: free_address(),
+    };
+    let address = settings.listen;
+    let log = Logger::root(Discard, o!());
+    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
+    (companion.expect("the companion starts"), address)
+}
+
 /// Returns the worker in the first update of a session.
 async fn reported_worker(address: SocketAddr) -> Option<session::Worker> {
     let client = Client::connect(address).await.expect("a connection");
@@ -96,16 +109,10 @@
 /// that its tasks start elsewhere while they run.
 #[tokio::test]
 async fn worker_that_answers_between_refused_connections_is_kept() {
-    let settings = companion::Settings {
-        name: "h".to_owned(),
-        process: 1,
-        listen: free_address(),
-    };
-    let address = settings.listen;
-    let worker = worker_that_refuses_every_other_connection(CallOutcome::Refused);
-    let log = Logger::root(Discard, o!());
-    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
-    let companion = companion.expect("the companion starts");
+    let (companion, address) = start_companion(worker_that_refuses_every_other_connection(
+        CallOutcome::Refused,
+    ))
+    .await;
     companion.record_heartbeat(heartbeat());
     sleep(Duration::from_millis(1_500)).await;
 
@@ -118,16 +125,7 @@
 /// because its companion goes on to report it.
 #[tokio::test]
 async fn worker_that_answers_no_call_any_more_is_not_reported_as_alive() {
-    let settings = companion::Settings {
-        name: "h".to_owned(),
-        process: 1,
-        listen: free_address(),
-    };
-    let address = settings.listen;
-    let log = Logger::root(Discard, o!());
-    let worker = worker_that_falls_silent();
-    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
-    let companion = companion.expect("the companion starts");
+    let (companion, address) = start_companion(worker_that_falls_silent()).await;
     companion.record_heartbeat(heartbeat());
     sleep(Duration::from_millis(4_000)).await;
 
@@ -140,16 +138,10 @@
 /// between the refused connections set their count back.
 #[tokio::test]
 async fn worker_that_refuses_connections_between_unanswered_calls_is_gone() {
-    let settings = companion::Settings {
-        name: "h".to_owned(),
-        process: 1,
-        listen: free_address(),
-    };
-    let address = settings.listen;
-    let log = Logger::root(Discard, o!());
-    let worker = worker_that_refuses_every_other_connection(CallOutcome::Unknown);
-    let companion = Companion::start(settings, refusing_store(), worker, &log).await;
-    let companion = companion.expect("the companion starts");
+    let (companion, address) = start_companion(worker_that_refuses_every_other_connection(
+        CallOutcome::Unknown,
+    ))
+    .await;
     companion.record_heartbeat(heartbeat());
     sleep(Duration::from_millis(1_000)).await;
 
