control, node: report which wait holds a perpetual task that doesn't run

Callers saw tasks that are to last and don't run, and the logs showed only that they weren't placed. A task that isn't known to have run for 2 s is now reported with the reason, at most 16 a second, each again after 2 s; those that were reported least recently come first. The hosts that a takeover awaits are reported each second, and its end with its cause. Nothing is decided anew: the reports read the scheduler's state once a second.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -37,6 +37,8 @@
 mod stage_ref;
 mod task;
 mod updates;
+mod wait;
+mod waits;
 
 use std::{
     cell::Cell,
@@ -65,6 +67,7 @@
 pub use restored::RestoredJob;
 use run::Run;
 pub use settings::Settings;
+pub use wait::Wait;
 
 /// Size of the range of attempt numbers of an epoch. An attempt number is the epoch times this
 /// value plus a counter, so that a later owner's attempts have higher numbers. At 15,000 starts a
@@ -113,6 +116,14 @@
     /// placed, because it may already be running.
     awaited_hosts: BTreeSet<String>,
     takeover_complete_at: Time,
+    taken_over_at: Time,
+    /// Number of awaited hosts that had not reported when the longest possible lease ended.
+    unreported_hosts: usize,
+    is_takeover_reported: bool,
+    /// Number of perpetual tasks that have not run for a time.
+    lasting_tasks_waiting: usize,
+    /// When perpetual tasks that don't run are searched next.
+    next_waits_at: Time,
     unrecorded_jobs: RecordQueue,
     committing_jobs: Vec<(JobKey, u64)>,
     next_commit_at: Time,
@@ -132,6 +143,7 @@
         hosts: impl IntoIterator<Item = String>,
         now: Time,
     ) -> Self {
+        let awaited_hosts: BTreeSet<String> = hosts.into_iter().collect();
         Self {
             settings,
             epoch,
@@ -157,8 +169,13 @@
             hosts_scored: Cell::new(0),
             placement_round: 0,
             changed_hosts: BTreeMap::new(),
-            awaited_hosts: hosts.into_iter().collect(),
+            is_takeover_reported: awaited_hosts.is_empty(),
+            awaited_hosts,
             takeover_complete_at: settings.lease_end_bound(now),
+            taken_over_at: now,
+            unreported_hosts: 0,
+            lasting_tasks_waiting: 0,
+            next_waits_at: Time::ZERO,
             unrecorded_jobs: RecordQueue::new(),
             committing_jobs: Vec::new(),
             next_commit_at: Time::ZERO,
@@ -217,6 +234,7 @@
         self.expire_probes(now);
         self.fire_timers(now);
         if !self.awaited_hosts.is_empty() && now >= self.takeover_complete_at {
+            self.unreported_hosts = self.awaited_hosts.len();
             self.awaited_hosts.clear();
             self.is_placement_due = true;
         }
@@ -224,6 +242,7 @@
         if self.is_placement_due || is_round_due {
             self.place_waiting_tasks(now);
         }
+        self.report_waits(now);
         if now >= self.next_sweep_at {
             self.next_sweep_at = now.plus_micros(self.settings.sweep_interval_micros);
             self.sweep(now);
--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -47,7 +47,9 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        let mut is_heard = false;
         if let Some(host) = self.hosts.get_mut(run.host) {
+            is_heard = host.is_heard();
             host.remove_run(key, &run);
         }
         self.end_probe(run.host, key);
@@ -61,6 +63,9 @@
             && task.phase == Phase::Running(key)
         {
             task.phase = Phase::Waiting;
+            if is_heard && run.is_active() {
+                task.ran_at = now;
+            }
             task.not_before = task.not_before.max(now);
         }
         if !job.state.is_over() {
@@ -123,7 +128,7 @@
         for run in others {
             self.stop_run(run);
         }
-        self.open_stages(key, place.occurrence);
+        self.open_stages(key, place.occurrence, now);
         self.end_if_complete(key, now);
     }
 
--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -1,8 +1,9 @@
 //! Scheduler events for the log.
 
+use smallvec::SmallVec;
 use toucanquay_model::graph::{Id, State, Task};
 
-use super::Loss;
+use super::{Loss, Wait};
 
 /// Change of the scheduler's state that is worth logging.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,4 +79,36 @@
         /// Name of the host that the attempt leaves.
         host: String,
     },
+    /// A perpetual task doesn't run.
+    Waiting {
+        /// Task that doesn't run.
+        task: Task,
+        /// Time since it last ran, or could first be placed, in milliseconds.
+        waited_ms: u64,
+        /// What it waits for.
+        wait: Wait,
+    },
+    /// More perpetual tasks don't run than are reported at once.
+    WaitsSuppressed {
+        /// Number of tasks that were due to be reported and weren't.
+        tasks: usize,
+    },
+    /// The owner waits for the hosts that may run tasks of inherited jobs.
+    TakeoverWaiting {
+        /// Time since the takeover in milliseconds.
+        waited_ms: u64,
+        /// Number of hosts that have not reported.
+        hosts: usize,
+        /// Names of some of them.
+        names: SmallVec<[String; 4]>,
+        /// Number of inherited jobs with waiting tasks.
+        jobs: usize,
+    },
+    /// The owner places the tasks of inherited jobs from now on.
+    TakeoverCompleted {
+        /// Time since the takeover in milliseconds.
+        waited_ms: u64,
+        /// Number of hosts that had not reported when the longest possible lease ended.
+        unreported: usize,
+    },
 }
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -138,6 +138,11 @@
         (self.is_connected && !self.is_first_update && !worker.is_draining).then_some(worker)
     }
 
+    /// Returns whether the worker is known and its agent is connected.
+    pub(super) const fn is_heard(&self) -> bool {
+        self.is_connected && self.worker.is_some()
+    }
+
     /// Returns the unoccupied resources of the worker.
     pub(super) fn free_resources(&self) -> Resources {
         let occupied = self.used.plus(&self.untracked);
--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -248,7 +248,7 @@
 
     /// Opens the stages of an occurrence whose preceding steps are complete. Returns `true` if any
     /// stage was opened.
-    pub(super) fn open_stages(&mut self, occurrence: u32) -> bool {
+    pub(super) fn open_stages(&mut self, occurrence: u32, now: Time) -> bool {
         let steps = self.spec.steps.len();
         let first = occurrence as usize * steps;
         let mut is_opened = false;
@@ -263,6 +263,9 @@
             };
             if is_ready && !stage.is_open && !stage.is_complete() {
                 stage.is_open = true;
+                for task in &mut stage.tasks {
+                    task.ran_at = now;
+                }
                 is_opened = true;
             }
         }
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -50,7 +50,7 @@
             return;
         }
         match job.spec.schedule {
-            None => self.open_stages(key, 0),
+            None => self.open_stages(key, 0, now),
             Some(schedule) => {
                 for occurrence in 0..job.spec.occurrences() {
                     let due = self.time_of_unix_ms(schedule.due_unix_ms(occurrence));
@@ -63,9 +63,9 @@
         self.end_if_complete(key, now);
     }
 
-    pub(super) fn open_stages(&mut self, key: JobKey, occurrence: u32) {
+    pub(super) fn open_stages(&mut self, key: JobKey, occurrence: u32, now: Time) {
         if let Some(job) = self.jobs.get_mut(key)
-            && job.open_stages(occurrence)
+            && job.open_stages(occurrence, now)
         {
             self.waiting_jobs.insert(key);
             self.is_placement_due = true;
@@ -94,7 +94,7 @@
         };
         for occurrence in 0..job.spec.occurrences() {
             if schedule.due_unix_ms(occurrence) <= unix_ms {
-                job.open_stages(occurrence);
+                job.open_stages(occurrence, now);
             }
         }
     }
--- a/crates/control/src/scheduler/run.rs
+++ b/crates/control/src/scheduler/run.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Returns whether the worker has confirmed the start and is not to stop the attempt.
+    pub(super) const fn is_active(&self) -> bool {
+        self.has_begun && !self.is_stopping
+    }
+
     /// Returns whether the attempt has a latency target, and so is sensitive to interference from
     /// other attempts.
     pub(super) const fn is_sensitive(&self) -> bool {
--- a/crates/control/src/scheduler/task.rs
+++ b/crates/control/src/scheduler/task.rs
@@ -25,6 +25,11 @@
     pub(super) suspected_in: u64,
     pub(super) checkpoint: Option<String>,
     pub(super) not_before: Time,
+    /// Latest time at which the task is known to have run; before its first run, when its stage was
+    /// opened. It is up to date, to a second, only for a perpetual task.
+    pub(super) ran_at: Time,
+    /// When it was last reported that the task doesn't run.
+    pub(super) wait_reported_at: Time,
     /// Host on which the last attempt failed, or that refused to start it.
     pub(super) avoided_host: Option<HostKey>,
 }
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -291,6 +291,9 @@
         job.add_run();
         if let Some(task) = job.task_mut(place) {
             task.phase = Phase::Running(run);
+            if reported.phase == RunPhase::Running {
+                task.ran_at = now;
+            }
             task.checkpoint.clone_from(&reported.checkpoint);
         }
         let stop = Stop {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -5,16 +5,16 @@
     sync::Arc,
 };
 
-use slog::{info, warn};
+use slog::{info, o, warn};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinHandle,
     time::{Duration, Instant, sleep_until},
 };
-use toucanquay_control::scheduler::{Event as SchedulerEvent, Scheduler};
+use toucanquay_control::scheduler::{Event as SchedulerEvent, Scheduler, Wait};
 use toucanquay_model::{
     Epoch, Revision, Time,
-    graph::{AcceptedJob, Id},
+    graph::{AcceptedJob, Id, Task},
     session::Orders,
 };
 use toucanquay_wire::graph::{Query, Reply};
@@ -205,14 +205,17 @@
             self.gauges_due_at = now.plus_millis(GAUGE_INTERVAL_MS);
             let scheduler = &self.scheduler;
             let (jobs, attempts) = (scheduler.active_jobs(), scheduler.running_attempts());
+            let waiting_lasting = scheduler.lasting_tasks_waiting();
             meters::set_owner_gauges(jobs, attempts, scheduler.unrecorded_jobs());
+            meters::set_lasting_tasks_waiting(waiting_lasting);
             let load = scheduler.load();
             info!(self.shared.log, "owner_load"; "epoch" => self.epoch, "jobs" => jobs,
                 "attempts" => attempts, "unrecorded_jobs" => scheduler.unrecorded_jobs(),
                 "workers" => load.workers, "capacity_milli" => load.capacity_milli,
                 "reserved_milli" => load.reserved_milli,
                 "waiting_reserving" => load.waiting_reserving,
-                "waiting_idle" => load.waiting_idle, "hosts_scored" => load.hosts_scored);
+                "waiting_idle" => load.waiting_idle, "waiting_lasting" => waiting_lasting,
+                "hosts_scored" => load.hosts_scored);
             self.remove_silent_hosts(now);
         }
         for name in self.scheduler.due_hosts(now) {
@@ -298,6 +301,62 @@
                 info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
                     "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
             }
+            SchedulerEvent::Waiting {
+                task,
+                waited_ms,
+                wait,
+            } => self.log_wait(task, waited_ms, &wait),
+            SchedulerEvent::WaitsSuppressed { tasks } => {
+                warn!(log, "tasks_waiting"; "suppressed" => tasks, "epoch" => epoch);
+            }
+            SchedulerEvent::TakeoverWaiting {
+                waited_ms,
+                hosts,
+                names,
+                jobs,
+            } => {
+                info!(log, "takeover_waiting"; "waited_ms" => waited_ms, "hosts" => hosts,
+                    "names" => names.join(","), "jobs" => jobs, "epoch" => epoch);
+            }
+            SchedulerEvent::TakeoverCompleted {
+                waited_ms,
+                unreported,
+            } => {
+                let by = if unreported == 0 {
+                    "all hosts"
+                } else {
+                    "end of the lease"
+                };
+                info!(log, "takeover_completed"; "waited_ms" => waited_ms, "by" => by,
+                    "unreported" => unreported, "epoch" => epoch);
+            }
+        }
+    }
+
+    fn log_wait(&self, task: Task, waited_ms: u64, wait: &Wait) {
+        let log = self.shared.log.new(o!("epoch" => self.epoch));
+        let (reason, host) = (wait.label(), wait.host());
+        match wait {
+            Wait::Takeover { hosts, .. } => {
+                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                    "reason" => reason, "host" => host, "hosts" => hosts);
+            }
+            Wait::Backoff { remaining_ms } => {
+                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                    "reason" => reason, "remaining_ms" => remaining_ms);
+            }
+            Wait::NoRoom {
+                free_milli,
+                demand_milli,
+            } => {
+                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                    "reason" => reason, "free_milli" => free_milli,
+                    "demand_milli" => demand_milli);
+            }
+            _ => {
+                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                    "reason" => reason, "host" => host);
+            }
         }
     }
 
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -76,6 +76,11 @@
     gauge!("toucanquay_jobs_unrecorded").set(unrecorded as f64);
 }
 
+/// Sets the owner's number of perpetual tasks that have not run for 2 s.
+pub fn set_lasting_tasks_waiting(tasks: usize) {
+    gauge!("toucanquay_lasting_tasks_waiting").set(tasks as f64);
+}
+
 /// Sets the version of the entry's configuration.
 pub fn set_configuration_version(version: u64) {
     gauge!("toucanquay_configuration_version").set(version as f64);
