control: a host is kept for a perpetual task that fits nowhere

Cause: each gap goes at once to the first waiting task that fits it.

Fix: a perpetual task that fits nowhere keeps one host, the one with the most room, from other tasks until it has started. The host must be able to take the task beside the perpetual ones that run there. At most a quarter of the hosts is kept. Tasks that use idle processors and gangs are left out: room doesn't make the first faster, and the second need several hosts.

Tests: crates/control/tests/full_service.rs. Without the reservation, four of six cases fail: the large task doesn't start in 100 ends of small ones.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -29,6 +29,7 @@
 mod probing;
 mod rank;
 mod record_queue;
+mod reserving;
 mod restored;
 mod run;
 mod settings;
@@ -93,6 +94,8 @@
     waiting_jobs: BTreeSet<JobKey>,
     /// Probes by host.
     probes: BTreeMap<HostKey, Probe>,
+    /// Hosts that are kept for perpetual tasks, by the job and the index of the stage that waits.
+    reservations: BTreeMap<HostKey, (JobKey, usize)>,
     /// Jobs that may have suspect tasks.
     suspect_jobs: BTreeSet<JobKey>,
     /// Number of tasks that one probe may start.
@@ -149,6 +152,7 @@
             interference: InterferenceModel::default(),
             waiting_jobs: BTreeSet::new(),
             probes: BTreeMap::new(),
+            reservations: BTreeMap::new(),
             suspect_jobs: BTreeSet::new(),
             probe_tasks_max: 1,
             unrecorded_suspects: Vec::new(),
--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -58,13 +58,14 @@
 
     /// Returns how well a host suits a task of a stage, or `None` if the task must not run there.
     pub(super) fn host_score(&self, key: HostKey, stage: StageRef<'_>, now: Time) -> Option<f64> {
-        if self.probes.contains_key(&key) {
+        if self.probes.contains_key(&key) || self.is_kept_from(key, stage) {
             return None;
         }
         self.fitting_score(key, stage, now)
     }
 
-    /// Returns how well a host suits a task of a stage, whether or not it is kept free for a probe.
+    /// Returns how well a host suits a task of a stage, whether or not it is kept free for a probe
+    /// or a perpetual task.
     pub(super) fn fitting_score(
         &self,
         key: HostKey,
@@ -123,12 +124,23 @@
 
     /// Returns the worker of a host if a task of the step is allowed there and fits.
     fn fitting_worker<'a>(&self, host: &'a Host, pool: &str, step: &Step) -> Option<&'a Worker> {
+        let worker = self.allowed_worker(host, pool, step);
+        worker.filter(|_| step.occupied().fits(&host.free_resources()))
+    }
+
+    /// Returns the worker of a host if a task of the step is allowed there.
+    pub(super) fn allowed_worker<'a>(
+        &self,
+        host: &'a Host,
+        pool: &str,
+        step: &Step,
+    ) -> Option<&'a Worker> {
         let worker = host
             .schedulable_worker()
             .filter(|worker| worker.pool == pool)?;
         let has_label = |label: &String| worker.labels.contains(label);
         let is_allowed = step.requires.as_ref().is_none_or(has_label);
-        (is_allowed && step.occupied().fits(&host.free_resources())).then_some(worker)
+        is_allowed.then_some(worker)
     }
 
     /// Returns the speed, from 0 to 1, at which a task that uses idle processors would run on a
@@ -160,7 +172,7 @@
     }
 
     /// Returns whether the worker may run another task of the stage, given the limit of the step.
-    fn is_below_worker_limit(&self, host: HostKey, stage: StageRef<'_>) -> bool {
+    pub(super) fn is_below_worker_limit(&self, host: HostKey, stage: StageRef<'_>) -> bool {
         let Some(per_worker_max) = stage.step.per_worker_max else {
             return true;
         };
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -43,6 +43,7 @@
         self.is_placement_due = false;
         self.placement_round += 1;
         self.next_placement_at = now.plus_micros(PLACEMENT_INTERVAL_MICROS);
+        self.release_reservations();
         let order = self.placement_order(now);
         if !self.suspect_jobs.is_empty() {
             self.size_probes(now);
@@ -127,6 +128,9 @@
             };
             if !is_placed {
                 self.record_shortage(stage, now);
+                self.reserve_host(stage);
+            } else if step.is_perpetual {
+                self.release_reservations();
             }
         }
     }
--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -48,6 +48,9 @@
                 continue;
             }
             let Some(host) = self.probe_host(stage, place, avoided_host, now) else {
+                if !self.fits_anywhere(stage, now) {
+                    self.reserve_host(stage);
+                }
                 return;
             };
             let attempt = self.next_attempt();
@@ -154,6 +157,11 @@
         None
     }
 
+    fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
+        let mut hosts = self.hosts.keys();
+        hosts.any(|host| self.fitting_score(host, stage, now).is_some())
+    }
+
     /// Returns whether the worker has outlived the starts of all its attempts.
     pub(super) fn has_outlived_starts(&self, host: &Host) -> bool {
         let mut runs = host.runs.iter().filter_map(|run| self.runs.get(*run));
--- /dev/null
+++ b/crates/control/tests/full_service.rs
@@ -0,0 +1,174 @@
+//! Tests of tasks that need more room than others on a service without free room.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use std::collections::VecDeque;
+
+use graph::{accepted_job, at, attempt_status, cores, end, orders, owner, step, update};
+use rstest::rstest;
+use toucanquay_control::scheduler::Scheduler;
+use toucanquay_model::{
+    graph::{Id, Step},
+    session::{Ending, Phase, Start},
+};
+
+/// Hosts of the service, with 16 processors each.
+const HOSTS: [&str; 4] = ["h1", "h2", "h3", "h4"];
+
+/// Job with small tasks, more than end in a test.
+const SMALL_JOB: u64 = 1;
+
+/// Job with a large perpetual task.
+const LARGE_JOB: u64 = 2;
+
+/// Interval at which a small task ends, in milliseconds.
+const INTERVAL_MS: u64 = 40;
+
+/// A full service, on which one small task ends at a time, each host in turn.
+struct Service {
+    scheduler: Scheduler,
+    running: [VecDeque<Start>; HOSTS.len()],
+    updates: u64,
+    now_ms: u64,
+}
+
+impl Service {
+    /// Returns a service full of tasks with two processors, and with many more that wait.
+    fn full() -> Self {
+        let mut scheduler = owner(1, &HOSTS);
+        scheduler.accept(Id::new(SMALL_JOB), accepted_job(vec![step(400)]), at(0));
+        let mut service = Self {
+            scheduler,
+            running: Default::default(),
+            updates: 1,
+            now_ms: 0,
+        };
+        service.take_starts();
+        service
+    }
+
+    /// Adds the starts that are ordered to the running tasks. Returns the indices of the hosts on
+    /// which the large task starts.
+    fn take_starts(&mut self) -> Vec<usize> {
+        let now = at(self.now_ms);
+        let mut large = Vec::new();
+        for (index, host) in HOSTS.iter().enumerate() {
+            let starts = orders(&mut self.scheduler, host, now).starts;
+            for start in starts {
+                if start.task.job == Id::new(LARGE_JOB) {
+                    large.push(index);
+                }
+                self.running[index].push_back(start);
+            }
+        }
+        large
+    }
+
+    /// Lets the oldest small task of a host end.
+    fn end_oldest(&mut self, index: usize) {
+        let is_small = |start: &Start| start.task.job == Id::new(SMALL_JOB);
+        let running = &mut self.running[index];
+        let Some(oldest) = running.iter().position(is_small) else {
+            return;
+        };
+        let ended = running.remove(oldest).expect("a running task");
+        self.updates += 1;
+        let mut report = update(HOSTS[index], self.updates);
+        report.applied = u64::MAX;
+        let status = |start: &Start| attempt_status(start.task, start.attempt, Phase::Running);
+        report.runs = running.iter().map(status).collect();
+        report.ends = vec![end(self.updates, ended.task, ended.attempt, Ending::Done)];
+        self.scheduler.update(&report, at(self.now_ms));
+    }
+
+    /// Ends one small task after another. Returns the host and the time of the large task's start,
+    /// if it starts.
+    fn run_until_large_start(&mut self, ends: usize) -> Option<(usize, u64)> {
+        for number in 0..ends {
+            self.now_ms += INTERVAL_MS;
+            self.end_oldest(number % HOSTS.len());
+            if let Some(host) = self.take_starts().first() {
+                return Some((*host, self.now_ms));
+            }
+        }
+        None
+    }
+}
+
+/// Returns a step with one perpetual task.
+fn perpetual(processors: u32) -> Step {
+    Step {
+        demand: cores(processors),
+        is_perpetual: true,
+        ..step(1)
+    }
+}
+
+#[rstest]
+#[case::twice_as_large(4)]
+#[case::half_a_worker(8)]
+fn large_perpetual_task_is_not_passed_over_on_a_full_service(#[case] processors: u32) {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(processors)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+
+    let started = service.run_until_large_start(100);
+
+    let (_, at_ms) = started.expect("the large task starts");
+    assert!(at_ms <= 3_000, "it started after {at_ms} ms");
+}
+
+#[test]
+fn host_takes_other_tasks_again_once_the_perpetual_task_has_started() {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(4)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+    let (host, _) = service.run_until_large_start(100).expect("a start");
+    service.now_ms += INTERVAL_MS;
+    let running_before = service.running[host].len();
+
+    service.end_oldest(host);
+    service.take_starts();
+
+    assert_eq!(service.running[host].len(), running_before);
+}
+
+#[test]
+fn other_hosts_take_tasks_while_one_is_kept() {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(16)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+
+    service.run_until_large_start(12);
+
+    let full = service.running.iter().filter(|running| running.len() == 8);
+    assert_eq!(full.count(), HOSTS.len() - 1);
+}
+
+#[test]
+fn host_on_which_a_perpetual_task_never_fits_is_not_kept_for_it() {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(17)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+
+    service.run_until_large_start(12);
+
+    assert!(service.running.iter().all(|running| running.len() == 8));
+}
+
+#[test]
+fn host_of_a_cancelled_perpetual_job_takes_other_tasks_again() {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(16)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+    service.run_until_large_start(12);
+
+    service
+        .scheduler
+        .cancel(Id::new(LARGE_JOB), at(service.now_ms));
+    service.now_ms += 1_000;
+    service.take_starts();
+
+    assert!(service.running.iter().all(|running| running.len() == 8));
+}
