runner: attempts that are listed before the worker announces itself keep a takeover waiting

Cause: a restarted companion lists its worker's attempts, and so confirms the new epoch, before the worker's next heartbeat tells it which worker that is.

Fix: an epoch is confirmed only in an update with the worker, by which the owner adopts what runs. The owner also checks itself that an update without a worker names no attempts, for companions of the former build.

Two new cases in crates/control/tests/takeover.rs fail without the checks.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -370,11 +370,13 @@
         self.has_complete_list && !self.is_worker_silent
     }
 
-    /// Returns whether nothing that is unknown to this process can run on the worker by order of a
+    /// Returns whether the owner knows by this update all that runs on the worker by order of a
     /// former owner: the worker has answered a call of the current epoch, and ignores calls of lower
     /// ones, or it has exited, or its lease has ended.
     fn is_settled(&self, now: Time) -> bool {
-        let is_fenced = self.fenced_epoch >= self.epoch;
+        // Without its worker, an update doesn't show the owner what was listed.
+        let is_reported = self.worker.is_some() && self.is_worker_reported();
+        let is_fenced = is_reported && self.fenced_epoch >= self.epoch;
         self.epoch > 0 && (is_fenced || self.has_worker_exited || now >= self.lease_end_bound())
     }
 
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -56,7 +56,7 @@
             self.acknowledge_ends(key);
             self.acknowledge_crashes(key);
         }
-        if update.is_settled && self.awaited_hosts.remove(&update.host) {
+        if is_settled(update) && self.awaited_hosts.remove(&update.host) {
             self.is_placement_due = true;
         }
     }
@@ -409,6 +409,13 @@
     }
 }
 
+/// Returns whether no unknown attempt runs on a host. Attempts that an agent lists before it has
+/// heard from its worker are not adopted yet.
+fn is_settled(update: &Update) -> bool {
+    let is_listed_only = update.worker.is_none() && !update.is_worker_silent;
+    update.is_settled && !(is_listed_only && !update.runs.is_empty())
+}
+
 /// Returns the position of a task within its job.
 pub(super) const fn task_place(task: Task) -> Place {
     Place {
--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -15,6 +15,9 @@
 
 use super::{accepted_job, at, cores, queue, step, worker::SimulatedWorker};
 
+/// Interval between two heartbeats of a worker, in milliseconds.
+const HEARTBEAT_INTERVAL_MS: u64 = 1_500;
+
 /// Simulated time per step, in milliseconds.
 const STEP_MS: u64 = 10;
 
@@ -84,6 +87,7 @@
     silent_until: Time,
     /// When a task that crashes the worker does so.
     crash_at: Time,
+    next_heartbeat_at: Time,
     next_list_at: Time,
     next_update_at: Time,
 }
@@ -251,6 +255,7 @@
             busy_until: Time::ZERO,
             silent_until: Time::ZERO,
             crash_at: Time::NEVER,
+            next_heartbeat_at: Time::ZERO,
             next_list_at: Time::ZERO,
             next_update_at: Time::ZERO,
         }
@@ -384,6 +389,8 @@
             busy_until: self.hosts[index].busy_until,
             silent_until: self.hosts[index].silent_until,
             crash_at: self.hosts[index].crash_at,
+            // The worker doesn't know of the restart, and announces itself when it is due.
+            next_heartbeat_at: self.hosts[index].next_heartbeat_at,
             ..self.host(name, process, worker)
         };
         // Calls in flight still reach the worker, but their replies are lost.
@@ -600,14 +607,15 @@
         let host = &mut self.hosts[index];
         worker.incarnation = host.worker.incarnation;
         worker.capacity = cores(PROCESSORS);
-        host.runner.record_heartbeat(
-            Heartbeat {
+        if now >= host.next_heartbeat_at {
+            host.next_heartbeat_at = now.plus_millis(HEARTBEAT_INTERVAL_MS);
+            let heartbeat = Heartbeat {
                 id: "w".to_owned(),
                 sequence: now.as_micros(),
                 worker,
-            },
-            now,
-        );
+            };
+            host.runner.record_heartbeat(heartbeat, now);
+        }
         if now >= host.next_list_at {
             host.next_list_at = now.plus_millis(100);
             self.list_attempts(index);
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -3,13 +3,20 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod graph;
 
-use graph::{accepted_job, at, empty_orders, heartbeat, orders, runner, step, update};
+use graph::{
+    accepted_job, at, attempt_status, empty_list, empty_orders, heartbeat, listed, orders, runner,
+    step, task, update,
+};
 use rstest::rstest;
 use toucanquay_control::{
-    runner::{self, Runner},
+    runner::{self, AttemptList, Runner},
     scheduler::{RestoredJob, Scheduler, Settings},
 };
-use toucanquay_model::{Time, graph::Id, session::Update};
+use toucanquay_model::{
+    Time,
+    graph::Id,
+    session::{Phase, Update},
+};
 
 /// Length of a worker's lease, in milliseconds.
 const LEASE_MS: u64 = 6_000;
@@ -96,3 +103,34 @@
 
     assert!(orders(&mut scheduler, "h1", at(11)).starts.is_empty());
 }
+
+#[test]
+fn owner_waits_for_a_worker_that_is_listed_and_has_not_announced_itself() {
+    let mut runner = restarted_companion();
+    runner.begin_session(2);
+    let list = AttemptList {
+        epoch: 2,
+        running: vec![listed(task(1, 0, 0), 7)],
+        ..empty_list(at(5))
+    };
+    runner.apply_list(list, at(6));
+    let mut scheduler = owner_that_awaits_a_host();
+
+    scheduler.update(&first_update(&mut runner, at(10)), at(10));
+
+    assert!(orders(&mut scheduler, "h1", at(11)).starts.is_empty());
+}
+
+#[test]
+fn owner_waits_for_a_host_whose_attempts_it_has_not_adopted() {
+    let mut scheduler = owner_that_awaits_a_host();
+    let unheard = Update {
+        worker: None,
+        runs: vec![attempt_status(task(1, 0, 0), 7, Phase::Running)],
+        ..update("h2", 1)
+    };
+
+    scheduler.update(&unheard, at(10));
+
+    assert!(orders(&mut scheduler, "h1", at(11)).starts.is_empty());
+}
