control: a task avoids a host whose agent has rejected it

Callers saw a task that lasts wait while a host had room. The owner made a task avoid a host only if its worker refused the start. After any other rejection (no room, lease over, draining, another life, the same task, stopped after an unanswered start) the task was placed on the same host again every 50 ms for as long as the host had the best score. Two such hosts kept a task away from a third one even if they refused, because a task remembers one avoided host.

Now each rejection makes the task avoid the host, and the host is avoided by all tasks for 500 ms. Both lower its score only, so that a host that alone fits is still used.

--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -77,7 +77,7 @@
         if !self.is_below_worker_limit(key, stage) {
             return None;
         }
-        let is_avoided = now < host.avoid_until;
+        let is_avoided = now < host.avoid_until.max(host.rejected_until);
         Some(if is_avoided {
             score - AVOIDED_HOST_PENALTY
         } else {
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -83,6 +83,8 @@
     /// Distinct jobs that have failed on the worker since the last success.
     pub(super) failing_jobs: SmallVec<[JobKey; 4]>,
     pub(super) avoid_until: Time,
+    /// Until when the host is avoided because its agent has rejected a start.
+    pub(super) rejected_until: Time,
     /// Placement round that first saw the host's last change after which more tasks may fit.
     pub(super) changed_in: u64,
     /// Headroom of the sensitive attempts, by image. Empty until it is needed after a change.
@@ -127,6 +129,7 @@
             unacknowledged_crashes: VecDeque::new(),
             failing_jobs: SmallVec::new(),
             avoid_until: Time::ZERO,
+            rejected_until: Time::ZERO,
             changed_in: 0,
             headrooms: OnceCell::new(),
         }
--- a/crates/control/src/scheduler/settings.rs
+++ b/crates/control/src/scheduler/settings.rs
@@ -22,6 +22,8 @@
     pub sweep_interval_micros: u64,
     /// Delay before the task of a rejected attempt is placed again, in microseconds.
     pub retry_delay_micros: u64,
+    /// Time for which a host is avoided whose agent has rejected a start, in microseconds.
+    pub rejection_avoidance_micros: u64,
     /// Maximum delay before a failed perpetual task is placed again, in microseconds.
     pub backoff_micros_max: u64,
     /// Number of distinct jobs that fail on a worker in a row before the worker is avoided.
@@ -41,6 +43,7 @@
             retention_micros: 180_000_000,
             sweep_interval_micros: 5_000_000,
             retry_delay_micros: 50_000,
+            rejection_avoidance_micros: 500_000,
             backoff_micros_max: 1_000_000,
             failing_jobs_max: 3,
             avoidance_micros: 3_000_000,
--- a/crates/control/src/scheduler/task.rs
+++ b/crates/control/src/scheduler/task.rs
@@ -25,7 +25,7 @@
     pub(super) suspected_in: u64,
     pub(super) checkpoint: Option<String>,
     pub(super) not_before: Time,
-    /// Host on which the last attempt failed, or that refused to start it.
+    /// Host on which the last attempt failed, or whose agent rejected it.
     pub(super) avoided_host: Option<HostKey>,
 }
 
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -234,9 +234,9 @@
             self.release_run(key, now);
             if let Some((job, place, host)) = placed {
                 self.delay_task(job, place, now.plus_micros(delay_micros));
-                if reason == Rejection::Refused {
-                    self.avoid_host(job, place, host);
-                }
+                self.avoid_host(job, place, host);
+                self.hosts[host].rejected_until =
+                    now.plus_micros(self.settings.rejection_avoidance_micros);
             }
             return;
         }
--- /dev/null
+++ b/crates/control/tests/lasting.rs
@@ -0,0 +1,90 @@
+//! Tests of perpetual tasks: each runs again soon after it has stopped, wherever there is room.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use graph::{accepted_job, at, attempt_status, orders, owner, step, update};
+use rstest::rstest;
+use toucanquay_control::scheduler::Scheduler;
+use toucanquay_model::{
+    graph::{Id, Step},
+    session::{Phase, Rejection, Start, Update},
+};
+
+/// Returns a step of perpetual tasks with two processors each.
+fn perpetual(tasks: u32) -> Step {
+    Step {
+        is_perpetual: true,
+        ..step(tasks)
+    }
+}
+
+/// Returns the position of the only host that gets a start, with the start.
+fn placed(scheduler: &mut Scheduler, hosts: &[&str], millis: u64) -> Option<(usize, Start)> {
+    let mut starts = hosts.iter().enumerate().filter_map(|(index, host)| {
+        let start = orders(scheduler, host, at(millis)).starts.pop()?;
+        Some((index, start))
+    });
+    starts.next()
+}
+
+/// Guards against a task that is placed again and again on hosts that reject it, while another one
+/// has room.
+#[rstest]
+fn rejecting_hosts_do_not_keep_a_task_from_another_host(
+    #[values(
+        Rejection::Draining,
+        Rejection::OtherLife,
+        Rejection::NoRoom,
+        Rejection::SameTask,
+        Rejection::LeaseOver,
+        Rejection::Refused,
+        Rejection::Stopped
+    )]
+    reason: Rejection,
+    #[values(1, 2)] rejecting: usize,
+) {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let mut refusals = Vec::new();
+    for number in 2..100 {
+        let millis = number * 10;
+        let Some((host, start)) = placed(&mut scheduler, &hosts, millis) else {
+            continue;
+        };
+        if !refusals.contains(&host) && refusals.len() == rejecting {
+            return;
+        }
+        if !refusals.contains(&host) {
+            refusals.push(host);
+        }
+        let phase = Phase::Rejected(reason);
+        let report = Update {
+            applied: u64::MAX,
+            runs: vec![attempt_status(start.task, start.attempt, phase)],
+            ..update(hosts[host], number)
+        };
+        scheduler.update(&report, at(millis + 5));
+    }
+    panic!("only {refusals:?} got starts within a second");
+}
+
+/// Guards against a rejected task that never returns to the only host that fits.
+#[test]
+fn task_returns_to_the_only_host_that_fits() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let start = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    let phase = Phase::Rejected(Rejection::NoRoom);
+    let report = Update {
+        applied: u64::MAX,
+        runs: vec![attempt_status(start.task, start.attempt, phase)],
+        ..update("h1", 2)
+    };
+    scheduler.update(&report, at(10));
+
+    let again = orders(&mut scheduler, "h1", at(61));
+
+    assert_eq!(again.starts.len(), 1);
+}
