control: a perpetual task that uses idle processors starts at any speed

Such a task was started below 0.4 of its speed only while no other attempt of its job was there. The rule judges each task that lasts by itself, so that on workers with few idle processors all but the first of a job waited without end, as if there were no room.

Now perpetual steps accept any speed, and still take the fastest host. Other steps are unchanged.

perpetual_task_starts_although_it_is_slow_and_its_job_runs failed before: 1 of 2 tasks had started after 1 s.

--- a/crates/control/src/scheduler/choice.rs
+++ b/crates/control/src/scheduler/choice.rs
@@ -10,8 +10,8 @@
     stage_ref::StageRef,
 };
 
-/// Minimum speed at which a task that uses idle processors is started. It does not apply to a job
-/// that has no task running.
+/// Minimum speed at which a task that uses idle processors is started. It does not apply to a
+/// perpetual task, nor to a job that has no task running.
 const START_SPEED_MIN: f64 = 0.4;
 
 /// Penalty for the first sensitive task on a worker, and the part of it that grows with the
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 
 use toucanquay_model::{
     Time,
-    graph::{self, Place},
+    graph::{self, Place, Step},
     session::Start,
 };
 
@@ -112,7 +112,7 @@
                 step,
                 pool: &pool,
                 image: self.interference.image_key(image),
-                accepts_any_speed: self.jobs[key].runs == 0,
+                accepts_any_speed: self.accepts_any_speed(key, step),
             };
             let is_suspect = self.has_suspect(stage);
             let is_placed = match part {
@@ -153,8 +153,9 @@
             };
             let attempt = self.next_attempt();
             self.start_task(stage, index, host, attempt, now);
-            if stage.accepts_any_speed {
-                stage.accepts_any_speed = false;
+            let accepts_any_speed = self.accepts_any_speed(stage.job, stage.step);
+            if accepts_any_speed != stage.accepts_any_speed {
+                stage.accepts_any_speed = accepts_any_speed;
                 candidates = self.candidates(stage, since, now);
             } else {
                 self.readd_host(&mut candidates, host, stage, now);
@@ -212,6 +213,12 @@
         }
     }
 
+    /// Returns whether tasks of a step are started where they would be slow: at least one of each
+    /// job runs, and each perpetual one.
+    fn accepts_any_speed(&self, job: JobKey, step: &Step) -> bool {
+        step.is_perpetual || self.jobs[job].runs == 0
+    }
+
     /// Returns the placement round of the last search that found no host for a stage, if hosts that
     /// have not changed since then need not be searched again.
     fn last_search(&self, stage: StageRef<'_>, now: Time) -> Option<u64> {
@@ -229,9 +236,9 @@
                 .map_or(now, |shortage| shortage.full_search_at),
             None => now.plus_micros(FULL_SEARCH_INTERVAL_MICROS),
         };
-        let job = &mut self.jobs[stage.job];
-        let accepted_any_speed = stage.accepts_any_speed && job.runs == 0;
-        job.stages[stage.index].shortage = Some(Shortage {
+        let accepted_any_speed =
+            stage.accepts_any_speed && self.accepts_any_speed(stage.job, stage.step);
+        self.jobs[stage.job].stages[stage.index].shortage = Some(Shortage {
             round: self.placement_round,
             accepted_any_speed,
             full_search_at,
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -3,10 +3,11 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod graph;
 
-use graph::{accepted_job, at, attempt_status, orders, owner, step, update};
+use graph::{accepted_job, at, attempt_status, cores, orders, owner, step, update};
 use rstest::rstest;
 use toucanquay_control::scheduler::Scheduler;
 use toucanquay_model::{
+    Resources,
     graph::{Id, Step},
     session::{Phase, Rejection, Start, Update},
 };
@@ -88,3 +89,26 @@
 
     assert_eq!(again.starts.len(), 1);
 }
+
+/// Guards against a perpetual task that waits for idle processors for as long as another task of
+/// its job runs.
+#[test]
+fn perpetual_task_starts_although_it_is_slow_and_its_job_runs() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(7)]), at(0));
+    let filler = Step {
+        demand: Resources {
+            memory_mb: 10,
+            ..cores(8)
+        },
+        uses_idle: true,
+        ..perpetual(2)
+    };
+    scheduler.accept(Id::new(2), accepted_job(vec![filler]), at(0));
+
+    let mut starts = orders(&mut scheduler, "h1", at(1)).starts;
+    starts.extend(orders(&mut scheduler, "h1", at(1_000)).starts);
+
+    let second_job = starts.iter().filter(|start| start.task.job == Id::new(2));
+    assert_eq!(second_job.count(), 2);
+}
