control: a perpetual task that has run for long restarts without a long delay

The delay before a failed perpetual task starts again grew with the failures of its whole life, up to 1 s, and was never reset: a task that failed once a day for a week waited as long as one that fails at each start.

An attempt that has run for 5 s or more now resets the count before its failure is counted. A task that fails at once is delayed as before.

perpetual_task_that_has_run_for_long_restarts_at_once (a failure each 20 s for an hour) failed before, with 1,000 ms from the fifth failure on.

--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -13,6 +13,10 @@
     updates::task_place,
 };
 
+/// Time for which an attempt of a perpetual task must run for its failure to count as the first
+/// one, in microseconds.
+const STABLE_MICROS: u64 = 5_000_000;
+
 impl Scheduler {
     /// Processes the end of an attempt that a worker reports.
     pub(super) fn handle_end(&mut self, host: HostKey, end: &End, now: Time) {
@@ -21,8 +25,10 @@
         };
         let place = task_place(end.task);
         let run = self.current_run(key, place);
-        let is_current = run.is_some_and(|run| self.runs[run].attempt == end.attempt);
-        if is_current && let Some(run) = run {
+        let current = run.filter(|run| self.runs[*run].attempt == end.attempt);
+        let has_run_for_long =
+            current.is_some_and(|run| now >= self.runs[run].started_at.plus_micros(STABLE_MICROS));
+        if let Some(run) = current {
             self.release_run(run, now);
         }
         if let Some(job) = self.jobs.get_mut(key) {
@@ -32,6 +38,9 @@
             Ending::Done => self.finish_task(key, place, host, now),
             Ending::Failed => {
                 self.outlive_start(key, place, end.attempt);
+                if has_run_for_long {
+                    self.reset_backoff(key, place);
+                }
                 self.handle_failure(key, place, end.attempt, host, now);
             }
             Ending::Stopped | Ending::Expired | Ending::Broken | Ending::Alone | Ending::Lost => {}
@@ -176,6 +185,17 @@
         }
     }
 
+    /// Forgets the failures of a perpetual task, so that the next one is delayed like the first.
+    fn reset_backoff(&mut self, key: JobKey, place: Place) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let is_perpetual = job.step(place).is_some_and(|step| step.is_perpetual);
+        if is_perpetual && let Some(task) = job.task_mut(place) {
+            task.failed_attempts.clear();
+        }
+    }
+
     fn save_checkpoint(&mut self, key: JobKey, place: Place, checkpoint: Option<String>) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -29,7 +29,8 @@
     Failed {
         /// Task whose attempt failed.
         task: Task,
-        /// Number of failed attempts of the task so far.
+        /// Number of failed attempts of the task so far; of a perpetual task, since it last ran for
+        /// long.
         failures: u32,
         /// Name of the host that the attempt ran on. The next attempt prefers other hosts.
         host: String,
--- a/crates/control/src/scheduler/task.rs
+++ b/crates/control/src/scheduler/task.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Task {
     pub(super) phase: Phase,
-    /// Numbers of the failed attempts; of a perpetual task, only the latest ones.
+    /// Numbers of the failed attempts; of a perpetual task, the latest ones since one ran for long.
     pub(super) failed_attempts: SmallVec<[u64; 2]>,
     /// Numbers of the attempts that are suspects of the crashes of their workers, since the last
     /// one that was outlived by its worker.
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -3,13 +3,13 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod graph;
 
-use graph::{accepted_job, at, attempt_status, cores, orders, owner, step, update};
+use graph::{accepted_job, at, attempt_status, cores, end, orders, owner, step, update};
 use rstest::rstest;
 use toucanquay_control::scheduler::Scheduler;
 use toucanquay_model::{
     Resources,
     graph::{Id, Step},
-    session::{Phase, Rejection, Start, Update},
+    session::{Ending, Phase, Rejection, Start, Update},
 };
 
 /// Returns a step of perpetual tasks with two processors each.
@@ -112,3 +112,49 @@
     let second_job = starts.iter().filter(|start| start.task.job == Id::new(2));
     assert_eq!(second_job.count(), 2);
 }
+
+/// Returns the delay before each restart of a perpetual task that fails `run_ms` after each start,
+/// in milliseconds.
+fn restart_delays(run_ms: u64, failures: u64) -> Vec<u64> {
+    let hosts = ["h1"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.extend_ownership(at(100_000_000));
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let mut millis = 1;
+    let mut start = orders(&mut scheduler, "h1", at(millis)).starts.remove(0);
+    let mut delays = Vec::new();
+    for number in 1..=failures {
+        millis += run_ms;
+        let report = Update {
+            applied: u64::MAX,
+            ends: vec![end(number, start.task, start.attempt, Ending::Failed)],
+            ..update("h1", number + 1)
+        };
+        scheduler.update(&report, at(millis));
+        let failed_at = millis;
+        start = loop {
+            millis += 10;
+            if let Some((_, start)) = placed(&mut scheduler, &hosts, millis) {
+                break start;
+            }
+        };
+        delays.push(millis - failed_at);
+    }
+    delays
+}
+
+/// Guards against a perpetual task that waits longer after each failure of its whole life.
+#[test]
+fn perpetual_task_that_has_run_for_long_restarts_at_once() {
+    let delays = restart_delays(20_000, 180);
+
+    assert!(delays.iter().all(|delay| *delay <= 110), "{delays:?}");
+}
+
+/// Guards against a perpetual task that fails at once and is restarted without a pause.
+#[test]
+fn perpetual_task_that_fails_at_once_is_delayed_more_and_more() {
+    let delays = restart_delays(100, 8);
+
+    assert_eq!(delays, [100, 200, 400, 800, 1_000, 1_000, 1_000, 1_000]);
+}
