control: a gang that waits for a member records no shortage of hosts

A gang one of whose members failed waited up to 750 ms with all hosts idle: while the member was delayed, the search for hosts was skipped and counted as if no host had fitted, and hosts that don't change are searched again after 500 ms only.

A gang with a member that may not be placed yet now records nothing. Members whose attempts are unresolved hold the whole gang: it starts again as soon as the stop is answered, or when the lease of a silent host ends (test of both).

gang_starts_again_when_the_delay_of_its_member_has_passed failed before: no start when the delay of 100 ms had passed.

--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -164,9 +164,14 @@
         true
     }
 
-    /// Places all tasks of a gang under one attempt number. Returns `false` and places none of them
-    /// if one doesn't fit.
+    /// Places all tasks of a gang under one attempt number, once all may be placed. Returns `false`
+    /// and places none of them if one doesn't fit.
     fn place_gang(&mut self, stage: StageRef<'_>, now: Time) -> bool {
+        let mut members = 0..stage.step.tasks;
+        if members.any(|index| self.waiting_task(stage, index, now).is_none()) {
+            // The gang waits for a member, not for a host.
+            return true;
+        }
         let since = self.last_search(stage, now);
         if since.is_some_and(|round| self.hosts_changed_after(round).next().is_none()) {
             return false;
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -9,7 +9,7 @@
 use toucanquay_model::{
     Resources,
     graph::{Id, Step},
-    session::{Ending, Phase, Rejection, Start, Update},
+    session::{Ending, Orders, Phase, Rejection, Start, Update},
 };
 
 /// Returns a step of perpetual tasks with two processors each.
@@ -158,3 +158,104 @@
 
     assert_eq!(delays, [100, 200, 400, 800, 1_000, 1_000, 1_000, 1_000]);
 }
+
+/// Guards against a gang that waits although there is room, because a member had to wait before.
+#[test]
+fn gang_starts_again_when_the_delay_of_its_member_has_passed() {
+    let hosts = ["h1"];
+    let mut scheduler = owner(1, &hosts);
+    let gang = Step {
+        is_gang: true,
+        ..perpetual(2)
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![gang]), at(0));
+    let starts = orders(&mut scheduler, "h1", at(1)).starts;
+    let failed = end(1, starts[0].task, starts[0].attempt, Ending::Failed);
+    let alone = end(2, starts[1].task, starts[1].attempt, Ending::Alone);
+    let report = Update {
+        applied: u64::MAX,
+        ends: vec![failed, alone],
+        ..update("h1", 2)
+    };
+    scheduler.update(&report, at(1_000));
+    let delayed = orders(&mut scheduler, "h1", at(1_001)).starts;
+
+    let again = orders(&mut scheduler, "h1", at(1_101)).starts;
+
+    assert_eq!((delayed.len(), again.len()), (0, 2));
+}
+
+/// Guards against a gang that waits for a member whose start was never resolved, longer than the
+/// lease of its worker.
+#[rstest]
+#[case::answered(true, 700)]
+#[case::silent(false, 6_900)]
+fn gang_with_an_unresolved_member_starts_again_as_a_whole(
+    #[case] is_answered: bool,
+    #[case] started_at: u64,
+) {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    let gang = Step {
+        is_gang: true,
+        per_worker_max: Some(1),
+        ..perpetual(2)
+    };
+    scheduler.accept(Id::new(1), accepted_job(vec![gang]), at(0));
+    let starts = hosts.map(|host| orders(&mut scheduler, host, at(1)).starts.pop());
+    let members: Vec<usize> = (0..3).filter(|index| starts[*index].is_some()).collect();
+    let [unresolved, alone] = members.as_slice() else {
+        panic!("two members start: {starts:?}");
+    };
+    let start = |index: usize| starts[index].as_ref().expect("a member");
+    // The companion of one restarts, and the other one ends alone.
+    scheduler.disconnect(hosts[*unresolved]);
+    scheduler.connect(hosts[*unresolved]);
+    let restarted = Update {
+        process: 2,
+        ..update(hosts[*unresolved], 1)
+    };
+    scheduler.update(&restarted, at(500));
+    let stop: Orders = orders(&mut scheduler, hosts[*unresolved], at(501));
+    let report = Update {
+        applied: u64::MAX,
+        ends: vec![end(
+            1,
+            start(*alone).task,
+            start(*alone).attempt,
+            Ending::Alone,
+        )],
+        ..update(hosts[*alone], 2)
+    };
+    scheduler.update(&report, at(510));
+    assert_eq!((stop.stops.len(), stop.starts.len()), (1, 0));
+    if is_answered {
+        let phase = Phase::Rejected(Rejection::Stopped);
+        let resolved = Update {
+            applied: stop.number,
+            runs: vec![attempt_status(
+                start(*unresolved).task,
+                start(*unresolved).attempt,
+                phase,
+            )],
+            number: 2,
+            ..restarted
+        };
+        scheduler.update(&resolved, at(650));
+    } else {
+        scheduler.disconnect(hosts[*unresolved]);
+    }
+    let mut begun = Vec::new();
+    for millis in (700..10_000).step_by(100) {
+        for (index, host) in hosts.iter().enumerate() {
+            if is_answered || index != *unresolved {
+                begun.extend(orders(&mut scheduler, host, at(millis)).starts);
+            }
+        }
+        if !begun.is_empty() {
+            assert_eq!((begun.len(), millis), (2, started_at));
+            return;
+        }
+    }
+    panic!("the gang doesn't start again");
+}
