control: attempts that are adopted on a draining worker are moved

The owner stops perpetual tasks and long tasks with checkpoints when a worker begins to drain, before it adopts the attempts of the same update. A new owner (or one that hears a silent worker again) adopted them later and left them there until the worker ended, which then waited for nothing, and unsaved work was lost.

The attempts of the update are now adopted first.

task_that_is_adopted_on_a_draining_worker_is_stopped failed before: 0 stops. Tests that passed already and rule out the other paths: a companion or a worker that falls silent before it answers the stop (the task starts elsewhere when the lease ends, 6.4 s after the last update), and two drains in a row.

--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -36,7 +36,7 @@
             // nobody reports its end.
             host.update_stamp = Time::ZERO;
         }
-        self.apply_worker(key, update, is_agent_restarted, now);
+        let begins_to_drain = self.apply_worker(key, update, is_agent_restarted, now);
         self.apply_crashes(key, update, now);
         if update.worker.is_none() {
             self.apply_rejections(key, update, now);
@@ -44,6 +44,10 @@
             self.apply_ends(key, update, now);
             self.apply_runs(key, update, now);
             self.release_missing_runs(key, update, is_first_update, now);
+            if begins_to_drain {
+                // Attempts that were found in the same update are adopted by now.
+                self.evacuate(key, now);
+            }
             self.record_latency_floors(update);
             if update.has_sample {
                 self.learn_interference(key, now);
@@ -80,7 +84,14 @@
         }
     }
 
-    fn apply_worker(&mut self, key: HostKey, update: &Update, is_agent_restarted: bool, now: Time) {
+    /// Updates the worker of a host. Returns whether it begins to drain.
+    fn apply_worker(
+        &mut self,
+        key: HostKey,
+        update: &Update,
+        is_agent_restarted: bool,
+        now: Time,
+    ) -> bool {
         let host = &mut self.hosts[key];
         let Some(worker) = &update.worker else {
             // A restarted agent does not know the worker yet. An agent that did know it reports
@@ -92,7 +103,7 @@
             if is_gone {
                 self.handle_worker_loss(key, Loss::Exited, now);
             }
-            return;
+            return false;
         };
         if host.worker_incarnation != worker.incarnation {
             if host.worker_incarnation != 0 {
@@ -113,9 +124,7 @@
             self.mark_host_changed(key);
             self.is_placement_due = true;
         }
-        if worker.is_draining && !was_draining {
-            self.evacuate(key, now);
-        }
+        worker.is_draining && !was_draining
     }
 
     /// Resets the state of a worker whose process has ended and releases all its attempts.
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -3,13 +3,15 @@
 #[expect(dead_code, reason = "the fixtures are shared with other tests")]
 mod graph;
 
-use graph::{accepted_job, at, attempt_status, cores, end, orders, owner, step, update};
+use graph::{
+    accepted_job, at, attempt_status, cores, end, orders, owner, step, task, update, worker,
+};
 use rstest::rstest;
 use toucanquay_control::scheduler::Scheduler;
 use toucanquay_model::{
     Resources,
     graph::{Id, Step},
-    session::{Ending, Orders, Phase, Rejection, Start, Update},
+    session::{Ending, Orders, Phase, Rejection, Start, Update, Worker},
 };
 
 /// Returns a step of perpetual tasks with two processors each.
@@ -159,6 +161,110 @@
     assert_eq!(delays, [100, 200, 400, 800, 1_000, 1_000, 1_000, 1_000]);
 }
 
+/// Returns an update of a host whose worker drains.
+fn draining(host: &str, number: u64, runs: &[&Start]) -> Update {
+    let status = |start: &&Start| attempt_status(start.task, start.attempt, Phase::Running);
+    Update {
+        applied: u64::MAX,
+        worker: Some(Worker {
+            is_draining: true,
+            remaining_ms: Some(60_000),
+            ..worker()
+        }),
+        runs: runs.iter().map(status).collect(),
+        ..update(host, number)
+    }
+}
+
+/// What falls silent after a stop was ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silent {
+    Companion,
+    Worker,
+}
+
+/// Guards against a task that stays on a draining worker that never answers its stop.
+#[rstest]
+fn task_of_a_draining_worker_that_falls_silent_starts_when_the_lease_ends(
+    #[values(Silent::Companion, Silent::Worker)] silent: Silent,
+) {
+    let hosts = ["h1", "h2"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let (first, start) = placed(&mut scheduler, &hosts, 1).expect("a start");
+    let second = hosts[1 - first];
+    scheduler.update(&draining(hosts[first], 2, &[&start]), at(100));
+    let stops = orders(&mut scheduler, hosts[first], at(101)).stops;
+    if silent == Silent::Companion {
+        scheduler.disconnect(hosts[first]);
+    }
+    let mut started_at = None;
+    for number in 3..100 {
+        let millis = 100 * number;
+        if silent == Silent::Worker {
+            let report = Update {
+                worker: None,
+                is_worker_silent: true,
+                ..draining(hosts[first], number, &[&start])
+            };
+            scheduler.update(&report, at(millis));
+        }
+        scheduler.update(&update(second, number), at(millis));
+        if !orders(&mut scheduler, second, at(millis)).starts.is_empty() {
+            started_at = Some(millis);
+            break;
+        }
+    }
+
+    assert_eq!(stops.len(), 1);
+    assert_eq!(started_at, Some(6_500));
+}
+
+/// Guards against a task that is lost between two workers that drain one after the other.
+#[test]
+fn task_moves_on_when_the_next_worker_drains_too() {
+    let hosts = ["h1", "h2", "h3"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let mut visited = Vec::new();
+    for number in 0..3 {
+        let millis = 100 * number;
+        let (host, start) = placed(&mut scheduler, &hosts, millis + 1).expect("a start");
+        visited.push(host);
+        scheduler.update(&draining(hosts[host], 2, &[&start]), at(millis + 10));
+        let stops = orders(&mut scheduler, hosts[host], at(millis + 11)).stops;
+        assert_eq!(stops.len(), 1);
+        let stopped = Update {
+            ends: vec![end(1, start.task, start.attempt, Ending::Stopped)],
+            ..draining(hosts[host], 3, &[])
+        };
+        scheduler.update(&stopped, at(millis + 20));
+    }
+
+    visited.sort_unstable();
+    assert_eq!(visited, [0, 1, 2]);
+}
+
+/// Guards against a task that a new owner leaves on a worker that was draining before.
+#[test]
+fn task_that_is_adopted_on_a_draining_worker_is_stopped() {
+    let mut scheduler = owner(2, &[]);
+    let restored = toucanquay_control::scheduler::RestoredJob::default();
+    scheduler.restore(
+        Id::new(1),
+        accepted_job(vec![perpetual(1)]),
+        restored,
+        at(0),
+    );
+    scheduler.connect("h1");
+    let start = graph::start(task(1, 0, 0), 7);
+    scheduler.update(&draining("h1", 1, &[&start]), at(1));
+
+    let stops = orders(&mut scheduler, "h1", at(2)).stops;
+
+    assert_eq!(stops.len(), 1);
+}
+
 /// Guards against a gang that waits although there is room, because a member had to wait before.
 #[test]
 fn gang_starts_again_when_the_delay_of_its_member_has_passed() {
