control: an attempt that is being stopped keeps only its own room

A companion that doesn't know the size of an attempt on its worker rejects each start there for want of room. The owner described attempts only when it adopted them, or in the first update of a session. Attempts that it wants stopped had no description: a start that a former process of the companion may have sent, and an attempt whose task runs elsewhere or is over. While a worker left such a stop unanswered, or took its time to stop the attempt, its host rejected all starts, and the owner, which counts the size, went on placing tasks there.

A stop now comes with the profile of the task, and the companion applies stops before profiles, so that an attempt that the stop makes known is described too. Of a job that the owner doesn't know there is no profile; these still block their host until they are gone.

unanswered_stop_of_an_earlier_start_keeps_no_other_task_away and attempt_that_is_not_wanted_keeps_no_other_task_away failed before: no call to the worker, the start was rejected.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -231,10 +231,10 @@
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
         self.merge_effects(orders);
-        self.set_profiles(orders, now);
         for stop in &orders.stops {
             self.stop(*stop, &mut actions);
         }
+        self.set_profiles(orders, now);
         let is_other_incarnation = orders.worker != self.incarnation;
         for start in &orders.starts {
             self.start(start, is_other_incarnation, lease_until, now, &mut actions);
@@ -458,7 +458,7 @@
         }
     }
 
-    /// Sets the profiles of attempts that were found on the worker. Their paces are due: an earlier
+    /// Sets the profiles of attempts that were found on the worker or are being stopped. Their paces are due: an earlier
     /// companion process may have set other ones.
     fn set_profiles(&mut self, orders: &Orders, now: Time) {
         let mut paced: SmallVec<[AttemptKey; 8]> = SmallVec::new();
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -205,13 +205,21 @@
             } else if !matches!(reported.phase, RunPhase::Rejected(_))
                 && !self.adopt(key, reported, now)
             {
-                let profile = self.task_profile(reported.task).unwrap_or_default();
-                untracked = untracked.plus(&profile.occupied);
-                if reported.phase != RunPhase::Stopping {
-                    self.hosts[key].stops.push(Stop {
-                        task: reported.task,
-                        attempt: reported.attempt,
-                    });
+                let profile = self.task_profile(reported.task);
+                untracked = untracked.plus(&profile.unwrap_or_default().occupied);
+                let attempt = Stop {
+                    task: reported.task,
+                    attempt: reported.attempt,
+                };
+                let is_stopping = reported.phase == RunPhase::Stopping;
+                let host = &mut self.hosts[key];
+                if !is_stopping {
+                    host.stops.push(attempt);
+                }
+                if !is_stopping || host.is_first_update {
+                    // An agent that doesn't know the size of an attempt starts nothing beside it.
+                    host.profiles
+                        .extend(profile.map(|profile| (attempt, profile)));
                 }
             }
         }
@@ -401,6 +409,7 @@
         run.is_unresolved = true;
         run.orders_number = None;
         self.hosts[run.host].stops.push(stop);
+        self.send_profile(key, stop);
     }
 
     fn find_run_on_host(&self, host: HostKey, reported: &ReportedRun) -> Option<RunKey> {
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -4,10 +4,14 @@
 mod graph;
 
 use graph::{
-    accepted_job, at, attempt_status, cores, end, orders, owner, step, task, update, worker,
+    accepted_job, at, attempt_status, cores, empty_list, end, heartbeat, listed, orders, owner,
+    step, task, update, worker,
 };
 use rstest::rstest;
-use toucanquay_control::scheduler::Scheduler;
+use toucanquay_control::{
+    runner::{Action, CallOutcome, Runner},
+    scheduler::Scheduler,
+};
 use toucanquay_model::{
     Resources,
     graph::{Id, Step},
@@ -161,6 +165,77 @@
     assert_eq!(delays, [100, 200, 400, 800, 1_000, 1_000, 1_000, 1_000]);
 }
 
+/// Returns a companion that has restarted and whose worker lists `running`.
+fn restarted_agent(host: &str, running: &[(toucanquay_model::graph::Task, u64)]) -> Runner {
+    let settings = toucanquay_control::runner::Settings::new(host.to_owned(), 2, 6_000_000);
+    let mut agent = Runner::new(settings);
+    agent.record_heartbeat(heartbeat(1), at(0));
+    let mut list = empty_list(at(300));
+    list.running = running
+        .iter()
+        .map(|(task, attempt)| listed(*task, *attempt))
+        .collect();
+    agent.apply_list(list, at(300));
+    agent.begin_session(1);
+    agent
+}
+
+/// Exchanges an update and orders, and returns the calls to the worker.
+fn exchange(scheduler: &mut Scheduler, agent: &mut Runner, host: &str, millis: u64) -> Vec<Action> {
+    let report = agent.next_update(at(millis));
+    scheduler.update(&report, at(millis));
+    let orders = orders(scheduler, host, at(millis));
+    agent.apply_orders(&orders, at(millis))
+}
+
+/// Guards against a host that rejects all starts while a stop of an earlier start is unanswered.
+#[test]
+fn unanswered_stop_of_an_earlier_start_keeps_no_other_task_away() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    assert_eq!(orders(&mut scheduler, "h1", at(1)).starts.len(), 1);
+    scheduler.disconnect("h1");
+    scheduler.connect("h1");
+    let mut agent = restarted_agent("h1", &[]);
+    let stops = exchange(&mut scheduler, &mut agent, "h1", 310);
+    assert!(matches!(stops.as_slice(), [Action::Stop(_)]));
+    agent.record_stop_outcome(task(1, 0, 0), 1, CallOutcome::Unknown, at(320));
+    scheduler.accept(Id::new(2), accepted_job(vec![perpetual(1)]), at(330));
+
+    let calls = exchange(&mut scheduler, &mut agent, "h1", 340);
+
+    assert!(
+        matches!(calls.as_slice(), [Action::Start { .. }]),
+        "{calls:?}"
+    );
+}
+
+/// Guards against a host that rejects all starts while an attempt ends that runs elsewhere, too.
+#[test]
+fn attempt_that_is_not_wanted_keeps_no_other_task_away() {
+    let hosts = ["h1", "h2"];
+    let mut scheduler = owner(1, &hosts);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let (host, start) = placed(&mut scheduler, &hosts, 1).expect("a start");
+    let other = hosts[1 - host];
+    scheduler.disconnect(other);
+    scheduler.connect(other);
+    let mut agent = restarted_agent(other, &[(start.task, start.attempt - 1)]);
+    let stops = exchange(&mut scheduler, &mut agent, other, 310);
+    assert!(matches!(stops.as_slice(), [Action::Stop(_)]), "{stops:?}");
+    // The worker takes its time to stop the attempt.
+    agent.record_stop_outcome(start.task, start.attempt - 1, CallOutcome::Done, at(320));
+    scheduler.disconnect(hosts[host]);
+    scheduler.accept(Id::new(2), accepted_job(vec![perpetual(1)]), at(330));
+
+    let calls = exchange(&mut scheduler, &mut agent, other, 340);
+
+    assert!(
+        matches!(calls.as_slice(), [Action::Start { .. }]),
+        "{calls:?}"
+    );
+}
+
 /// Returns an update of a host whose worker drains.
 fn draining(host: &str, number: u64, runs: &[&Start]) -> Update {
     let status = |start: &&Start| attempt_status(start.task, start.attempt, Phase::Running);
