control: no stop is sent for an attempt that is no longer on its worker

A stop that was queued, and whose attempt was rejected or ended before it was sent, made the companion keep an attempt of unknown size until the worker had answered the stop and a list, and reject all starts until then.

The stop is now dropped with the attempt.

stop_of_a_rejected_start_is_not_sent failed before: one stop was sent.

--- a/crates/control/src/scheduler/ending.rs
+++ b/crates/control/src/scheduler/ending.rs
@@ -3,7 +3,7 @@
 use toucanquay_model::{
     Time,
     graph::{Place, State},
-    session::{End, Ending},
+    session::{End, Ending, Stop},
 };
 
 use super::{
@@ -56,8 +56,11 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        let task = self.jobs.get(run.job).map(|job| job.task_id(run.place));
         if let Some(host) = self.hosts.get_mut(run.host) {
             host.remove_run(key, &run);
+            let is_of_run = |stop: &Stop| Some(stop.task) == task && stop.attempt == run.attempt;
+            host.stops.retain(|stop| !is_of_run(stop));
         }
         self.end_probe(run.host, key);
         self.mark_host_changed(run.host);
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -236,6 +236,27 @@
     );
 }
 
+/// Guards against a stop of an attempt that is no longer on its worker: its companion would give no
+/// room away until the worker has answered it.
+#[test]
+fn stop_of_a_rejected_start_is_not_sent() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let start = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    scheduler.cancel(Id::new(1), at(2));
+    let phase = Phase::Rejected(Rejection::NoRoom);
+    let report = Update {
+        applied: u64::MAX,
+        runs: vec![attempt_status(start.task, start.attempt, phase)],
+        ..update("h1", 2)
+    };
+    scheduler.update(&report, at(3));
+
+    let stops = orders(&mut scheduler, "h1", at(4)).stops;
+
+    assert!(stops.is_empty(), "{stops:?}");
+}
+
 /// Returns an update of a host whose worker drains.
 fn draining(host: &str, number: u64, runs: &[&Start]) -> Update {
     let status = |start: &&Start| attempt_status(start.task, start.attempt, Phase::Running);
