control: an attempt that one list left out keeps its description

A companion drops an attempt that a list doesn't show. If a later list shows it again before the next update, the owner never learns that it was gone and doesn't describe it again, and the companion, which doesn't know its size, rejects all starts until the session ends. Lists of a sound worker are complete, so that this is not known to have happened; nothing bounded it.

The companion now keeps the profiles of dropped attempts until its next update. From that update on the owner describes the attempt when it adopts or stops it.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -22,7 +22,8 @@
     Epoch, Incarnation, Resources, Time,
     graph::Task,
     session::{
-        AttemptStatus, Crash, End, Orders, Phase, Rejection, Start, Stop, Suspect, Update, Worker,
+        AttemptStatus, Crash, End, Orders, Phase, Profile, Rejection, Start, Stop, Suspect, Update,
+        Worker,
     },
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
@@ -86,6 +87,9 @@
     /// Whether renewed gauges that cover the current attempts were listed since the last update.
     has_sample: bool,
     runs: BTreeMap<AttemptKey, AttemptState>,
+    /// Profiles of the attempts that have left the worker's lists since the last update. The owner
+    /// doesn't describe one again that is listed again before it learns of this.
+    unlisted_profiles: BTreeMap<AttemptKey, Profile>,
     ends: Vec<End>,
     last_listed_end: u64,
     acknowledged: u64,
@@ -121,6 +125,7 @@
             samples_invalidated_at: Time::ZERO,
             has_sample: false,
             runs: BTreeMap::new(),
+            unlisted_profiles: BTreeMap::new(),
             ends: Vec::new(),
             last_listed_end: 0,
             acknowledged: 0,
@@ -193,6 +198,7 @@
         self.worker = None;
         self.has_worker_exited = true;
         self.runs.clear();
+        self.unlisted_profiles.clear();
         self.ends.clear();
         // Later messages of the same incarnation are delayed ones and must be ignored.
         self.incarnation = self.incarnation.saturating_add(1);
@@ -245,6 +251,7 @@
     /// Builds the next update for the owner. Its number is one higher than that of the last one.
     pub fn next_update(&mut self, now: Time) -> Update {
         self.last_update += 1;
+        self.unlisted_profiles.clear();
         for state in self.runs.values_mut() {
             if matches!(state.phase, Phase::Rejected(_)) {
                 state.reported_in.get_or_insert(self.last_update);
@@ -409,6 +416,7 @@
         self.worker = None;
         self.has_worker_exited = false;
         self.runs.clear();
+        self.unlisted_profiles.clear();
         self.ends.clear();
         self.reset_incarnation();
         let confirmed = self
--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -65,7 +65,12 @@
     /// Returns the state of an attempt that was discovered on the worker, or that an earlier
     /// companion process may have started.
     pub(super) fn discovered() -> Self {
-        Self::new(Phase::Running, None)
+        Self::found(None)
+    }
+
+    /// Returns the state of an attempt that was found on the worker.
+    pub(super) fn found(profile: Option<Profile>) -> Self {
+        Self::new(Phase::Running, profile)
     }
 
     fn new(phase: Phase, profile: Option<Profile>) -> Self {
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -88,10 +88,11 @@
     /// renewed.
     fn merge_listed(&mut self, listed: ListedAttempt, now: Time) -> bool {
         let key = (listed.task, listed.attempt);
+        let profile = self.unlisted_profiles.get(&key).copied();
         let state = self
             .runs
             .entry(key)
-            .or_insert_with(AttemptState::discovered);
+            .or_insert_with(|| AttemptState::found(profile));
         state.is_listed = true;
         state.confirm_running(now);
         state.checkpoint = listed.checkpoint;
@@ -116,7 +117,7 @@
     /// Resolves the attempts that an exhaustive list requested at `called_at` would show if they were
     /// on the worker or had ended there, but doesn't.
     fn resolve_unlisted(&mut self, called_at: Time) {
-        self.runs.retain(|_, state| {
+        self.runs.retain(|key, state| {
             let is_resolvable = state.outcome_known_at.is_some_and(|at| called_at >= at);
             if state.is_listed || !is_resolvable {
                 return true;
@@ -126,7 +127,11 @@
                 state.stop_at = Time::NEVER;
                 return true;
             }
-            matches!(state.phase, Phase::Rejected(_))
+            let is_rejected = matches!(state.phase, Phase::Rejected(_));
+            if !is_rejected && let Some(profile) = state.profile {
+                self.unlisted_profiles.insert(*key, profile);
+            }
+            is_rejected
         });
     }
 }
--- a/crates/control/tests/lasting.rs
+++ b/crates/control/tests/lasting.rs
@@ -236,6 +236,35 @@
     );
 }
 
+/// Guards against a host that rejects all starts because of an attempt that one list left out.
+#[rstest]
+fn attempt_that_is_listed_again_keeps_no_other_task_away(#[values(false, true)] is_reported: bool) {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![perpetual(1)]), at(0));
+    let mut agent = restarted_agent("h1", &[]);
+    scheduler.connect("h1");
+    exchange(&mut scheduler, &mut agent, "h1", 310);
+    let attempt = (1 << 32) + 1;
+    agent.record_start_outcome(task(1, 0, 0), attempt, CallOutcome::Done, at(320));
+    exchange(&mut scheduler, &mut agent, "h1", 330);
+    agent.apply_list(empty_list(at(400)), at(401));
+    if is_reported {
+        scheduler.update(&agent.next_update(at(402)), at(402));
+    }
+    let mut list = empty_list(at(500));
+    list.running = vec![listed(task(1, 0, 0), attempt)];
+    agent.apply_list(list, at(501));
+    exchange(&mut scheduler, &mut agent, "h1", 510);
+    scheduler.accept(Id::new(2), accepted_job(vec![perpetual(1)]), at(520));
+
+    let calls = exchange(&mut scheduler, &mut agent, "h1", 530);
+
+    assert!(
+        matches!(calls.as_slice(), [Action::Start { .. }]),
+        "{calls:?}"
+    );
+}
+
 /// Guards against a stop of an attempt that is no longer on its worker: its companion would give no
 /// room away until the worker has answered it.
 #[test]
