--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 
 use toucanquay_model::{
     Time,
-    graph::{self, Place},
+    graph::{self, Place, Step},
     session::Start,
 };
 
@@ -113,7 +113,7 @@
                 step,
                 pool: &pool,
                 image: self.interference.image_key(image),
-                accepts_any_speed: self.jobs[key].runs == 0,
+                accepts_any_speed: self.accepts_any_speed(key, step),
             };
             let is_suspect = self.has_suspect(stage);
             let is_placed = match part {
@@ -157,8 +157,9 @@
             };
             let attempt = self.next_attempt();
             self.start_task(stage, index, host, attempt, now);
-            if stage.accepts_any_speed {
-                stage.accepts_any_speed = false;
+            let accepts_any_speed = self.accepts_any_speed(stage.job, stage.step);
+            if accepts_any_speed != stage.accepts_any_speed {
+                stage.accepts_any_speed = accepts_any_speed;
                 candidates = self.candidates(stage, since, now);
             } else {
                 self.readd_host(&mut candidates, host, stage, now);
@@ -167,9 +168,14 @@
         true
     }
 
-    /// Places all tasks of a gang under one attempt number. Returns `false` and places none of them
-    /// if one doesn't fit.
+    /// Places all tasks of a gang under one attempt number, once all may be placed. Returns `false`
+    /// and places none of them if one doesn't fit.
     fn place_gang(&mut self, stage: StageRef<'_>, now: Time) -> bool {
+        let mut members = 0..stage.step.tasks;
+        if members.any(|index| self.waiting_task(stage, index, now).is_none()) {
+            // The gang waits for a member, not for a host.
+            return true;
+        }
         let since = self.last_search(stage, now);
         if since.is_some_and(|round| self.hosts_changed_after(round).next().is_none()) {
             return false;
@@ -216,6 +222,12 @@
         }
     }
 
+    /// Returns whether tasks of a step are started where they would be slow: at least one of each
+    /// job runs, and each perpetual one.
+    pub(super) fn accepts_any_speed(&self, job: JobKey, step: &Step) -> bool {
+        step.is_perpetual || self.jobs[job].runs == 0
+    }
+
     /// Returns the placement round of the last search that found no host for a stage, if hosts that
     /// have not changed since then need not be searched again.
     fn last_search(&self, stage: StageRef<'_>, now: Time) -> Option<u64> {
@@ -233,9 +245,9 @@
                 .map_or(now, |shortage| shortage.full_search_at),
             None => now.plus_micros(FULL_SEARCH_INTERVAL_MICROS),
         };
-        let job = &mut self.jobs[stage.job];
-        let accepted_any_speed = stage.accepts_any_speed && job.runs == 0;
-        job.stages[stage.index].shortage = Some(Shortage {
+        let accepted_any_speed =
+            stage.accepts_any_speed && self.accepts_any_speed(stage.job, stage.step);
+        self.jobs[stage.job].stages[stage.index].shortage = Some(Shortage {
             round: self.placement_round,
             accepted_any_speed,
             full_search_at,
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -36,7 +36,7 @@
             // nobody reports its end.
             host.update_stamp = Time::ZERO;
         }
-        self.apply_worker(key, update, is_agent_restarted, now);
+        let begins_to_drain = self.apply_worker(key, update, is_agent_restarted, now);
         self.apply_crashes(key, update, now);
         if update.worker.is_none() {
             self.apply_rejections(key, update, now);
@@ -44,6 +44,10 @@
             self.apply_ends(key, update, now);
             self.apply_runs(key, update, now);
             self.release_missing_runs(key, update, is_first_update, now);
+            if begins_to_drain {
+                // Attempts that were found in the same update are adopted by now.
+                self.evacuate(key, now);
+            }
             self.record_latency_floors(update);
             if update.has_sample {
                 self.learn_interference(key, now);
@@ -80,7 +84,14 @@
         }
     }
 
-    fn apply_worker(&mut self, key: HostKey, update: &Update, is_agent_restarted: bool, now: Time) {
+    /// Updates the worker of a host. Returns whether it begins to drain.
+    fn apply_worker(
+        &mut self,
+        key: HostKey,
+        update: &Update,
+        is_agent_restarted: bool,
+        now: Time,
+    ) -> bool {
         let host = &mut self.hosts[key];
         let Some(worker) = &update.worker else {
             // A restarted agent does not know the worker yet. An agent that did know it reports
@@ -92,7 +103,7 @@
             if is_gone {
                 self.handle_worker_loss(key, Loss::Exited, now);
             }
-            return;
+            return false;
         };
         if host.worker_incarnation != worker.incarnation {
             if host.worker_incarnation != 0 {
@@ -113,9 +124,7 @@
             self.mark_host_changed(key);
             self.is_placement_due = true;
         }
-        if worker.is_draining && !was_draining {
-            self.evacuate(key, now);
-        }
+        worker.is_draining && !was_draining
     }
 
     /// Resets the state of a worker whose process has ended and releases all its attempts.
@@ -196,13 +205,21 @@
             } else if !matches!(reported.phase, RunPhase::Rejected(_))
                 && !self.adopt(key, reported, now)
             {
-                let profile = self.task_profile(reported.task).unwrap_or_default();
-                untracked = untracked.plus(&profile.occupied);
-                if reported.phase != RunPhase::Stopping {
-                    self.hosts[key].stops.push(Stop {
-                        task: reported.task,
-                        attempt: reported.attempt,
-                    });
+                let profile = self.task_profile(reported.task);
+                untracked = untracked.plus(&profile.unwrap_or_default().occupied);
+                let attempt = Stop {
+                    task: reported.task,
+                    attempt: reported.attempt,
+                };
+                let is_stopping = reported.phase == RunPhase::Stopping;
+                let host = &mut self.hosts[key];
+                if !is_stopping {
+                    host.stops.push(attempt);
+                }
+                if !is_stopping || host.is_first_update {
+                    // An agent that doesn't know the size of an attempt starts nothing beside it.
+                    host.profiles
+                        .extend(profile.map(|profile| (attempt, profile)));
                 }
             }
         }
@@ -234,9 +251,9 @@
             self.release_run(key, now);
             if let Some((job, place, host)) = placed {
                 self.delay_task(job, place, now.plus_micros(delay_micros));
-                if reason == Rejection::Refused {
-                    self.avoid_host(job, place, host);
-                }
+                self.avoid_host(job, place, host);
+                self.hosts[host].rejected_until =
+                    now.plus_micros(self.settings.rejection_avoidance_micros);
             }
             return;
         }
@@ -395,6 +412,7 @@
         run.is_unresolved = true;
         run.orders_number = None;
         self.hosts[run.host].stops.push(stop);
+        self.send_profile(key, stop);
     }
 
     fn find_run_on_host(&self, host: HostKey, reported: &ReportedRun) -> Option<RunKey> {
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -102,3 +102,15 @@
     println!("{silences} silences");
     assert!(silences > 0 || is_replay, "workers fall silent");
 }
+
+/// Guards against a task that runs twice because its start reached a new life of the worker before
+/// the agent had noticed it.
+#[test]
+fn start_that_reaches_an_unnoticed_life_of_a_worker_runs_once() {
+    let seed = 4;
+    let simulation = Simulation::new(seed, 3 + seed % 4).with_heartbeat_millis(1_500);
+
+    simulation
+        .with_busy_workers_and_deadly_tasks(seed)
+        .run(FAULTS_MS);
+}
