control: the simulated loss of a rack has starts on every worker and a hung worker

The steady flow was packed onto a few workers, so that probes always found one that had outlived its starts. Its tasks now use idle processors and spread over all workers, 100 a second, and in half of the cases one worker begins none of its attempts. To keep the test short, the interval of the flow is fixed at 10 ms, the harder of the two.

--- a/crates/control/tests/rack_loss.rs
+++ b/crates/control/tests/rack_loss.rs
@@ -30,6 +30,9 @@
 /// Run time of the tasks of the steady flow, in milliseconds.
 const FLOW_TASK_MS: u64 = 500;
 
+/// Interval between two jobs of the steady flow, in milliseconds.
+const FLOW_INTERVAL_MS: u64 = 10;
+
 /// Interval of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
 
@@ -50,6 +53,8 @@
     last_end: u64,
     labels: Vec<String>,
     attempts: Vec<Attempt>,
+    /// Its worker begins none of the attempts that are ordered from now on.
+    is_hung: bool,
 }
 
 impl Host {
@@ -58,7 +63,8 @@
         let is_over = |attempt: &mut Attempt| {
             !attempt.is_perpetual && millis >= attempt.started_ms + FLOW_TASK_MS
         };
-        let over: Vec<Attempt> = self.attempts.extract_if(.., is_over).collect();
+        let count = if self.is_hung { 0 } else { self.attempts.len() };
+        let over: Vec<Attempt> = self.attempts.extract_if(..count, is_over).collect();
         let ends = over.iter().map(|attempt| {
             self.last_end += 1;
             let start = &attempt.start;
@@ -66,7 +72,7 @@
         });
         let ends = ends.collect();
         let status = |attempt: &Attempt| AttemptStatus {
-            has_survived_start: millis >= attempt.started_ms + SURVIVAL_MS,
+            has_survived_start: !self.is_hung && millis >= attempt.started_ms + SURVIVAL_MS,
             ..fresh(&attempt.start)
         };
         Update {
@@ -106,10 +112,10 @@
     lost: usize,
     tasks: u32,
     jobs: Jobs,
-    /// Interval between two jobs of the steady flow, in milliseconds.
-    flow_interval_ms: u64,
     /// Time from a commit to its answer, in milliseconds.
     commit_ms: u64,
+    /// Whether one of the other workers begins none of its attempts from shortly before the crash on.
+    is_one_hung: bool,
 }
 
 impl Loss {
@@ -127,7 +133,7 @@
         let mut next_job = 1_000;
         let mut commit_due_ms = None;
         for millis in (STEP_MS..END_MS).step_by(STEP_MS as usize) {
-            if millis % self.flow_interval_ms == 0 {
+            if millis % FLOW_INTERVAL_MS == 0 {
                 next_job += 1;
                 scheduler.accept(
                     Id::new(next_job),
@@ -138,6 +144,9 @@
             if millis == CRASH_MS - 100 {
                 self.submit(&mut scheduler, &mut perpetual, millis);
             }
+            if millis == CRASH_MS - 400 && self.is_one_hung {
+                hosts[self.lost].is_hung = true;
+            }
             for (index, host) in hosts.iter_mut().enumerate() {
                 let is_lost = index < self.lost && millis >= CRASH_MS;
                 if millis == CRASH_MS && is_lost {
@@ -216,6 +225,7 @@
     Step {
         demand: cores(1),
         estimate_ms: FLOW_TASK_MS,
+        uses_idle: true,
         requires: Some(OTHER_RACK.to_owned()),
         ..step(1)
     }
@@ -226,8 +236,8 @@
 fn tasks_of_a_lost_rack_run_again_within_six_seconds(
     #[values((11, 3, 30), (70, 8, 100))] size: (usize, usize, u32),
     #[values(Jobs::One, Jobs::OneForEachTask)] jobs: Jobs,
-    #[values(10, 20)] flow_interval_ms: u64,
     #[values(10, 300)] commit_ms: u64,
+    #[values(false, true)] is_one_hung: bool,
 ) {
     let (hosts, lost, tasks) = size;
     let loss = Loss {
@@ -235,8 +245,8 @@
         lost,
         tasks,
         jobs,
-        flow_interval_ms,
         commit_ms,
+        is_one_hung,
     };
 
     let times = loss.restart_times();
