node tests: split the tests of another writer's entries by behaviour

foreign.rs (734 lines) became foreign_owners.rs, foreign_hosts.rs and foreign_jobs.rs, with the entry, the host, the odd values and the worker's messages in support/. silence.rs and companion.rs use the same start of an entry, free address, heartbeat and empty list, which they held again. Each test keeps its name and its checks.

--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -1,5 +1,8 @@
 //! Tests of the companion process with a scripted worker.
 
+#[expect(dead_code, reason = "the stand-ins are shared with other tests")]
+mod support;
+
 use std::{
     net::SocketAddr,
     sync::atomic::{AtomicUsize, Ordering},
@@ -7,15 +10,16 @@
 
 use futures_util::FutureExt;
 use slog::{Discard, Logger, o};
+use support::{
+    free_address,
+    worker::{empty_list, heartbeat},
+};
 use tokio::time::{Duration, sleep, sleep_until, timeout};
-use toucanquay_control::runner::{AttemptList, CallOutcome, Heartbeat};
-use toucanquay_model::{Error, ErrorKind, Resources, Time, session};
+use toucanquay_control::runner::CallOutcome;
+use toucanquay_model::{Error, ErrorKind, session};
 use toucanquay_node::{Clock, Companion, Store, Worker, companion, worker::Reply};
 use toucanquay_wire::{Client, Frame};
 
-/// Incarnation of the worker.
-const INCARNATION: u64 = 1_000;
-
 /// Returns a store that refuses all calls.
 fn refusing_store() -> Store {
     Store::new(|_call, _deadline| async { Err(Error::new(ErrorKind::StoreUnavailable)) }.boxed())
@@ -51,34 +55,6 @@
     })
 }
 
-fn empty_list(called_at: Time) -> AttemptList {
-    AttemptList {
-        incarnation: INCARNATION,
-        called_at,
-        ..AttemptList::default()
-    }
-}
-
-fn heartbeat() -> Heartbeat {
-    Heartbeat {
-        id: "w".to_owned(),
-        sequence: 1,
-        worker: session::Worker {
-            incarnation: INCARNATION,
-            pool: "desk".to_owned(),
-            capacity: Resources::ZERO,
-            labels: Default::default(),
-            is_draining: false,
-            remaining_ms: None,
-        },
-    }
-}
-
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free address");
-    listener.local_addr().expect("the bound address")
-}
-
 /// Starts a companion of a worker. Returns it and the address at which it accepts sessions.
 async fn start_companion(worker: Worker) -> (Companion, SocketAddr) {
     let settings = companion::Settings {
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -12,7 +12,7 @@
 };
 
 use futures_util::FutureExt;
-use support::{log::Lines, memory::Memory};
+use support::{ANY_ADDRESS, entry::start_entry, free_address, log::Lines, memory::Memory};
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::{
@@ -20,11 +20,7 @@
     session::{self, Orders},
 };
 use toucanquay_node::{
-    Companion, Configuration, Entry, Store, Worker, companion,
-    configuration::Source,
-    entry::{self, Registration},
-    key,
-    worker::Reply,
+    Companion, Store, Worker, companion, entry::Registration, key, worker::Reply,
 };
 use toucanquay_wire::{Client, Frame, Server, Stream};
 
@@ -43,31 +39,6 @@
 /// Interval between the updates of a companion.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(400);
 
-fn any_address() -> SocketAddr {
-    "127.0.0.1:0".parse().expect("an address")
-}
-
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_address()).expect("a free address");
-    listener.local_addr().expect("the bound address")
-}
-
-async fn start_entry(memory: &Memory, lines: &Lines) -> Entry {
-    let settings = entry::Settings {
-        name: "front-1".to_owned(),
-        process: 1,
-        listen: free_address(),
-        capacity: 1,
-        configuration_bound: Duration::from_millis(2_000),
-    };
-    let source = Source {
-        key: "configuration".to_owned(),
-        decode: Arc::new(|_bytes| Ok(Configuration::default())),
-    };
-    let entry = Entry::start(settings, memory.store(), source, &lines.logger()).await;
-    entry.expect("the entry starts")
-}
-
 /// A companion that reads all orders and can stop sending updates.
 #[derive(Debug, Clone)]
 struct Host {
@@ -79,7 +50,7 @@
 
 impl Host {
     async fn start(name: &'static str, stop: CancellationToken) -> Self {
-        let server = Server::bind(any_address(), Lines::default().logger()).await;
+        let server = Server::bind(ANY_ADDRESS, Lines::default().logger()).await;
         let server = server.expect("a free address");
         let host = Self {
             address: server.address(),
--- /dev/null
+++ b/crates/node/tests/support/entry.rs
@@ -0,0 +1,33 @@
+//! An entry in the test process.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use tokio::time::Duration;
+use toucanquay_node::{Configuration, Entry, configuration::Source, entry};
+
+use super::{free_address, log::Lines, memory::Memory};
+
+/// Time within which an owner must be found.
+pub const OWNER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Starts an entry at an unused address.
+pub async fn start_entry(memory: &Memory, lines: &Lines) -> Entry {
+    start_entry_at(free_address(), memory, lines).await
+}
+
+/// Starts an entry that listens at this address.
+pub async fn start_entry_at(listen: SocketAddr, memory: &Memory, lines: &Lines) -> Entry {
+    let settings = entry::Settings {
+        name: "front-1".to_owned(),
+        process: 1,
+        listen,
+        capacity: 1,
+        configuration_bound: Duration::from_millis(2_000),
+    };
+    let source = Source {
+        key: "configuration".to_owned(),
+        decode: Arc::new(|_bytes| Ok(Configuration::default())),
+    };
+    let entry = Entry::start(settings, memory.store(), source, &lines.logger()).await;
+    entry.expect("the entry starts")
+}
