--- a/crates/toucanquay/src/command/document.rs
+++ b/crates/toucanquay/src/command/document.rs
@@ -5,29 +5,13 @@
     path::{Path, PathBuf},
 };
 
-use clap::{Args, Subcommand};
+use clap::Subcommand;
 use reqwest::Method;
 use serde_json::json;
 use toucanquay_entry::operator::{AcceptedEdit, InForce, StoredSection};
 use toucanquay_model::{self as model, Error, ErrorKind, Revision, job};
 
-use super::Output;
-use crate::api::EntryClient;
-
-/// Listener to call and output format.
-#[derive(Debug, Args)]
-pub struct Target {
-    /// URL of an entry's operator listener
-    #[arg(
-        long,
-        env = "TOUCANQUAY_OPERATOR",
-        default_value = "http://127.0.0.1:7701"
-    )]
-    operator: String,
-    /// Output format
-    #[arg(long, value_enum, default_value_t)]
-    output: Output,
-}
+use super::{Output, Target};
 
 /// Commands for the configuration document.
 #[derive(Debug, Subcommand)]
@@ -108,12 +92,6 @@
     }
 }
 
-impl Target {
-    fn entry_client(&self) -> EntryClient {
-        EntryClient::new(self.operator.as_str())
-    }
-}
-
 /// Reads a text file, or standard input for `-`.
 ///
 /// # Errors
--- a/crates/toucanquay/src/command/upstreams.rs
+++ b/crates/toucanquay/src/command/upstreams.rs
@@ -5,22 +5,13 @@
 use toucanquay_entry::operator::Upstream;
 use toucanquay_model::Error;
 
-use super::Output;
-use crate::api::EntryClient;
+use super::Target;
 
 /// Arguments of the `upstreams` subcommand.
 #[derive(Debug, Args)]
 pub struct Upstreams {
-    /// URL of an entry's operator listener
-    #[arg(
-        long,
-        env = "TOUCANQUAY_OPERATOR",
-        default_value = "http://127.0.0.1:7701"
-    )]
-    operator: String,
-    /// Output format
-    #[arg(long, value_enum, default_value_t)]
-    output: Output,
+    #[command(flatten)]
+    target: Target,
 }
 
 impl Upstreams {
@@ -30,7 +21,7 @@
     ///
     /// The error that the entry returned, or the error that kept the command from reaching it.
     pub async fn run(self) -> Result<(), Error> {
-        let client = EntryClient::new(self.operator);
+        let client = self.target.entry_client();
         let upstreams: Vec<Upstream> = client
             .fetch_json(client.request(Method::GET, "/upstreams"))
             .await?;
@@ -46,7 +37,7 @@
             "REVISION",
             "STATE",
         ];
-        self.output.print(&header, &upstreams, |upstream| {
+        self.target.output.print(&header, &upstreams, |upstream| {
             vec![
                 upstream.worker.to_string(),
                 upstream.service.clone(),
