companion tests: name the wait for an announcement and the slow request

Five tests waited for a heartbeat with an announcement by a closure, and two sent the same slow request by the same lines. Both have a function now. No test loses a check.

--- a/crates/companion/tests/lifecycle.rs
+++ b/crates/companion/tests/lifecycle.rs
@@ -47,9 +47,7 @@
     let entry = FakeEntry::start().await;
     let companion = start_registered_companion(&upstream, &entry).await;
 
-    let announcement = entry
-        .wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
-        .await;
+    let announcement = entry.wait_for_announcement().await;
     entry
         .wait_for_heartbeat(|heartbeat| heartbeat.sequence >= 3)
         .await;
@@ -75,9 +73,7 @@
 
     let companion = start_registered_companion(&upstream, &first).await;
 
-    let heartbeat = second
-        .wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
-        .await;
+    let heartbeat = second.wait_for_announcement().await;
     assert_eq!(heartbeat.incarnation, companion.incarnation());
 }
 
@@ -93,9 +89,7 @@
 
     let entry = FakeEntry::start_at(address).await;
 
-    entry
-        .wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
-        .await;
+    entry.wait_for_announcement().await;
 }
 
 /// Guards against routing requests to an upstream that is down.
--- a/crates/companion/tests/process.rs
+++ b/crates/companion/tests/process.rs
@@ -17,7 +17,8 @@
     exchange::{Grant, TaskState},
     job, task,
 };
-use toucanquay_standin::{Runtime, runtime::find_overlaps};
+use toucanquay_standin::{Runtime, Upstream, runtime::find_overlaps};
+use toucanquay_wire::Stream;
 
 /// Companion process that is killed on drop.
 struct Process {
@@ -91,6 +92,21 @@
     }
 }
 
+/// Sends a request to the process that the entry knows, and waits until the upstream runs it.
+async fn send_slow_request(
+    entry: &FakeEntry,
+    upstream: &Upstream,
+    path: &str,
+    body: &[u8],
+) -> Stream {
+    let heartbeat = entry.wait_for_announcement().await;
+    let address = heartbeat.announcement.unwrap().address;
+    let head = request_head(1, heartbeat.incarnation, "POST", path);
+    let stream = send_request(address, head, body).await;
+    wait_until(|| upstream.in_flight() == 1).await;
+    stream
+}
+
 /// Guards against SIGTERM that aborts a request in flight, and against log lines without the prefix
 /// by which they are merged into a timeline.
 #[tokio::test]
@@ -98,13 +114,7 @@
     let upstream = start_upstream().await;
     let entry = FakeEntry::start().await;
     let process = Process::start(upstream.address(), &entry, None);
-    let heartbeat = entry
-        .wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
-        .await;
-    let address = heartbeat.announcement.unwrap().address;
-    let slow = request_head(1, heartbeat.incarnation, "POST", "/slow?ms=500");
-    let slow = send_request(address, slow, b"in flight").await;
-    wait_until(|| upstream.in_flight() == 1).await;
+    let slow = send_slow_request(&entry, &upstream, "/slow?ms=500", b"in flight").await;
 
     process.terminate();
     let reply = receive_reply(slow, 1).await;
@@ -122,13 +132,7 @@
     let upstream = start_upstream().await;
     let entry = FakeEntry::start().await;
     let process = Process::start(upstream.address(), &entry, None);
-    let heartbeat = entry
-        .wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
-        .await;
-    let address = heartbeat.announcement.unwrap().address;
-    let slow = request_head(1, heartbeat.incarnation, "POST", "/slow?ms=60000");
-    let slow = send_request(address, slow, b"").await;
-    wait_until(|| upstream.in_flight() == 1).await;
+    let slow = send_slow_request(&entry, &upstream, "/slow?ms=60000", b"").await;
 
     process.kill();
 
--- a/crates/companion/tests/support/entry.rs
+++ b/crates/companion/tests/support/entry.rs
@@ -130,6 +130,12 @@
         self.state.lock().unwrap().heartbeats.clone()
     }
 
+    /// Waits for a heartbeat with an announcement.
+    pub async fn wait_for_announcement(&self) -> Heartbeat {
+        self.wait_for_heartbeat(|heartbeat| heartbeat.announcement.is_some())
+            .await
+    }
+
     /// Waits for a heartbeat that satisfies `condition`.
     pub async fn wait_for_heartbeat(&self, condition: impl Fn(&Heartbeat) -> bool) -> Heartbeat {
         let mut found = None;
