--- a/crates/policy/src/batch.rs
+++ b/crates/policy/src/batch.rs
@@ -6,10 +6,12 @@
 mod assignment;
 mod backlog;
 mod fleet;
+mod groups;
 mod histogram;
 mod job;
 mod job_entry;
 mod kind;
+mod long_tasks;
 mod order;
 mod outcome;
 mod round;
--- a/crates/policy/src/batch/backlog.rs
+++ b/crates/policy/src/batch/backlog.rs
@@ -12,12 +12,12 @@
 use super::{
     Assignment, Job, Outcome, Settings, Unschedulable, WaitReason, WorkerResources,
     fleet::Fleet,
+    groups::Groups,
     job_entry::JobEntry,
-    kind::Kind,
+    long_tasks::LongTasks,
     order::{Cursor, JobKey, Order, OrderKey},
     round::Round,
     run::Run,
-    team::Team,
 };
 
 /// Number of workers per permitted claim by a starved job. It bounds the share of the cell that
@@ -62,20 +62,14 @@
     settings: Settings,
     jobs: SlotMap<JobKey, JobEntry>,
     by_id: HashMap<job::Id, JobKey, RandomState>,
-    teams: Vec<Team>,
-    team_index: HashMap<String, usize, RandomState>,
-    kinds: Vec<Kind>,
-    kind_index: HashMap<(usize, String), usize, RandomState>,
+    groups: Groups,
     order: Order,
     /// Jobs whose tasks fit no known worker. They are not part of `order`.
     unschedulable: BTreeSet<JobKey>,
     fleet: Fleet,
     /// Workers kept free for starved jobs, with the job that each is kept for.
     claims: SmallVec<[(JobKey, worker::Id); 4]>,
-    /// Running tasks by the time from which they count as long.
-    pending_long: BTreeSet<(Time, JobKey, u32)>,
-    /// Processors reserved by long tasks, in thousandths.
-    long_processors_milli: u64,
+    long_tasks: LongTasks,
     /// Starts in regular order since the last start of a starved job.
     starts_in_order: u32,
     next_sequence: u64,
@@ -92,16 +86,12 @@
             settings,
             jobs: SlotMap::with_key(),
             by_id: HashMap::default(),
-            teams: Vec::new(),
-            team_index: HashMap::default(),
-            kinds: Vec::new(),
-            kind_index: HashMap::default(),
+            groups: Groups::default(),
             order: Order::default(),
             unschedulable: BTreeSet::new(),
             fleet: Fleet::default(),
             claims: SmallVec::new(),
-            pending_long: BTreeSet::new(),
-            long_processors_milli: 0,
+            long_tasks: LongTasks::default(),
             starts_in_order: 0,
             next_sequence: 0,
             offset: 0,
@@ -111,17 +101,7 @@
 
     /// Applies the quota and the per-kind limits of a team's section.
     pub fn configure(&mut self, team: &str, section: &Section, now: Time) {
-        let index = self.intern_team(team);
-        self.teams[index].quota = section.quota;
-        for ((kind_team, _), kind) in &self.kind_index {
-            if *kind_team == index {
-                self.kinds[*kind].running_max = None;
-            }
-        }
-        for (name, batch) in &section.batch {
-            let kind = self.intern_kind(index, name);
-            self.kinds[kind].running_max = batch.running_max;
-        }
+        self.groups.configure(team, section);
         self.recheck_unschedulable(now);
     }
 
@@ -227,7 +207,7 @@
             entry.attained_service += processor_micros(run_micros, &run.reservation);
         }
         match outcome {
-            Outcome::Finished => self.kinds[entry.kind].record_run_time(total_micros),
+            Outcome::Finished => self.groups.kinds[entry.kind].record_run_time(total_micros),
             _ if entry.is_removed => {}
             Outcome::Stopped => drop(entry.awaiting_retry.insert(task.index, total_micros)),
             Outcome::Failed | Outcome::NotStarted => {
@@ -249,7 +229,7 @@
             return;
         };
         let kind = self.jobs[key].kind;
-        let reached_samples_min = self.kinds[kind].observe(usage, &self.settings);
+        let reached_samples_min = self.groups.kinds[kind].observe(usage, &self.settings);
         if reached_samples_min {
             self.recheck_unschedulable(now);
         }
@@ -321,9 +301,9 @@
     /// Returns why the tasks of `job` fit no known worker, if so. The job need not be queued.
     #[must_use]
     pub fn unschedulable_reason(&self, job: &Job) -> Option<Unschedulable> {
-        let team = self.team_index.get(&job.team).copied();
-        let kind = team.and_then(|team| self.kind_index.get(&(team, job.kind.clone())));
-        self.reservation_for(job, team, kind.copied()).err()
+        let team = self.groups.team(&job.team);
+        let kind = team.and_then(|team| self.groups.kind(team, &job.kind));
+        self.reservation_for(job, team, kind).err()
     }
 
     /// Returns the number of waiting tasks.
@@ -341,8 +321,8 @@
     /// Returns the total reservation of a team's running tasks.
     #[must_use]
     pub fn reserved(&self, team: &str) -> Resources {
-        let team = self.team_index.get(team);
-        team.map_or(Resources::ZERO, |index| self.teams[*index].reserved)
+        let team = self.groups.team(team);
+        team.map_or(Resources::ZERO, |index| self.groups.teams[index].reserved)
     }
 
     fn level(&self, key: JobKey) -> Option<usize> {
@@ -440,8 +420,8 @@
         now: Time,
     ) {
         let entry = &mut self.jobs[key];
-        let kind = &mut self.kinds[entry.kind];
-        let team = &mut self.teams[entry.team];
+        let kind = &mut self.groups.kinds[entry.kind];
+        let team = &mut self.groups.teams[entry.team];
         team.reserved = team.reserved.plus(&reservation);
         kind.running += 1;
         let charged = processor_micros(kind.median_run_micros(), &reservation);
@@ -453,11 +433,6 @@
                 .short_task_max_micros
                 .saturating_sub(earlier_micros),
         );
-        if is_long {
-            self.long_processors_milli += u64::from(reservation.processors_milli);
-        } else {
-            self.pending_long.insert((long_at, key, index));
-        }
         let run = Run {
             reservation,
             started_at: now,
@@ -466,33 +441,26 @@
             is_long,
             long_at,
         };
+        self.long_tasks.add(key, index, &run);
         entry.runs.insert(index, run);
     }
 
     /// Reverses [`record_start`](Self::record_start), except for the job's attained service.
     fn record_end(&mut self, key: JobKey, index: u32, run: &Run) {
         let entry = &self.jobs[key];
-        let team = &mut self.teams[entry.team];
+        let team = &mut self.groups.teams[entry.team];
         team.reserved = team.reserved.saturating_sub(&run.reservation);
-        self.kinds[entry.kind].running -= 1;
-        if run.is_long {
-            self.long_processors_milli -= u64::from(run.reservation.processors_milli);
-        } else {
-            self.pending_long.remove(&(run.long_at, key, index));
-        }
+        self.groups.kinds[entry.kind].running -= 1;
+        self.long_tasks.remove(key, index, run);
     }
 
     /// Reclassifies as long the tasks whose run time has reached the limit for short tasks.
     fn mark_long_tasks(&mut self, now: Time) {
-        while let Some(&(long_at, key, index)) = self.pending_long.first() {
-            if long_at > now {
-                break;
-            }
-            self.pending_long.pop_first();
+        while let Some((key, index)) = self.long_tasks.pop_pending(now) {
             let entry = &mut self.jobs[key];
             if let Some(run) = entry.runs.get_mut(&index) {
                 run.is_long = true;
-                self.long_processors_milli += u64::from(run.reservation.processors_milli);
+                self.long_tasks.add(key, index, run);
             }
         }
     }
@@ -500,12 +468,12 @@
     /// Returns the reservation for the job's next task, or why it may not start.
     fn admit(&self, entry: &JobEntry, earlier_micros: u64) -> Result<Resources, WaitReason> {
         let reservation = self.reservation(entry).map_err(WaitReason::Unschedulable)?;
-        let team = &self.teams[entry.team];
+        let team = &self.groups.teams[entry.team];
         if let Some(quota) = team.quota.filter(|_| !team.admits(&reservation)) {
             let reserved = team.reserved;
             return Err(WaitReason::Quota { reserved, quota });
         }
-        let kind = &self.kinds[entry.kind];
+        let kind = &self.groups.kinds[entry.kind];
         if kind.running_max.is_some_and(|max| kind.running >= max) {
             let running = kind.running;
             return Err(WaitReason::KindLimit { running });
@@ -522,8 +490,9 @@
     /// whatever its size.
     fn fits_long_task_share(&self, reservation: &Resources) -> bool {
         let limit = self.fleet.total_processors_milli() as f64 * self.settings.long_task_share;
-        let wanted = self.long_processors_milli + u64::from(reservation.processors_milli);
-        self.long_processors_milli == 0 || wanted as f64 <= limit
+        let reserved = self.long_tasks.processors_milli();
+        let wanted = reserved + u64::from(reservation.processors_milli);
+        reserved == 0 || wanted as f64 <= limit
     }
 
     /// Returns the reservation for one task of the job.
@@ -538,13 +507,13 @@
         kind: Option<usize>,
     ) -> Result<Resources, Unschedulable> {
         let wanted = kind.map_or(job.demand, |kind| {
-            self.kinds[kind].reservation(&job.demand, &self.settings)
+            self.groups.kinds[kind].reservation(&job.demand, &self.settings)
         });
         if self.fleet.is_empty() {
             return Ok(wanted);
         }
         let reservation = self.fleet.fit(&wanted, &job.demand)?;
-        let quota = team.and_then(|team| self.teams[team].quota);
+        let quota = team.and_then(|team| self.groups.teams[team].quota);
         match quota {
             Some(quota) if !reservation.fits(&quota) => Err(Unschedulable::Quota {
                 demand: reservation,
@@ -636,7 +605,7 @@
     }
 
     fn order_key(&self, entry: &JobEntry, now: Time) -> OrderKey {
-        let run_micros = self.kinds[entry.kind].p90_run_micros();
+        let run_micros = self.groups.kinds[entry.kind].p90_run_micros();
         OrderKey {
             urgency: entry.job.urgency,
             level: match entry.job.urgency {
@@ -653,8 +622,8 @@
         if let Some(key) = self.by_id.get(&job.id) {
             return *key;
         }
-        let team = self.intern_team(&job.team);
-        let kind = self.intern_kind(team, &job.kind);
+        let team = self.groups.intern_team(&job.team);
+        let kind = self.groups.intern_kind(team, &job.kind);
         let entry = JobEntry::new(job.clone(), team, kind, self.next_sequence, now);
         self.next_sequence += 1;
         let key = self.jobs.insert(entry);
@@ -672,26 +641,6 @@
         self.unschedulable.remove(&key);
         self.claims.retain(|(claimant, _)| *claimant != key);
     }
-
-    fn intern_team(&mut self, name: &str) -> usize {
-        if let Some(index) = self.team_index.get(name) {
-            return *index;
-        }
-        self.teams.push(Team::default());
-        self.team_index
-            .insert(name.to_owned(), self.teams.len() - 1);
-        self.teams.len() - 1
-    }
-
-    fn intern_kind(&mut self, team: usize, name: &str) -> usize {
-        let index = (team, name.to_owned());
-        if let Some(kind) = self.kind_index.get(&index) {
-            return *kind;
-        }
-        self.kinds.push(Kind::new());
-        self.kind_index.insert(index, self.kinds.len() - 1);
-        self.kinds.len() - 1
-    }
 }
 
 /// Returns the processor time reserved by a run, in processor-microseconds.
