control: a host is not kept for a perpetual task that can't start there any more

Cause: a host was kept until its stage had no waiting task, without a look at whether the next task will ever fit there.

Fix: each time that the stage finds no host, the kept one is checked again for room, pool, label and the limit per worker, and replaced by another one. host_kept and host_released are logged.

Four new cases in crates/control/tests/full_service.rs fail without the check.

--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -89,6 +89,18 @@
         /// What it waits for.
         wait: Wait,
     },
+    /// A host is kept for a perpetual task that fits nowhere.
+    Kept {
+        /// Name of the host.
+        host: String,
+        /// Job of the task.
+        job: Id,
+    },
+    /// A host is no longer kept for perpetual tasks.
+    Released {
+        /// Name of the host.
+        host: String,
+    },
     /// More perpetual tasks don't run than are reported at once.
     WaitsSuppressed {
         /// Number of tasks that were due to be reported and weren't.
--- a/crates/control/src/scheduler/reserving.rs
+++ b/crates/control/src/scheduler/reserving.rs
@@ -6,43 +6,75 @@
 use smallvec::SmallVec;
 use toucanquay_model::Resources;
 
-use super::{Scheduler, host::Host, key::HostKey, stage_ref::StageRef};
+use super::{
+    Event, Scheduler,
+    host::Host,
+    key::{HostKey, JobKey},
+    stage::Stage,
+    stage_ref::StageRef,
+};
 
 /// Hosts for each one that may be kept for perpetual tasks.
 const HOSTS_PER_RESERVATION: usize = 4;
 
 impl Scheduler {
     /// Keeps a host for a stage of perpetual tasks that fits nowhere: the one with the most room,
-    /// unless the stage has one already. Other tasks are not started there until the stage has no
-    /// waiting task.
+    /// unless the stage has one already that will fit. Other tasks are not started there until the
+    /// stage has no waiting task.
     pub(super) fn reserve_host(&mut self, stage: StageRef<'_>) {
-        let owner = (stage.job, stage.index);
-        let is_reserved = self.reservations.values().any(|other| *other == owner);
         // Room doesn't make a task that uses idle processors faster, and a gang needs several hosts.
         let is_suitable = stage.step.is_perpetual && !stage.step.uses_idle && !stage.step.is_gang;
-        if is_reserved || !is_suitable || self.reservations.len() >= self.reservations_max() {
+        if !is_suitable {
+            return;
+        }
+        let owner = (stage.job, stage.index);
+        let mut reservations = self.reservations.iter();
+        let reserved = reservations.find(|(_, other)| **other == owner);
+        if let Some(key) = reserved.map(|(key, _)| *key) {
+            if self.can_wait_for(key, stage) {
+                return;
+            }
+            self.release_reservation(key);
+        }
+        if self.reservations.len() >= self.reservations_max() {
             return;
         }
         let hosts = self.hosts.iter();
-        let candidates = hosts.filter(|(key, host)| {
+        let candidates = hosts.filter(|(key, _)| {
             !self.reservations.contains_key(key)
                 && !self.probes.contains_key(key)
-                && self.will_fit(host, stage)
-                && self.is_below_worker_limit(*key, stage)
+                && self.can_wait_for(*key, stage)
         });
         let free_milli = |(_, host): &(HostKey, &Host)| host.free_resources().processors_milli;
-        if let Some((key, _)) = candidates.max_by_key(free_milli) {
+        if let Some((key, host)) = candidates.max_by_key(free_milli) {
+            self.events.push(Event::Kept {
+                host: host.name.clone(),
+                job: self.jobs[stage.job].id,
+            });
             self.reservations.insert(key, owner);
         }
     }
 
+    /// Returns whether a host will fit a task of a stage.
+    fn can_wait_for(&self, key: HostKey, stage: StageRef<'_>) -> bool {
+        self.will_fit(&self.hosts[key], stage) && self.is_below_worker_limit(key, stage)
+    }
+
+    fn release_reservation(&mut self, key: HostKey) {
+        self.reservations.remove(&key);
+        self.mark_host_changed(key);
+        self.events.push(Event::Released {
+            host: self.hosts[key].name.clone(),
+        });
+    }
+
     /// Ends the reservations of stages without waiting tasks, and those of hosts that accept no
     /// tasks.
     pub(super) fn release_reservations(&mut self) {
-        let is_over = |host: &HostKey, (job, index): &(super::key::JobKey, usize)| {
+        let is_over = |host: &HostKey, (job, index): &(JobKey, usize)| {
             let job = self.jobs.get(*job).filter(|job| !job.state.is_over());
             let stage = job.and_then(|job| job.stages.get(*index));
-            let is_waiting = stage.is_some_and(super::stage::Stage::has_waiting);
+            let is_waiting = stage.is_some_and(Stage::has_waiting);
             !is_waiting || self.hosts[*host].schedulable_worker().is_none()
         };
         let reservations = self.reservations.iter();
@@ -51,8 +83,7 @@
             .map(|(host, _)| *host)
             .collect();
         for host in over {
-            self.reservations.remove(&host);
-            self.mark_host_changed(host);
+            self.release_reservation(host);
         }
     }
 
--- a/crates/control/tests/full_service.rs
+++ b/crates/control/tests/full_service.rs
@@ -172,3 +172,40 @@
 
     assert!(service.running.iter().all(|running| running.len() == 8));
 }
+
+#[rstest]
+#[case::second_task_of_a_step(vec![Step { tasks: 2, ..perpetual(16) }], 2)]
+#[case::third_task_of_a_step(vec![Step { tasks: 3, ..perpetual(8) }], 3)]
+#[case::one_task_for_each_worker(vec![Step { tasks: 2, per_worker_max: Some(1), ..perpetual(8) }], 2)]
+fn each_large_perpetual_task_starts_on_a_full_service(
+    #[case] steps: Vec<Step>,
+    #[case] tasks: usize,
+) {
+    let mut service = Service::full();
+    let job = accepted_job(steps);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+
+    for _ in 0..tasks {
+        service.run_until_large_start(100);
+    }
+
+    let is_large = |start: &&Start| start.task.job == Id::new(LARGE_JOB);
+    let running = service.running.iter().flatten();
+    assert_eq!(running.filter(is_large).count(), tasks);
+}
+
+#[test]
+fn host_that_another_perpetual_task_has_filled_is_not_kept_any_more() {
+    let mut service = Service::full();
+    let large = accepted_job(vec![perpetual(16)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), large, at(1));
+    service.run_until_large_start(4);
+    let small = accepted_job(vec![perpetual(2)]);
+    service
+        .scheduler
+        .accept(Id::new(3), small, at(service.now_ms));
+
+    let started = service.run_until_large_start(100);
+
+    assert!(started.is_some(), "the large task starts on another host");
+}
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -301,6 +301,12 @@
                 info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
                     "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
             }
+            SchedulerEvent::Kept { host, job } => {
+                info!(log, "host_kept"; "host" => host, "job" => %job, "epoch" => epoch);
+            }
+            SchedulerEvent::Released { host } => {
+                info!(log, "host_released"; "host" => host, "epoch" => epoch);
+            }
             SchedulerEvent::Waiting {
                 task,
                 waited_ms,
