runner: a start that reaches an unnoticed life of its worker isn't forgotten

Besides, two faults of takeovers, also found by the review.

Cause: a companion that lists a later life of its worker drops what it knew and reports no worker until the next heartbeat, which the owner took for an exit, so that it released the attempts. One that was on its way to the worker runs there, and the next updates name it in vain.

Fix: until the new life announces itself, the worker is reported as silent.

The two others: a late stop to a companion whose worker has exited left an attempt that nothing could resolve, so that takeovers waited again; stops are ignored then. And a worker that only says that it leaves may run on for seconds, so that its companion confirms an epoch only when the address refuses connections or the lease has ended.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -67,6 +67,8 @@
     worker_id: String,
     /// Whether the worker has exited and no later incarnation was seen.
     has_worker_exited: bool,
+    /// Whether its address refuses connections since then, so that nothing runs on it.
+    is_exit_confirmed: bool,
     last_heartbeat: u64,
     /// Last heartbeat of an incarnation that the worker itself has not confirmed by a list.
     unconfirmed_heartbeat: Option<Heartbeat>,
@@ -115,6 +117,7 @@
             worker: None,
             worker_id: String::new(),
             has_worker_exited: false,
+            is_exit_confirmed: false,
             last_heartbeat: 0,
             unconfirmed_heartbeat: None,
             announced_at: None,
@@ -194,6 +197,7 @@
     pub fn mark_worker_exited(&mut self) {
         self.record_crash();
         self.end_incarnation();
+        self.is_exit_confirmed = true;
     }
 
     fn end_incarnation(&mut self) {
@@ -239,8 +243,11 @@
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
         self.merge_effects(orders);
-        for stop in &orders.stops {
-            self.stop(*stop, &mut actions);
+        // On a worker that has exited, there is nothing to stop.
+        if !self.has_worker_exited {
+            for stop in &orders.stops {
+                self.stop(*stop, &mut actions);
+            }
         }
         self.set_profiles(orders, now);
         let is_other_incarnation = orders.worker != self.incarnation;
@@ -284,7 +291,9 @@
             has_sample: std::mem::take(&mut self.has_sample),
             // The worker is reported only once a complete list has shown what it runs.
             worker: self.worker.clone().filter(|_| self.is_worker_reported()),
-            is_worker_silent: self.is_worker_silent,
+            // A later life of the worker may run attempts that it was sent before it was noticed.
+            // Until it announces itself, nothing is known about it.
+            is_worker_silent: self.is_worker_silent || self.is_worker_unannounced(),
             runs: runs.collect(),
             ends: self.ends.clone(),
             crashes: self.crashes.clone(),
@@ -371,6 +380,12 @@
             .fold(Resources::ZERO, |sum, profile| sum.plus(&profile.occupied))
     }
 
+    /// Returns whether a worker that has not announced itself was listed.
+    #[must_use]
+    pub const fn is_worker_unannounced(&self) -> bool {
+        self.has_complete_list && self.worker.is_none()
+    }
+
     /// Returns whether updates contain the worker: a complete list has shown what it runs, and it
     /// isn't silent.
     const fn is_worker_reported(&self) -> bool {
@@ -379,12 +394,12 @@
 
     /// Returns whether the owner knows by this update all that runs on the worker by order of a
     /// former owner: the worker has answered a call of the current epoch, and ignores calls of lower
-    /// ones, or it has exited, or its lease has ended.
+    /// ones, or its address refuses connections, or its lease has ended.
     fn is_settled(&self, now: Time) -> bool {
         // Without its worker, an update doesn't show the owner what was listed.
         let is_reported = self.worker.is_some() && self.is_worker_reported();
         let is_fenced = is_reported && self.fenced_epoch >= self.epoch;
-        self.epoch > 0 && (is_fenced || self.has_worker_exited || now >= self.lease_end_bound())
+        self.epoch > 0 && (is_fenced || self.is_exit_confirmed || now >= self.lease_end_bound())
     }
 
     /// Returns an upper bound for the end of each lease that this process or a former one may have
@@ -434,6 +449,7 @@
         self.incarnation = incarnation;
         self.worker = None;
         self.has_worker_exited = false;
+        self.is_exit_confirmed = false;
         self.runs.clear();
         self.unlisted_profiles.clear();
         self.ends.clear();
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -104,13 +104,14 @@
 }
 
 /// Guards against a task that runs twice because its start reached a new life of the worker before
-/// the agent had noticed it.
+/// the agent had noticed it, as seed 4 once showed.
 #[test]
 fn start_that_reaches_an_unnoticed_life_of_a_worker_runs_once() {
-    let seed = 4;
-    let simulation = Simulation::new(seed, 3 + seed % 4).with_heartbeat_millis(1_500);
-
-    simulation
-        .with_busy_workers_and_deadly_tasks(seed)
-        .run(FAULTS_MS);
+    for seed in 0..12 {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        Simulation::new(seed, 3 + seed % 4)
+            .with_heartbeat_millis(1_500)
+            .with_busy_workers_and_deadly_tasks(seed)
+            .run(FAULTS_MS);
+    }
 }
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -4,18 +4,18 @@
 mod graph;
 
 use graph::{
-    accepted_job, at, attempt_status, empty_list, empty_orders, heartbeat, listed, orders, runner,
-    step, task, update,
+    WORKER_INCARNATION, accepted_job, at, attempt_status, empty_list, empty_orders, heartbeat,
+    listed, orders, owner, runner, step, task, update,
 };
 use rstest::rstest;
 use toucanquay_control::{
-    runner::{self, AttemptList, Runner},
+    runner::{self, AttemptList, ListedAttempt, Runner},
     scheduler::{RestoredJob, Scheduler, Settings},
 };
 use toucanquay_model::{
     Time,
     graph::Id,
-    session::{Phase, Update},
+    session::{Orders, Phase, Stop, Update},
 };
 
 /// Length of a worker's lease, in milliseconds.
@@ -134,3 +134,68 @@
 
     assert!(orders(&mut scheduler, "h1", at(11)).starts.is_empty());
 }
+
+#[test]
+fn owner_does_not_wait_for_an_exited_worker_that_gets_a_late_stop() {
+    let mut runner = runner(1);
+    runner.mark_worker_exited();
+    let late = Orders {
+        stops: vec![Stop {
+            task: task(1, 0, 0),
+            attempt: 7,
+        }],
+        ..empty_orders(1, 1, at(1))
+    };
+    runner.apply_orders(&late, at(2));
+    let mut scheduler = owner_that_awaits_a_host();
+
+    scheduler.update(&first_update(&mut runner, at(10)), at(10));
+
+    assert_eq!(orders(&mut scheduler, "h1", at(11)).starts.len(), 1);
+}
+
+#[test]
+fn owner_waits_for_a_worker_that_only_says_that_it_leaves() {
+    let mut runner = runner(1);
+    runner.apply_orders(&empty_orders(1, 1, at(0)), at(1));
+    runner.deregister_worker("w", None);
+    let mut scheduler = owner_that_awaits_a_host();
+
+    scheduler.update(&first_update(&mut runner, at(10)), at(10));
+
+    assert!(orders(&mut scheduler, "h1", at(11)).starts.is_empty());
+}
+
+/// A start that is on its way reaches the next life of the worker.
+#[test]
+fn task_that_started_in_an_unnoticed_life_of_its_worker_is_not_started_elsewhere() {
+    let mut scheduler = owner(1, &["h", "h2"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let mut sent = orders(&mut scheduler, "h", at(1)).starts;
+    sent.extend(orders(&mut scheduler, "h2", at(1)).starts);
+    let attempt = sent[0].attempt;
+    let mut runner = runner(1);
+    runner.apply_list(next_life(2, Vec::new()), at(3));
+    scheduler.update(&numbered(runner.next_update(at(4)), 2), at(4));
+    let running = vec![listed(task(1, 0, 0), attempt)];
+    runner.apply_list(next_life(5, running), at(6));
+    scheduler.update(&numbered(runner.next_update(at(7)), 3), at(7));
+
+    let elsewhere = orders(&mut scheduler, "h2", at(8));
+
+    assert!(elsewhere.starts.is_empty());
+}
+
+/// Returns the list of the worker's next life, as called at `millis`.
+fn next_life(millis: u64, running: Vec<ListedAttempt>) -> AttemptList {
+    AttemptList {
+        incarnation: WORKER_INCARNATION + 1,
+        running,
+        ..empty_list(at(millis))
+    }
+}
+
+/// Returns an update with another number.
+fn numbered(update: Update, number: u64) -> Update {
+    Update { number, ..update }
+}
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -147,7 +147,7 @@
 
 fn record_worker_exit(shared: &Shared) {
     let mut runner = shared.runner();
-    if runner.worker().is_some() {
+    if runner.worker().is_some() || runner.is_worker_unannounced() {
         runner.mark_worker_exited();
         executor::log_worker_exit(shared);
         shared.update_needed.notify_one();
