--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -433,8 +433,8 @@
 /// Returns whether no unknown attempt runs on a host. Attempts that an agent lists before it has
 /// heard from its worker are not adopted yet.
 fn is_settled(update: &Update) -> bool {
-    let is_listed_only = update.worker.is_none() && !update.is_worker_silent;
-    update.is_settled && !(is_listed_only && !update.runs.is_empty())
+    let is_heard = update.worker.is_some() || update.is_worker_silent;
+    update.is_settled && (is_heard || update.runs.is_empty())
 }
 
 /// Returns the position of a task within its job.
