companion: lists are short while an attempt's outcome is unknown

Callers saw a start that was lost with its connection repeated only 3.1 s after the open connections of a companion to its worker had gone silent, although new ones worked. That is longer than a task that lasts may stand still.

Cause: the start call has 1.0 s, a start without an outcome is stopped 1.2 s later, and only a list that was requested after the confirmed stop frees the task. The list that waits at that moment doesn't count, and it and the next one take 0.5 s each, as nothing changes on the worker.

Evidence: worker_behind_silent_connections_keeps_its_tasks_and_gets_others failed before when run alone, 5 of 5 (no start after 3 s; measured once: stop confirmed 2.3 s after the silence, start 3.1 s after it). It passed once, side by side with the other tests of its file. With the change it passes alone, 4 of 4.

Why it works: while an attempt is to be stopped or its start has no outcome, a list waits for 125 ms, as it does for probes.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -327,6 +327,15 @@
         )
     }
 
+    /// Returns whether an attempt's start has an unknown outcome, or its stop isn't confirmed, so that
+    /// the owner can't start its task again until a list shows the outcome.
+    #[must_use]
+    pub fn has_unresolved_attempt(&self) -> bool {
+        let is_unresolved =
+            |state: &AttemptState| state.phase == Phase::Stopping || state.stop_at != Time::NEVER;
+        self.runs.values().any(is_unresolved)
+    }
+
     /// Returns whether the owner waits to learn whether the worker outlives a start.
     #[must_use]
     pub fn has_probe(&self) -> bool {
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -17,8 +17,8 @@
 const LIST_WAIT_MS: u64 = 500;
 
 /// Long-poll timeout while attempts are paced by the latency that the worker reports, which it
-/// updates every 250 ms, while the owner waits to learn whether the worker outlives a start, or
-/// after a failed list.
+/// updates every 250 ms, while the owner waits to learn whether the worker outlives a start or has
+/// an attempt, or after a failed list.
 const URGENT_WAIT_MS: u64 = 125;
 
 /// Time to wait for ended attempts to be acknowledged before the next list. A list returns at once
@@ -47,7 +47,10 @@
         }
         let is_urgent = {
             let runner = shared.runner();
-            has_failed || runner.needs_pacing() || runner.has_probe()
+            has_failed
+                || runner.needs_pacing()
+                || runner.has_probe()
+                || runner.has_unresolved_attempt()
         };
         let wait_ms = if is_urgent {
             URGENT_WAIT_MS
