--- a/crates/control/src/scheduler/reserving.rs
+++ b/crates/control/src/scheduler/reserving.rs
@@ -27,9 +27,9 @@
         if !is_suitable {
             return;
         }
-        let owner = (stage.job, stage.index);
+        let waiting_stage = (stage.job, stage.index);
         let mut reservations = self.reservations.iter();
-        let reserved = reservations.find(|(_, other)| **other == owner);
+        let reserved = reservations.find(|(_, other)| **other == waiting_stage);
         if let Some(key) = reserved.map(|(key, _)| *key) {
             if self.can_wait_for(key, stage) {
                 return;
@@ -51,7 +51,7 @@
                 host: host.name.clone(),
                 job: self.jobs[stage.job].id,
             });
-            self.reservations.insert(key, owner);
+            self.reservations.insert(key, waiting_stage);
         }
     }
 
@@ -79,7 +79,7 @@
         };
         let reservations = self.reservations.iter();
         let over: SmallVec<[HostKey; 4]> = reservations
-            .filter(|(host, owner)| is_over(host, owner))
+            .filter(|(host, waiting_stage)| is_over(host, waiting_stage))
             .map(|(host, _)| *host)
             .collect();
         for host in over {
