control: a wait for room says what is lacking, and waits are counted by reason

What callers saw: a lasting task doesn't run, and its line says `no_room demand_milli=4450 free_milli=19550`: a host has four times the processors that it asks for. The line couldn't say whether memory, accelerators, a label or the step's limit per worker is in the way, nor whether the room lies in pieces on several hosts. A stall that ends within 2 s, or between two reports, left no trace.

`no_room` keeps its fields and gets `lack` (label, processors, memory, accelerators, one_host, worker_limit, gang) and `pool_free_milli`. Speed is not among them: a perpetual task is started at any speed. `reserved` gets `is_begun`: whether the host runs a probe or is kept for a suspect that waits.

`reserved` says what its comment says: the named host passes each check of a start but the probe's. Hosts that are kept for other perpetual tasks keep no perpetual task away, so they can't be meant.

toucanquay_lasting_tasks_waited_milliseconds_total counts the time for which perpetual tasks have not run, by reason, to a second. The reasons of 256 tasks at most are determined in a search, the others count as `unknown`.

Tests: wait_for_room_names_what_is_lacking, time_without_a_run_is_counted_by_reason_although_no_report_is_due.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -20,6 +20,7 @@
 mod interference;
 mod job;
 mod key;
+mod lack;
 mod lifecycle;
 mod load;
 mod loss;
@@ -61,6 +62,7 @@
 use host::Host;
 use job::Job;
 use key::{HostKey, JobKey, RunKey};
+pub use lack::Lack;
 pub use load::Load;
 pub use loss::Loss;
 use probe::Probe;
@@ -126,6 +128,11 @@
     is_takeover_reported: bool,
     /// Number of perpetual tasks that have not run for a time.
     lasting_tasks_waiting: usize,
+    /// Time for which perpetual tasks have not run since it was last taken, in milliseconds, by the
+    /// label of what they waited for.
+    waited_ms: BTreeMap<&'static str, u64>,
+    /// When perpetual tasks that don't run were last searched.
+    waits_searched_at: Time,
     /// When perpetual tasks that don't run are searched next.
     next_waits_at: Time,
     unrecorded_jobs: RecordQueue,
@@ -180,6 +187,8 @@
             taken_over_at: now,
             unreported_hosts: 0,
             lasting_tasks_waiting: 0,
+            waited_ms: BTreeMap::new(),
+            waits_searched_at: now,
             next_waits_at: Time::ZERO,
             unrecorded_jobs: RecordQueue::new(),
             committing_jobs: Vec::new(),
--- a/crates/control/src/scheduler/wait.rs
+++ b/crates/control/src/scheduler/wait.rs
@@ -1,5 +1,7 @@
 //! Reason why a perpetual task doesn't run.
 
+use super::Lack;
+
 /// What a perpetual task waits for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Wait {
@@ -25,14 +27,19 @@
     Reserved {
         /// Name of one of them.
         host: String,
+        /// A suspect has been started there. Otherwise the host is kept for one that waits.
+        is_begun: bool,
     },
     /// No host of the pool accepts tasks.
     NoHost,
-    /// No host that accepts tasks fits the task: they lack room, a label or speed, or have reached
-    /// the step's limit per worker.
+    /// No host that accepts tasks fits the task.
     NoRoom {
+        /// What the hosts lack.
+        lack: Lack,
         /// Largest number of free processors on a host of the pool, in thousandths.
         free_milli: u32,
+        /// Number of free processors on all hosts of the pool together, in thousandths.
+        pool_free_milli: u64,
         /// Processors that the task demands, in thousandths.
         demand_milli: u32,
     },
@@ -89,7 +96,7 @@
     pub fn host(&self) -> Option<&str> {
         match self {
             Self::Takeover { host, .. }
-            | Self::Reserved { host }
+            | Self::Reserved { host, .. }
             | Self::Unplaced { host }
             | Self::Unconfirmed { host }
             | Self::Silent { host }
--- a/crates/control/src/scheduler/waits.rs
+++ b/crates/control/src/scheduler/waits.rs
@@ -1,10 +1,12 @@
 //! Perpetual tasks that don't run, and what they wait for.
 
+use std::collections::BTreeMap;
+
 use smallvec::SmallVec;
-use toucanquay_model::{Time, graph::Place};
+use toucanquay_model::{Resources, Time, graph::Place};
 
 use super::{
-    Event, Host, Run, Scheduler, Wait,
+    Event, Host, Lack, Run, Scheduler, Wait,
     job::Job,
     key::JobKey,
     stage_ref::StageRef,
@@ -24,6 +26,12 @@
 /// Maximum number of tasks that are reported at once.
 const REPORTS_MAX: usize = 16;
 
+/// Maximum number of tasks whose reason is determined in one search. It takes a look at each host.
+const REASONS_MAX: usize = 256;
+
+/// Label of the time for which tasks wait whose reason isn't determined.
+const UNKNOWN_REASON: &str = "unknown";
+
 /// Maximum number of awaited hosts that are named.
 const AWAITED_HOSTS_MAX: usize = 4;
 
@@ -34,6 +42,12 @@
         self.lasting_tasks_waiting
     }
 
+    /// Returns the time for which perpetual tasks have not run since the last call, in milliseconds,
+    /// by the label of what they waited for. It is measured to a second.
+    pub fn take_waited_ms(&mut self) -> BTreeMap<&'static str, u64> {
+        std::mem::take(&mut self.waited_ms)
+    }
+
     /// Reports the perpetual tasks that don't run and the hosts that a takeover waits for.
     pub(super) fn report_waits(&mut self, now: Time) {
         self.report_takeover_end(now);
@@ -44,6 +58,8 @@
         self.report_awaited_hosts(now);
         self.note_running_tasks(now);
         let mut waiting = self.tasks_without_run(now);
+        self.count_waits(&waiting, now);
+        waiting.retain(|(_, since, ..)| now.micros_since(*since) >= REPORT_INTERVAL_MICROS);
         self.lasting_tasks_waiting = waiting.len();
         waiting
             .retain(|(reported_at, ..)| now.micros_since(*reported_at) >= REPORT_INTERVAL_MICROS);
@@ -59,6 +75,18 @@
         }
     }
 
+    /// Counts the time since the last search for which tasks have not run.
+    fn count_waits(&mut self, waiting: &[(Time, Time, JobKey, Place)], now: Time) {
+        let searched_at = std::mem::replace(&mut self.waits_searched_at, now);
+        for (index, (_, since, key, place)) in waiting.iter().enumerate() {
+            let is_determined = index < REASONS_MAX;
+            let wait = is_determined.then(|| self.wait(*key, *place, now));
+            let reason = wait.flatten().map_or(UNKNOWN_REASON, |wait| wait.label());
+            let waited_ms = now.micros_since(searched_at.max(*since)) / 1_000;
+            *self.waited_ms.entry(reason).or_default() += waited_ms;
+        }
+    }
+
     fn report_wait(&mut self, key: JobKey, place: Place, since: Time, now: Time) {
         let Some(wait) = self.wait(key, place, now) else {
             return;
@@ -99,8 +127,8 @@
         }
     }
 
-    /// Returns the perpetual tasks that have not run for a time: when each was last reported, since
-    /// when it doesn't run, its job and its place.
+    /// Returns the perpetual tasks that don't run: when each was last reported, since when it doesn't
+    /// run, its job and its place.
     fn tasks_without_run(&self, now: Time) -> Vec<(Time, Time, JobKey, Place)> {
         let mut tasks = Vec::new();
         for (key, job) in self.jobs.iter().filter(|(_, job)| is_lasting(job)) {
@@ -109,8 +137,8 @@
                 let is_open = job
                     .stage_index(place)
                     .is_some_and(|index| job.stages[index].is_open);
-                let is_due = now.micros_since(task.ran_at) >= REPORT_INTERVAL_MICROS;
-                if is_perpetual && is_open && is_due && !self.is_done_or_fresh(task, now) {
+                let is_away = task.ran_at < now;
+                if is_perpetual && is_open && is_away && !self.is_done_or_fresh(task, now) {
                     tasks.push((task.wait_reported_at, task.ran_at, key, place));
                 }
             }
@@ -193,14 +221,6 @@
         let (Some(step), Some(index)) = (job.step(place), job.stage_index(place)) else {
             return Wait::NoHost;
         };
-        let pool_hosts = self.hosts.values().filter(|host| {
-            let worker = host.schedulable_worker();
-            worker.is_some_and(|worker| worker.pool == queue.pool)
-        });
-        let free = pool_hosts.map(|host| host.free_resources().processors_milli);
-        let Some(free_milli) = free.max() else {
-            return Wait::NoHost;
-        };
         let stage = StageRef {
             job: key,
             index,
@@ -215,36 +235,73 @@
             let score = self.fitting_score(*host, stage, now);
             score.is_some()
         });
-        let no_room = Wait::NoRoom {
-            free_milli,
-            demand_milli: step.demand.processors_milli,
-        };
         let Some((fitting_key, fitting_host)) = fitting.next() else {
-            return no_room;
+            return self.wait_for_room(stage, self.lack(stage));
         };
         if task.is_suspect() {
             return Wait::Probe;
         }
         if step.is_gang {
-            // One of its tasks fits, but not all.
-            return no_room;
+            return self.wait_for_room(stage, Lack::Gang);
         }
-        let is_free = |key| !self.probes.contains_key(&key);
-        let free_host = if is_free(fitting_key) {
-            Some(fitting_host)
-        } else {
-            fitting.find(|(key, _)| is_free(*key)).map(|(_, host)| host)
+        let Some(probe) = self.probes.get(&fitting_key) else {
+            return Wait::Unplaced {
+                host: fitting_host.name.clone(),
+            };
         };
-        match free_host {
-            Some(host) => Wait::Unplaced {
+        match fitting.find(|(key, _)| !self.probes.contains_key(key)) {
+            Some((_, host)) => Wait::Unplaced {
                 host: host.name.clone(),
             },
             None => Wait::Reserved {
                 host: fitting_host.name.clone(),
+                is_begun: !probe.is_reservation(),
             },
         }
     }
 
+    /// Returns the wait for room on a host of the stage's pool.
+    fn wait_for_room(&self, stage: StageRef<'_>, lack: Lack) -> Wait {
+        let pool_hosts = self.hosts.values().filter(|host| {
+            let worker = host.schedulable_worker();
+            worker.is_some_and(|worker| worker.pool == stage.pool)
+        });
+        let free = pool_hosts.map(|host| host.free_resources().processors_milli);
+        let Some(free_milli) = free.clone().max() else {
+            return Wait::NoHost;
+        };
+        Wait::NoRoom {
+            lack,
+            free_milli,
+            pool_free_milli: free.map(u64::from).sum(),
+            demand_milli: stage.step.demand.processors_milli,
+        }
+    }
+
+    /// Returns what the hosts of the pool lack for a task of a stage that fits on none of them.
+    fn lack(&self, stage: StageRef<'_>) -> Lack {
+        let is_allowed = |host: &&Host| self.allowed_worker(host, stage.pool, stage.step).is_some();
+        let allowed = self.hosts.values().filter(is_allowed);
+        let free = allowed.map(Host::free_resources);
+        let demand = stage.step.occupied();
+        let is_below = |amount: fn(&Resources) -> u32| {
+            free.clone().all(|free| amount(&free) < amount(&demand))
+        };
+        if free.clone().next().is_none() {
+            Lack::Label
+        } else if free.clone().any(|free| demand.fits(&free)) {
+            Lack::WorkerLimit
+        } else if is_below(|resources| resources.processors_milli) {
+            Lack::Processors
+        } else if is_below(|resources| resources.memory_mb) {
+            Lack::Memory
+        } else if is_below(|resources| resources.accelerators) {
+            Lack::Accelerators
+        } else {
+            Lack::OneHost
+        }
+    }
+
     /// Reports the hosts that a takeover waits for.
     fn report_awaited_hosts(&mut self, now: Time) {
         if self.awaited_hosts.is_empty() {
--- a/crates/control/tests/waits.rs
+++ b/crates/control/tests/waits.rs
@@ -7,7 +7,8 @@
     WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, cores, crashed, end,
     fresh, orders, owner, step, task, update, worker,
 };
-use toucanquay_control::scheduler::{Event, RestoredJob, Scheduler, Settings, Wait};
+use rstest::rstest;
+use toucanquay_control::scheduler::{Event, Lack, RestoredJob, Scheduler, Settings, Wait};
 use toucanquay_model::{
     Resources,
     graph::{Id, Step, Task},
@@ -221,13 +222,75 @@
     let events = events(&mut scheduler, 100, 3_200);
 
     let no_room = Wait::NoRoom {
+        lack: Lack::Processors,
         free_milli: 2_000,
+        pool_free_milli: 4_000,
         demand_milli: 3_000,
     };
     assert_eq!(waits(&events), [(task(2, 0, 0), 2_950, no_room)]);
     assert_eq!(scheduler.lasting_tasks_waiting(), 1);
 }
 
+/// Returns a demand of processors, memory in GiB and accelerators.
+fn demand(processors: u32, memory: u32, accelerators: u32) -> Resources {
+    Resources {
+        processors_milli: processors * 1_000,
+        memory_mb: memory * 1_024,
+        accelerators,
+    }
+}
+
+/// One worker has 4 processors and 16 GiB, the other one 16 processors and 4 GiB.
+#[rstest]
+#[case::processors(Step { demand: demand(17, 1, 0), ..lasting(1, 1) }, Lack::Processors)]
+#[case::memory(Step { demand: demand(1, 17, 0), ..lasting(1, 1) }, Lack::Memory)]
+#[case::accelerators(Step { demand: demand(1, 1, 1), ..lasting(1, 1) }, Lack::Accelerators)]
+#[case::not_on_one_host(Step { demand: demand(8, 8, 0), ..lasting(1, 1) }, Lack::OneHost)]
+#[case::label(Step { requires: Some(on("none")), ..lasting(1, 1) }, Lack::Label)]
+#[case::worker_limit(Step { per_worker_max: Some(1), ..lasting(3, 1) }, Lack::WorkerLimit)]
+#[case::gang(Step { is_gang: true, ..lasting(9, 1) }, Lack::Gang)]
+fn wait_for_room_names_what_is_lacking(#[case] waiting: Step, #[case] lack: Lack) {
+    let mut scheduler = owner(1, &[]);
+    for (host, capacity) in [("h1", demand(4, 16, 0)), ("h2", demand(16, 4, 0))] {
+        scheduler.connect(host);
+        let worker = Some(Worker {
+            capacity,
+            ..worker()
+        });
+        let report = Update {
+            worker,
+            ..update(host, 1)
+        };
+        scheduler.update(&report, at(0));
+    }
+    scheduler.accept(Id::new(1), accepted_job(vec![waiting]), at(0));
+
+    let events = events(&mut scheduler, 0, 2_100);
+
+    let lacks = waits(&events)
+        .into_iter()
+        .filter_map(|(_, _, wait)| match wait {
+            Wait::NoRoom { lack, .. } => Some(lack),
+            _ => None,
+        });
+    let mut lacks: Vec<Lack> = lacks.collect();
+    lacks.dedup();
+    assert_eq!(lacks, [lack], "{events:?}");
+}
+
+#[test]
+fn time_without_a_run_is_counted_by_reason_although_no_report_is_due() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![lasting(3, 17)]), at(0));
+
+    let events = events(&mut scheduler, 0, 1_900);
+
+    assert_eq!(waits(&events), []);
+    let waited: Vec<(&str, u64)> = scheduler.take_waited_ms().into_iter().collect();
+    assert_eq!(waited, [("no_room", 3_000)]);
+    assert!(scheduler.take_waited_ms().is_empty());
+}
+
 #[test]
 fn task_waits_for_a_host_that_is_kept_free_for_a_suspect() {
     let (mut scheduler, start) = with_task_on_first_host(&["h1", "h2"], false);
@@ -243,7 +306,10 @@
 
     let events = events(&mut scheduler, 220, 3_100);
 
-    let reserved = Wait::Reserved { host: on("h2") };
+    let reserved = Wait::Reserved {
+        host: on("h2"),
+        is_begun: true,
+    };
     let reported = waits(&events);
     assert_eq!(reported.len(), 1, "{reported:?}");
     assert_eq!((reported[0].0, &reported[0].2), (task(2, 0, 0), &reserved));
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -203,6 +203,9 @@
         }
         if now >= self.gauges_due_at {
             self.gauges_due_at = now.plus_millis(GAUGE_INTERVAL_MS);
+            for (reason, waited_ms) in self.scheduler.take_waited_ms() {
+                meters::count_lasting_wait(reason, waited_ms);
+            }
             let scheduler = &self.scheduler;
             let (jobs, attempts) = (scheduler.active_jobs(), scheduler.running_attempts());
             let waiting_lasting = scheduler.lasting_tasks_waiting();
@@ -352,12 +355,18 @@
                     "reason" => reason, "remaining_ms" => remaining_ms);
             }
             Wait::NoRoom {
+                lack,
                 free_milli,
+                pool_free_milli,
                 demand_milli,
             } => {
                 info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "free_milli" => free_milli,
-                    "demand_milli" => demand_milli);
+                    "reason" => reason, "lack" => lack.label(), "free_milli" => free_milli,
+                    "pool_free_milli" => pool_free_milli, "demand_milli" => demand_milli);
+            }
+            Wait::Reserved { is_begun, .. } => {
+                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                    "reason" => reason, "host" => host, "is_begun" => is_begun);
             }
             _ => {
                 info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -81,6 +81,13 @@
     gauge!("toucanquay_lasting_tasks_waiting").set(tasks as f64);
 }
 
+/// Counts the time for which perpetual tasks have not run, in milliseconds, by what they waited for.
+pub fn count_lasting_wait(reason: &'static str, waited_ms: u64) {
+    let counter =
+        counter!("toucanquay_lasting_tasks_waited_milliseconds_total", "reason" => reason);
+    counter.increment(waited_ms);
+}
+
 /// Sets the version of the entry's configuration.
 pub fn set_configuration_version(version: u64) {
     gauge!("toucanquay_configuration_version").set(version as f64);
