control: a lasting task gets a host between two probes

What callers saw: lasting tasks that are no suspects wait with the reason `reserved` for up to 12 s after workers were lost, although hosts have room for them. All the room lies on hosts that are kept free for probes.

Cause: suspects are placed first in each placement round. The round that follows the end of a probe starts the next probe on the same host, which is the best one for it again, so that no other task ever gets the host until the last suspect has been proved. The number of suspects, and so the wait, is unbounded.

Now perpetual tasks that are no suspects are placed before the suspects of the same round. The host of a probe that has ended gets them all at once, and the next probe begins when the worker has outlived their starts. Neither side can starve the other: a host that is reserved for a probe takes no other task until the probe has begun, or for 1 s (3 s before). So an innocent task waits for one reservation and one probe at most, whatever the number of suspects. Nothing is started beside a probe in flight, as before.

--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -28,6 +28,8 @@
 /// Part of the waiting tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Part {
+    /// Perpetual tasks that are not suspects.
+    Lasting,
     /// Suspect tasks, and gangs with one.
     Suspects,
     /// All other tasks.
@@ -47,6 +49,12 @@
         let order = self.placement_order(now);
         if !self.suspect_jobs.is_empty() {
             self.size_probes(now);
+            // Perpetual tasks get each host whose probe has ended before the next one begins there,
+            // so that they never wait for the proofs of all suspects.
+            let is_perpetual = |key: &&JobKey| self.jobs[**key].is_perpetual;
+            for key in order.iter().filter(is_perpetual).collect::<Vec<_>>() {
+                self.place_job(*key, Part::Lasting, now);
+            }
             // Other tasks would occupy the hosts that suspects need for themselves.
             for key in order
                 .iter()
@@ -122,7 +130,8 @@
                     self.place_probes(stage, now);
                     continue;
                 }
-                Part::Others if step.is_gang && is_suspect => continue,
+                Part::Lasting if !step.is_perpetual => continue,
+                Part::Lasting | Part::Others if step.is_gang && is_suspect => continue,
                 _ if step.is_gang => self.place_gang(stage, now),
                 _ => self.place_stage(stage, now),
             };
--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -14,6 +14,10 @@
 /// Maximum duration of a probe, in microseconds.
 const PROBE_MICROS_MAX: u64 = 3_000_000;
 
+/// Maximum time for which a host is kept for a probe that has not begun, in microseconds. Perpetual
+/// tasks that fit nowhere else wait for it, and for the probe.
+const RESERVATION_MICROS_MAX: u64 = 1_000_000;
+
 /// Hosts for each one that may be occupied by a probe.
 const HOSTS_PER_PROBE: usize = 3;
 
@@ -177,12 +181,16 @@
         tasks_max: usize,
         now: Time,
     ) {
+        let micros_max = match run {
+            Some(_) => PROBE_MICROS_MAX,
+            None => RESERVATION_MICROS_MAX,
+        };
         let probe = Probe {
             runs: run.into_iter().collect(),
             task,
             round: self.placement_round,
             tasks_max,
-            expires_at: now.plus_micros(PROBE_MICROS_MAX),
+            expires_at: now.plus_micros(micros_max),
         };
         self.probes.insert(host, probe);
     }
