control: a host that is kept for a lasting task probes no batch task

What callers saw: a lasting task that needs more room than others waits although a host is kept for it.

Cause: the choice of a probe's host didn't look at the hosts that are kept for perpetual tasks. The kept host has the fewest attempts, so it was even preferred, and each suspect took the room that became free there.

Now suspects of batch steps are bound by the reservation like all other batch tasks; perpetual suspects may use a kept host, like all perpetual tasks. A perpetual task that fits on a host with a probe in flight keeps no second host: it gets the first one when the probe ends.

Test: host_that_is_kept_for_a_perpetual_task_starts_no_suspect_batch_task. Before the fix six suspects started on the kept host before the large task (`left: (6, [3]), right: (0, [3])`).

--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -137,7 +137,7 @@
             };
             if !is_placed {
                 self.record_shortage(stage, now);
-                self.reserve_host(stage);
+                self.reserve_host(stage, now);
             } else if step.is_perpetual {
                 self.release_reservations();
             }
--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -52,9 +52,7 @@
                 continue;
             }
             let Some(host) = self.probe_host(stage, place, avoided_host, now) else {
-                if !self.fits_anywhere(stage, now) {
-                    self.reserve_host(stage);
-                }
+                self.reserve_host(stage, now);
                 return;
             };
             let attempt = self.next_attempt();
@@ -68,7 +66,7 @@
     fn open_probe(&self, stage: StageRef<'_>, now: Time) -> Option<HostKey> {
         let mut probes = self.probes.iter();
         let (host, _) = probes.find(|(host, probe)| {
-            probe.is_open(self.placement_round) && self.fitting_score(**host, stage, now).is_some()
+            probe.is_open(self.placement_round) && self.can_probe(**host, stage, now)
         })?;
         Some(*host)
     }
@@ -149,8 +147,7 @@
             )
         };
         let hosts = self.hosts.iter();
-        let fitting = hosts
-            .filter(|(key, _)| is_free(*key) && self.fitting_score(*key, stage, now).is_some());
+        let fitting = hosts.filter(|(key, _)| is_free(*key) && self.can_probe(*key, stage, now));
         let (key, host) = fitting.min_by_key(rank)?;
         if self.has_outlived_starts(host) {
             return Some(key);
@@ -161,7 +158,13 @@
         None
     }
 
-    fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
+    /// Returns whether a probe of a task of a stage may take place on a host, if that is free.
+    fn can_probe(&self, host: HostKey, stage: StageRef<'_>, now: Time) -> bool {
+        !self.is_kept_from(host, stage) && self.fitting_score(host, stage, now).is_some()
+    }
+
+    /// Returns whether a task of a stage fits on a host, even if that is kept free for a probe.
+    pub(super) fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
         let mut hosts = self.hosts.keys();
         hosts.any(|host| self.fitting_score(host, stage, now).is_some())
     }
--- a/crates/control/src/scheduler/reserving.rs
+++ b/crates/control/src/scheduler/reserving.rs
@@ -4,7 +4,7 @@
 //! would wait for ever. A perpetual task has to run at all times, so a host is kept for it.
 
 use smallvec::SmallVec;
-use toucanquay_model::Resources;
+use toucanquay_model::{Resources, Time};
 
 use super::{
     Event, Scheduler,
@@ -21,7 +21,7 @@
     /// Keeps a host for a stage of perpetual tasks that fits nowhere: the one with the most room,
     /// unless the stage has one already that will fit. Other tasks are not started there until the
     /// stage has no waiting task.
-    pub(super) fn reserve_host(&mut self, stage: StageRef<'_>) {
+    pub(super) fn reserve_host(&mut self, stage: StageRef<'_>, now: Time) {
         // Room doesn't make a task that uses idle processors faster, and a gang needs several hosts.
         let is_suitable = stage.step.is_perpetual && !stage.step.uses_idle && !stage.step.is_gang;
         if !is_suitable {
@@ -36,7 +36,8 @@
             }
             self.release_reservation(key);
         }
-        if self.reservations.len() >= self.reservations_max() {
+        // A task that fits on the host of a probe waits only for the end of that.
+        if self.reservations.len() >= self.reservations_max() || self.fits_anywhere(stage, now) {
             return;
         }
         let hosts = self.hosts.iter();
--- a/crates/control/tests/full_service.rs
+++ b/crates/control/tests/full_service.rs
@@ -5,9 +5,12 @@
 
 use std::collections::VecDeque;
 
-use graph::{accepted_job, at, attempt_status, cores, end, orders, owner, step, update};
+use graph::{
+    WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, cores, crashed, end,
+    orders, owner, step, update,
+};
 use rstest::rstest;
-use toucanquay_control::scheduler::Scheduler;
+use toucanquay_control::scheduler::{Event, Scheduler};
 use toucanquay_model::{
     graph::{Id, Step},
     session::{Ending, Phase, Start},
@@ -65,6 +68,31 @@
         large
     }
 
+    /// Returns the index of the host that is kept.
+    fn kept_host(&mut self) -> usize {
+        let events = self.scheduler.take_events();
+        let kept = events.into_iter().find_map(|event| match event {
+            Event::Kept { host, .. } => Some(host),
+            _ => None,
+        });
+        let kept = kept.expect("a host is kept");
+        let mut hosts = HOSTS.iter();
+        hosts.position(|host| *host == kept).expect("a known host")
+    }
+
+    /// Lets small tasks start on another host, whose worker crashes under them.
+    fn crash_another_host(&mut self) {
+        let now = at(self.now_ms);
+        self.scheduler.connect("lost");
+        self.scheduler.update(&update("lost", 1), now);
+        let starts = orders(&mut self.scheduler, "lost", now).starts;
+        let suspects: Vec<&Start> = starts.iter().collect();
+        let crash = crashed("lost", 2, WORKER_INCARNATION, &suspects);
+        self.scheduler.update(&crash, now);
+        self.now_ms += 500;
+        commit_changes(&mut self.scheduler, 20, at(self.now_ms));
+    }
+
     /// Lets the oldest small task of a host end.
     fn end_oldest(&mut self, index: usize) {
         let is_small = |start: &Start| start.task.job == Id::new(SMALL_JOB);
@@ -209,3 +237,29 @@
 
     assert!(started.is_some(), "the large task starts on another host");
 }
+
+/// Guards against suspects that take the room of a host that is kept for a perpetual task.
+#[test]
+fn host_that_is_kept_for_a_perpetual_task_starts_no_suspect_batch_task() {
+    let mut service = Service::full();
+    let job = accepted_job(vec![perpetual(8)]);
+    service.scheduler.accept(Id::new(LARGE_JOB), job, at(1));
+    service.run_until_large_start(1);
+    let kept = service.kept_host();
+    service.crash_another_host();
+
+    let mut small_starts = 0;
+    let mut large_starts = Vec::new();
+    for number in 0..100 {
+        service.now_ms += INTERVAL_MS;
+        service.end_oldest(number % HOSTS.len());
+        let running_before = service.running[kept].len();
+        large_starts = service.take_starts();
+        if !large_starts.is_empty() {
+            break;
+        }
+        small_starts += service.running[kept].len() - running_before;
+    }
+
+    assert_eq!((small_starts, large_starts), (0, vec![kept]));
+}
