--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -14,6 +14,10 @@
 /// Maximum duration of a probe, in microseconds.
 const PROBE_MICROS_MAX: u64 = 3_000_000;
 
+/// Maximum time for which a host is kept for a probe that has not begun, in microseconds. Perpetual
+/// tasks that fit nowhere else wait for it, and for the probe.
+const RESERVATION_MICROS_MAX: u64 = 1_000_000;
+
 /// Hosts for each one that may be occupied by a probe.
 const HOSTS_PER_PROBE: usize = 3;
 
@@ -48,9 +52,7 @@
                 continue;
             }
             let Some(host) = self.probe_host(stage, place, avoided_host, now) else {
-                if !self.fits_anywhere(stage, now) {
-                    self.reserve_host(stage);
-                }
+                self.reserve_host(stage, now);
                 return;
             };
             let attempt = self.next_attempt();
@@ -64,7 +66,7 @@
     fn open_probe(&self, stage: StageRef<'_>, now: Time) -> Option<HostKey> {
         let mut probes = self.probes.iter();
         let (host, _) = probes.find(|(host, probe)| {
-            probe.is_open(self.placement_round) && self.fitting_score(**host, stage, now).is_some()
+            probe.is_open(self.placement_round) && self.can_probe(**host, stage, now)
         })?;
         Some(*host)
     }
@@ -145,8 +147,7 @@
             )
         };
         let hosts = self.hosts.iter();
-        let fitting = hosts
-            .filter(|(key, _)| is_free(*key) && self.fitting_score(*key, stage, now).is_some());
+        let fitting = hosts.filter(|(key, _)| is_free(*key) && self.can_probe(*key, stage, now));
         let (key, host) = fitting.min_by_key(rank)?;
         if self.has_outlived_starts(host) {
             return Some(key);
@@ -157,7 +158,13 @@
         None
     }
 
-    fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
+    /// Returns whether a probe of a task of a stage may take place on a host, if that is free.
+    fn can_probe(&self, host: HostKey, stage: StageRef<'_>, now: Time) -> bool {
+        !self.is_kept_from(host, stage) && self.fitting_score(host, stage, now).is_some()
+    }
+
+    /// Returns whether a task of a stage fits on a host, even if that is kept free for a probe.
+    pub(super) fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
         let mut hosts = self.hosts.keys();
         hosts.any(|host| self.fitting_score(host, stage, now).is_some())
     }
@@ -177,12 +184,16 @@
         tasks_max: usize,
         now: Time,
     ) {
+        let micros_max = match run {
+            Some(_) => PROBE_MICROS_MAX,
+            None => RESERVATION_MICROS_MAX,
+        };
         let probe = Probe {
             runs: run.into_iter().collect(),
             task,
             round: self.placement_round,
             tasks_max,
-            expires_at: now.plus_micros(PROBE_MICROS_MAX),
+            expires_at: now.plus_micros(micros_max),
         };
         self.probes.insert(host, probe);
     }
