companion: requests the worker's lists at most ten times a second while no end waits

A companion whose worker answers each request for its list at once, whatever waitMs says, asked again without a pause and used up its processor, which the worker's host shares with batch work and, on one thread, with the sessions of the owner (docs/invariants.md, "Found and open").

Cause: the loop relied on the worker for its pace.

The next request now waits until 100 ms after the last one, unless ends are unacknowledged, in which case the loop waits for their acknowledgement as before, or something needs a list.

--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use slog::{info, warn};
-use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use toucanquay_control::runner::{AttemptList, CallOutcome};
 
 use super::{Shared, executor};
@@ -28,6 +28,10 @@
 /// Time that the response to a list may take in addition to the long-poll timeout.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Minimum time between two requests for a list while no ends are unacknowledged. A worker may
+/// respond at once, whatever the long-poll timeout is.
+const LIST_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
 /// Delay before a failed list is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -57,6 +61,7 @@
         } else {
             LIST_WAIT_MS
         };
+        let next_list_at = Instant::now() + LIST_INTERVAL_MIN;
         let reply = renew_lease(&shared, wait_ms).await;
         has_failed = !matches!(reply, Reply::Attempts(_));
         if has_failed {
@@ -72,6 +77,10 @@
                     // read.
                     sleep(RETRY_DELAY).await;
                 }
+                let has_ends = shared.runner().has_unacknowledged_ends();
+                if !has_ends {
+                    let _ = timeout_at(next_list_at, shared.list_needed.notified()).await;
+                }
             }
             Reply::ConnectionRefused => {
                 refusals += 1;
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use futures_util::FutureExt;
@@ -14,12 +17,18 @@
     free_address,
     worker::{empty_list, heartbeat},
 };
-use tokio::time::{Duration, sleep, sleep_until, timeout};
+use tokio::{
+    task::yield_now,
+    time::{Duration, sleep, sleep_until, timeout},
+};
 use toucanquay_control::runner::CallOutcome;
 use toucanquay_model::{Error, ErrorKind, session};
 use toucanquay_node::{Clock, Companion, Store, Worker, companion, worker::Reply};
 use toucanquay_wire::{Client, Frame};
 
+/// Number of lists that a companion may request in a second of a worker without attempts.
+const LISTS_PER_SECOND_MAX: usize = 20;
+
 /// Returns a store that refuses all calls.
 fn refusing_store() -> Store {
     Store::new(|_call, _deadline| async { Err(Error::new(ErrorKind::StoreUnavailable)) }.boxed())
@@ -55,6 +64,18 @@
     })
 }
 
+/// Returns a worker that answers each list at once.
+fn worker_that_answers_at_once(calls: Arc<AtomicUsize>) -> Worker {
+    Worker::new(move |_call, _deadline| {
+        calls.fetch_add(1, Ordering::Relaxed);
+        async move {
+            yield_now().await;
+            Reply::Attempts(empty_list(Clock.now()))
+        }
+        .boxed()
+    })
+}
+
 /// Starts a companion of a worker. Returns it and the address at which it accepts sessions.
 async fn start_companion(worker: Worker) -> (Companion, SocketAddr) {
     let settings = companion::Settings {
@@ -125,3 +146,16 @@
 
     assert!(worker.is_none(), "{worker:?}");
 }
+
+/// Guards against a companion that spends its processor on a worker that doesn't wait for an end.
+#[tokio::test]
+async fn worker_that_answers_at_once_is_not_asked_without_a_pause() {
+    let calls = Arc::<AtomicUsize>::default();
+    let (companion, _address) = start_companion(worker_that_answers_at_once(calls.clone())).await;
+    companion.record_heartbeat(heartbeat());
+
+    sleep(Duration::from_millis(1_000)).await;
+
+    let calls = calls.load(Ordering::Relaxed);
+    assert!(calls <= LISTS_PER_SECOND_MAX, "{calls} lists in a second");
+}
