control, companion: a worker whose address refuses connections for a moment is kept

Cause: two refused connections, which may follow each other at once, counted as an exit of the process. The owner started its tasks elsewhere at once, while they ran on under the lease. The incarnation number was raised by one for good, so that all lists and heartbeats of the process were ignored until it started again. A process that lives may refuse connections while it opens its listener again, for example.

The runner now decides (runner/refusals.rs): three refusals over 0.6 s without an answer in between are an exit. And an exit is refuted by a list of the same incarnation that was requested after it (runner/exit.rs): the worker is in use again with the attempts that it lists, of which the owner adopts those that wait and stops the others. A list that was requested before the exit may be a delayed response and refutes nothing.

The cost: an exit is noticed 0.6 s after the first refusal and not 0.15 s. What is not certain: a process that refuses connections for longer than 0.6 s and lives has its tasks started elsewhere beside it until it answers. To count no exit by refusals would cost 6.4 s for each crash.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -7,11 +7,13 @@
 mod attempt_state;
 mod call_outcome;
 mod calls;
+mod exit;
 mod gauge_estimator;
 mod heartbeat;
 mod listed_attempt;
 mod listing;
 mod pacer;
+mod refusals;
 mod settings;
 mod sharing;
 
@@ -34,8 +36,10 @@
 pub use attempt_list::AttemptList;
 use attempt_state::AttemptState;
 pub use call_outcome::CallOutcome;
+use exit::Exit;
 pub use heartbeat::Heartbeat;
 pub use listed_attempt::ListedAttempt;
+use refusals::Refusals;
 pub use settings::Settings;
 
 /// Time after an attempt that uses idle processors has started or ended until renewed gauges cover
@@ -69,6 +73,9 @@
     has_worker_exited: bool,
     /// Whether its address refuses connections since then, so that nothing runs on it.
     is_exit_confirmed: bool,
+    refusals: Refusals,
+    /// The exit that was inferred from refused connections, until a later incarnation is seen.
+    exit: Option<Exit>,
     last_heartbeat: u64,
     /// Last heartbeat of an incarnation that the worker itself has not confirmed by a list.
     unconfirmed_heartbeat: Option<Heartbeat>,
@@ -118,6 +125,8 @@
             worker_id: String::new(),
             has_worker_exited: false,
             is_exit_confirmed: false,
+            refusals: Refusals::default(),
+            exit: None,
             last_heartbeat: 0,
             unconfirmed_heartbeat: None,
             announced_at: None,
@@ -192,6 +201,30 @@
         true
     }
 
+    /// Processes a refused connection to the worker. Returns whether its process counts as exited
+    /// from now on.
+    pub fn record_refusal(&mut self, now: Time) -> bool {
+        let is_exit = self.refusals.record(now);
+        let is_known = self.worker.is_some() || self.is_worker_unannounced();
+        if !is_exit || !is_known {
+            return false;
+        }
+        let exit = Exit {
+            incarnation: self.incarnation,
+            worker: self.worker.clone(),
+            recorded_at: now,
+        };
+        self.mark_worker_exited();
+        self.exit = Some(exit);
+        true
+    }
+
+    /// Records that the worker has answered a call, so that its address doesn't refuse all
+    /// connections.
+    pub fn record_answer(&mut self) {
+        self.refusals = Refusals::default();
+    }
+
     /// Records that the worker's process has exited, because its address refuses connections. It has
     /// crashed unless it was draining.
     pub fn mark_worker_exited(&mut self) {
@@ -453,9 +486,20 @@
         });
     }
 
+    /// Takes a worker back into use whose exit is refuted by a list, which shows what it runs. The
+    /// owner has given up its attempts, and stops those that it doesn't know.
+    fn refute_exit(&mut self, exit: Exit) {
+        self.incarnation = exit.incarnation;
+        self.worker = exit.worker;
+        self.has_worker_exited = false;
+        self.is_exit_confirmed = false;
+        self.reset_incarnation();
+    }
+
     fn begin_incarnation(&mut self, incarnation: Incarnation, now: Time) {
         self.record_crash();
         self.incarnation = incarnation;
+        self.exit = None;
         self.worker = None;
         self.has_worker_exited = false;
         self.is_exit_confirmed = false;
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -15,9 +15,13 @@
 impl Runner {
     /// Processes the worker's list of attempts. Returns the paces to set.
     pub fn apply_list(&mut self, list: AttemptList, now: Time) -> Vec<Action> {
+        if let Some(exit) = self.exit.take_if(|exit| exit.is_refuted_by(&list)) {
+            self.refute_exit(exit);
+        }
         if list.incarnation < self.incarnation {
             return Vec::new();
         }
+        self.record_answer();
         if list.incarnation > self.incarnation {
             self.begin_incarnation(list.incarnation, now);
         }
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1145,3 +1145,93 @@
     assert_eq!(update.ends.len(), 1);
     assert!(!update.is_settled);
 }
+
+/// Returns a runner whose worker runs an attempt and refuses connections at these times.
+fn runner_after_refusals(millis: &[u64]) -> Runner {
+    let mut runner = runner(1);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    runner.record_start_outcome(task(1, 0, 0), 1, CallOutcome::Done, at(2));
+    for millis in millis {
+        runner.record_refusal(at(*millis));
+    }
+    runner
+}
+
+/// Returns a list of the worker with its attempt.
+fn list_of_one(called_at: Time) -> AttemptList {
+    AttemptList {
+        running: vec![listed(task(1, 0, 0), 1)],
+        ..empty_list(called_at)
+    }
+}
+
+/// Guards against a task that starts elsewhere while it runs on a worker that refuses connections for
+/// a moment, and against tasks that wait for the lease of a worker that has exited.
+#[rstest]
+#[case::moment(&[1_000, 1_150, 1_300, 1_450, 1_599], false)]
+#[case::two(&[1_000, 3_000], false)]
+#[case::lasting(&[1_000, 1_150, 1_600], true)]
+fn worker_whose_address_goes_on_to_refuse_connections_has_exited(
+    #[case] millis: &[u64],
+    #[case] has_exited: bool,
+) {
+    let mut runner = runner_after_refusals(millis);
+
+    let update = runner.next_update(at(3_001));
+
+    assert_eq!(update.worker.is_none(), has_exited);
+    assert_eq!(update.runs.is_empty(), has_exited);
+    assert_eq!(update.is_settled, has_exited);
+}
+
+/// Guards against refused connections that add up although the worker answers between them.
+#[test]
+fn answer_between_refused_connections_shows_that_the_worker_lives() {
+    let mut runner = runner_after_refusals(&[1_000, 1_150, 1_300]);
+    runner.record_answer();
+    runner.record_refusal(at(1_600));
+
+    let update = runner.next_update(at(1_601));
+
+    assert!(update.worker.is_some());
+}
+
+/// Guards against a worker that lives, was taken for exited, and isn't used again before it restarts,
+/// or whose attempts run on unknown to the owner.
+#[test]
+fn list_refutes_an_exit_and_shows_the_attempts() {
+    let mut runner = runner_after_refusals(&[1_000, 1_150, 1_600]);
+    runner.apply_list(list_of_one(at(1_900)), at(1_901));
+
+    let update = runner.next_update(at(1_902));
+
+    assert_eq!(update.worker, Some(graph::worker()));
+    assert_eq!(update.runs.len(), 1);
+    assert!(!runner.has_worker_exited());
+}
+
+/// Guards against a worker that has exited and counts as alive because of a delayed response.
+#[test]
+fn list_that_was_requested_before_the_exit_does_not_refute_it() {
+    let mut runner = runner_after_refusals(&[1_000, 1_150, 1_600]);
+    runner.apply_list(list_of_one(at(1_599)), at(1_901));
+
+    let update = runner.next_update(at(1_902));
+
+    assert_eq!(update.worker, None);
+    assert!(update.runs.is_empty());
+}
+
+/// Guards against a former process that returns after a later one has been seen.
+#[test]
+fn list_of_a_former_life_refutes_no_exit_after_the_next_life_was_seen() {
+    let mut runner = runner_after_refusals(&[1_000, 1_150, 1_600]);
+    let mut next = empty_list(at(1_700));
+    next.incarnation = WORKER_INCARNATION + 5;
+    runner.apply_list(next, at(1_701));
+    runner.apply_list(list_of_one(at(1_900)), at(1_901));
+
+    let update = runner.next_update(at(1_902));
+
+    assert!(update.runs.is_empty());
+}
--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -35,13 +35,8 @@
 /// Delay before a failed list is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Number of refused connections without an answer in between after which the worker's process is
-/// considered to have exited.
-const REFUSALS_MIN: u32 = 2;
-
 /// Runs until the companion stops.
 pub(super) async fn run(shared: Arc<Shared>) {
-    let mut refusals = 0;
     let mut has_failed = false;
     loop {
         let has_ends = shared.runner().has_unacknowledged_ends();
@@ -69,7 +64,6 @@
         }
         match reply {
             Reply::Attempts(list) => {
-                refusals = 0;
                 let is_partial = list.is_partial;
                 handle_list(&shared, list);
                 if is_partial {
@@ -83,16 +77,13 @@
                 }
             }
             Reply::ConnectionRefused => {
-                refusals += 1;
-                if refusals == REFUSALS_MIN {
-                    record_worker_exit(&shared);
-                }
+                record_refusal(&shared);
                 let _ = timeout(RETRY_DELAY, shared.list_needed.notified()).await;
             }
             Reply::Outcome(outcome) => {
                 // Without an answer, there is no sign that the process lives on.
                 if outcome != CallOutcome::Unknown {
-                    refusals = 0;
+                    shared.runner().record_answer();
                 }
                 sleep(RETRY_DELAY).await;
             }
@@ -129,8 +120,10 @@
 }
 
 fn handle_list(shared: &Arc<Shared>, list: AttemptList) {
-    let (actions, has_changed) = {
+    let incarnation = list.incarnation;
+    let (actions, has_changed, is_exit_refuted) = {
         let mut runner = shared.runner();
+        let had_exited = runner.has_worker_exited();
         let digest_before = runner.digest();
         for end in &list.finished {
             if end.number > runner.last_listed_end() {
@@ -140,8 +133,15 @@
             }
         }
         let actions = runner.apply_list(list, shared.clock.now());
-        (actions, runner.digest() != digest_before)
+        let is_present = had_exited && !runner.has_worker_exited();
+        let (former_incarnation, ..) = digest_before;
+        let is_exit_refuted = is_present && incarnation < former_incarnation;
+        (actions, runner.digest() != digest_before, is_exit_refuted)
     };
+    if is_exit_refuted {
+        warn!(shared.log, "worker_lives"; "incarnation" => incarnation,
+            "reason" => "it answers after its address refused connections");
+    }
     executor::run(shared, actions);
     if has_changed {
         shared.update_needed.notify_one();
@@ -157,13 +157,9 @@
     }
 }
 
-fn record_worker_exit(shared: &Shared) {
-    let mut runner = shared.runner();
-    if runner.worker().is_some() || runner.is_worker_unannounced() {
-        runner.mark_worker_exited();
+fn record_refusal(shared: &Shared) {
+    if shared.runner().record_refusal(shared.clock.now()) {
         executor::log_worker_exit(shared);
         shared.update_needed.notify_one();
-    } else {
-        info!(shared.log, "worker_unreachable");
     }
 }
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -19,16 +19,19 @@
 };
 use tokio::{
     task::yield_now,
-    time::{Duration, sleep, sleep_until, timeout},
+    time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at},
 };
 use toucanquay_control::runner::CallOutcome;
 use toucanquay_model::{Error, ErrorKind, session};
 use toucanquay_node::{Clock, Companion, Store, Worker, companion, worker::Reply};
-use toucanquay_wire::{Client, Frame};
+use toucanquay_wire::{Client, Frame, Stream};
 
 /// Number of lists that a companion may request in a second of a worker without attempts.
 const LISTS_PER_SECOND_MAX: usize = 20;
 
+/// Time for which a worker answers before it refuses connections.
+const REFUSED_AFTER: Duration = Duration::from_millis(500);
+
 /// Returns a store that refuses all calls.
 fn refusing_store() -> Store {
     Store::new(|_call, _deadline| async { Err(Error::new(ErrorKind::StoreUnavailable)) }.boxed())
@@ -76,6 +79,22 @@
     })
 }
 
+/// Returns a worker that answers lists, except while it refuses connections.
+fn worker_that_refuses_for(duration: Duration) -> Worker {
+    let refuses_from = Instant::now() + REFUSED_AFTER;
+    Worker::new(move |_call, _deadline| {
+        async move {
+            sleep(Duration::from_millis(50)).await;
+            let is_refusing = Instant::now() >= refuses_from;
+            if is_refusing && Instant::now() < refuses_from + duration {
+                return Reply::ConnectionRefused;
+            }
+            Reply::Attempts(empty_list(Clock.now()))
+        }
+        .boxed()
+    })
+}
+
 /// Starts a companion of a worker. Returns it and the address at which it accepts sessions.
 async fn start_companion(worker: Worker) -> (Companion, SocketAddr) {
     let settings = companion::Settings {
@@ -89,12 +108,33 @@
     (companion.expect("the companion starts"), address)
 }
 
-/// Returns the worker in the first update of a session.
-async fn reported_worker(address: SocketAddr) -> Option<session::Worker> {
+async fn open_session(address: SocketAddr) -> Stream {
     let client = Client::connect(address).await.expect("a connection");
     let mut stream = client.open().await.expect("a stream");
     let opened = stream.send(&Frame::Session(1)).await;
     opened.expect("the session frame is sent");
+    stream
+}
+
+/// Returns what the updates of a session say about the worker within a time: whether it is there, at
+/// first and at each change.
+async fn reports_within(address: SocketAddr, duration: Duration) -> Vec<bool> {
+    let until = Instant::now() + duration;
+    let mut stream = open_session(address).await;
+    let mut reports = Vec::new();
+    while let Ok(Ok(Some(frame))) = timeout_at(until, stream.recv()).await {
+        match frame {
+            Frame::Update(update) => reports.push(update.worker.is_some()),
+            Frame::Delta(delta) => reports.extend(delta.worker.map(|worker| worker.is_some())),
+            other => panic!("not an update: {other:?}"),
+        }
+    }
+    reports
+}
+
+/// Returns the worker in the first update of a session.
+async fn reported_worker(address: SocketAddr) -> Option<session::Worker> {
+    let mut stream = open_session(address).await;
     let frame = timeout(Duration::from_secs(5), stream.recv()).await;
     match frame.expect("an update within 5 s") {
         Ok(Some(Frame::Update(update))) => update.worker,
@@ -147,6 +187,37 @@
     assert!(worker.is_none(), "{worker:?}");
 }
 
+/// Guards against a worker whose address refuses connections for a moment while it lives: its tasks
+/// must not start elsewhere while they run.
+#[tokio::test]
+async fn worker_that_refuses_connections_for_a_moment_is_kept() {
+    let worker = worker_that_refuses_for(Duration::from_millis(500));
+    let (companion, address) = start_companion(worker).await;
+    companion.record_heartbeat(heartbeat());
+    sleep(Duration::from_millis(200)).await;
+
+    let reports = reports_within(address, Duration::from_millis(1_800)).await;
+
+    assert!(
+        reports.iter().all(|is_reported| *is_reported),
+        "{reports:?}"
+    );
+}
+
+/// Guards against a worker that lives, was taken for exited, and isn't used again before it restarts.
+#[tokio::test]
+async fn worker_that_answers_after_it_was_taken_for_exited_is_used_again() {
+    let worker = worker_that_refuses_for(Duration::from_millis(1_500));
+    let (companion, address) = start_companion(worker).await;
+    companion.record_heartbeat(heartbeat());
+    sleep(Duration::from_millis(200)).await;
+
+    let reports = reports_within(address, Duration::from_millis(3_000)).await;
+
+    assert!(reports.contains(&false), "it is gone: {reports:?}");
+    assert_eq!(reports.last(), Some(&true), "{reports:?}");
+}
+
 /// Guards against a companion that spends its processor on a worker that doesn't wait for an end.
 #[tokio::test]
 async fn worker_that_answers_at_once_is_not_asked_without_a_pause() {
