control: adopted suspects on one host share its probe

What callers would see: after a takeover, tasks start beside a suspect whose worker has yet to outlive it. If the suspect crashes the worker, they are lost with it, and count as suspects themselves.

Cause: an owner that adopts an attempt of a suspect begins a probe on its host. A second suspect on the same host replaced the probe of the first one, so that the proof of the second alone ended it. Probes of several suspects are common when many wait.

Now the second attempt joins the probe, as members of a gang do, and the host is kept free until all have been outlived.

Test: host_of_two_adopted_suspects_is_kept_free_until_both_have_survived. Before the fix a task started beside the first suspect when the second one was proved first (`left: (1, 0), right: (0, 1)`). Found by reading.

--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -106,17 +106,20 @@
     /// be more than the hosts that may be kept free otherwise.
     pub(super) fn begin_gang_probe(&mut self, runs: &[RunKey], now: Time) {
         for key in runs {
-            if let Some(run) = self.runs.get(*key) {
-                let (host, task) = (run.host, (run.job, run.place));
-                match self
-                    .probes
-                    .get_mut(&host)
-                    .filter(|probe| !probe.is_reservation())
-                {
-                    Some(probe) => probe.runs.push(*key),
-                    None => self.begin_probe(host, task, Some(*key), 1, now),
-                }
-            }
+            self.join_probe(*key, now);
+        }
+    }
+
+    /// Adds an attempt to the probe on its host, or begins one with it.
+    pub(super) fn join_probe(&mut self, key: RunKey, now: Time) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (host, task) = (run.host, (run.job, run.place));
+        let probe = self.probes.get_mut(&host);
+        match probe.filter(|probe| !probe.is_reservation()) {
+            Some(probe) => probe.runs.push(key),
+            None => self.begin_probe(host, task, Some(key), 1, now),
         }
     }
 
@@ -176,7 +179,7 @@
     }
 
     /// Keeps a host free of other starts for a probe, which begins later if there is no attempt.
-    pub(super) fn begin_probe(
+    fn begin_probe(
         &mut self,
         host: HostKey,
         task: (JobKey, Place),
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -328,7 +328,7 @@
         if reported.has_survived_start {
             self.outlive_start(job_key, place, reported.attempt);
         } else if self.is_suspect(job_key, place) {
-            self.begin_probe(key, (job_key, place), Some(run), 1, now);
+            self.join_probe(run, now);
         }
         true
     }
--- a/crates/control/tests/suspects.rs
+++ b/crates/control/tests/suspects.rs
@@ -10,13 +10,15 @@
     empty_list, empty_orders, end, fresh, heartbeat, listed, orders, owner, runner,
     simulation::Simulation, start, started, step, task, update, worker,
 };
+use rstest::rstest;
+use smallvec::{SmallVec, smallvec};
 use toucanquay_control::{
     runner::{CallOutcome, Heartbeat, Runner},
-    scheduler::Scheduler,
+    scheduler::{RestoredJob, Scheduler},
 };
 use toucanquay_model::{
     Resources,
-    graph::{Id, State, Step},
+    graph::{Id, Place, Progress, State, Step, TaskProgress},
     session::{AttemptStatus, Ending, Orders, Phase, Rejection, Start, Update, Worker},
 };
 
@@ -621,3 +623,53 @@
     let events = format!("{:?}", scheduler.take_events());
     assert!(!events.contains("Suspected"), "{events}");
 }
+
+/// Guards against starts beside an adopted suspect because another one has been proved.
+#[rstest]
+fn host_of_two_adopted_suspects_is_kept_free_until_both_have_survived(
+    #[values(0, 1)] first_survivor: usize,
+) {
+    let mut scheduler = owner(2, &[]);
+    let suspicion = |job: u64| TaskProgress {
+        place: Place {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        failed: SmallVec::new(),
+        crashed: smallvec![job],
+        suspected: SmallVec::new(),
+        checkpoint: None,
+    };
+    for job in [1, 2] {
+        let progress = Progress {
+            tallies: vec![suspicion(job)],
+            ..Progress::default()
+        };
+        let restored = RestoredJob {
+            progress,
+            revision: 5,
+        };
+        scheduler.restore(Id::new(job), accepted_job(vec![step(1)]), restored, at(0));
+    }
+    let probes = [start(task(1, 0, 0), 11), start(task(2, 0, 0), 12)];
+    scheduler.connect("h1");
+    let adopted = Update {
+        runs: probes.iter().map(fresh).collect(),
+        ..update("h1", 1)
+    };
+    scheduler.update(&adopted, at(10));
+    scheduler.accept(Id::new(3), accepted_job(vec![step(1)]), at(20));
+    let mut report = adopted.clone();
+    report.number = 2;
+    report.runs[first_survivor].has_survived_start = true;
+    scheduler.update(&report, at(100));
+    let beside = orders(&mut scheduler, "h1", at(101)).starts.len();
+    report.number = 3;
+    report.runs[1 - first_survivor].has_survived_start = true;
+    scheduler.update(&report, at(200));
+
+    let after = orders(&mut scheduler, "h1", at(201)).starts.len();
+
+    assert_eq!((beside, after), (0, 1));
+}
