control: many suspects share probes, so that rounds stay few

What callers saw: lasting tasks that had just started on workers that were lost together wait with the reason `probe`; the last suspicions of a play are cleared 20 s after the last loss.

Cause: a probe had four tasks at most, and the number was computed anew in each round from the suspects that were left, so that it fell with them. With one host for probes, 100 suspects took 9.6 s and 300 suspects 25.6 s.

Now the number of tasks of a probe grows up to the square root of the rounds that single probes would take, and stays until those that are left can be probed alone within six rounds, as before. The square root bounds both sides: the rounds if no worker crashes, and the probes that follow a crash, since each of its suspects then needs one of its own. How often a deadly task crashes a worker doesn't depend on the number: once in its group, once alone. Up to six suspects for each host for probes are still probed alone.

--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -21,10 +21,8 @@
 /// Hosts for each one that may be occupied by a probe.
 const HOSTS_PER_PROBE: usize = 3;
 
-/// Maximum number of tasks that one probe starts if many suspects wait.
-const PROBE_TASKS_MAX: usize = 4;
-
-/// Rounds of probes with one task each that suspects may wait for.
+/// Rounds of probes with one task each that suspects may wait for. If more wait, a probe has several
+/// tasks.
 const PROBE_ROUNDS_MAX: usize = 6;
 
 /// Time after a crash for which a host is not preferred for probes, in microseconds. Its worker may
@@ -71,8 +69,8 @@
         Some(*host)
     }
 
-    /// Sets the number of tasks of a probe, so that a large number of suspects isn't delayed for
-    /// long.
+    /// Sets the number of tasks of a probe, so that the number of rounds for all waiting suspects
+    /// grows only with the square root of their number.
     pub(super) fn size_probes(&mut self, now: Time) {
         let jobs = &self.jobs;
         self.suspect_jobs.retain(|key| {
@@ -85,8 +83,17 @@
         let suspect_jobs = self.suspect_jobs.iter().filter_map(|key| jobs.get(*key));
         let tasks = suspect_jobs.flat_map(|job| job.tasks_by_place().map(|(_, task)| task));
         let suspects = tasks.filter(is_waiting).count();
-        let probes = PROBE_ROUNDS_MAX * self.probes_max();
-        self.probe_tasks_max = suspects.div_ceil(probes).clamp(1, PROBE_TASKS_MAX);
+        let probes_max = self.probes_max();
+        let rounds = suspects.div_ceil(probes_max);
+        self.probe_tasks_max = if rounds <= PROBE_ROUNDS_MAX {
+            1
+        } else {
+            // If a worker crashes, each of its suspects needs a probe of its own, so there are no
+            // more of them than probes that precede.
+            let tasks = rounds.div_ceil(PROBE_ROUNDS_MAX).min(rounds.isqrt());
+            // A number that fell with each round would make the rounds many again.
+            self.probe_tasks_max.max(tasks)
+        };
     }
 
     /// Returns the number of hosts that may be kept free for probes.
