platform, companion: a worker's new life gets no lease by the clock of the former one

The owner starts a silent host's tasks elsewhere 6.4 s after its last update, and a new life of a worker could keep its own for up to maxHoldMs, 10 s: a task that runs twice when such a worker is cut off within seconds, and, seen from the worker, a lost task that lasts whose lease is longer than anyone counts on.

Cause: the call that renews the lease and lists the attempts named no worker, and its deadline came from the last reading of the worker's clock, whichever life that was of. The first call that reached a new life, whose clock starts anew, carried a deadline far ahead, which the worker shortens to its maximum. So did its number of the last end: ends of the new life up to it would be forgotten.

- A worker that hasn't announced itself is only listed.

What remains: a call that is executed late by a new life under the same identifier. Nothing in the protocol tells that life that it wasn't meant.

--- a/crates/node/src/companion/lease.rs
+++ b/crates/node/src/companion/lease.rs
@@ -5,6 +5,7 @@
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use toucanquay_control::runner::{AttemptList, CallOutcome};
+use toucanquay_model::Time;
 
 use super::{Shared, executor};
 use crate::{
@@ -107,9 +108,16 @@
         } else {
             wait_ms_max
         };
+        let worker = runner.worker().map(|_| runner.worker_id().to_owned());
+        // An incarnation that has not announced itself is only listed.
+        let lease_until = match worker {
+            Some(_) => runner.lease_until(),
+            None => Time::ZERO,
+        };
         let call = Call::RenewLease {
             epoch: runner.epoch(),
-            lease_until: runner.lease_until(),
+            worker,
+            lease_until,
             acknowledged: runner.acknowledged(),
             wait_ms,
         };
--- a/crates/node/src/worker/call.rs
+++ b/crates/node/src/worker/call.rs
@@ -42,6 +42,9 @@
     RenewLease {
         /// The owner's epoch.
         epoch: Epoch,
+        /// Identifier of the worker that the call is intended for, if it is known. Another one only
+        /// lists its attempts.
+        worker: Option<String>,
         /// End of the lease. A time in the past doesn't renew it.
         lease_until: Time,
         /// Ended attempts up to this sequence number are durably recorded.
