policy: a waiting request is refused once the service is known to need longer than it has left

Cause: the queue fixed the latest moment at which a request may be sent when the request was pushed, by the service time expected then. A service without a response so far has the expectation 0. When its first response shows that it takes 2 s, each request that waits with 0.5 s left is still sent as slots become free; it fails at its deadline, frees the slot, and the next one with a slightly later deadline is sent in vain too. The more the load spreads the arrivals, and so the deadlines, the longer this chain: the load didn't make the check wrong, it made the fault longer.

Now the queue orders by deadlines, and subtracts the service time that is expected at the moment of the check. The balancer renews the expectation before each tick, and ticks after each end of a request. An expectation that falls lets requests wait longer, likewise.

Evidence, without the fix and without load: expiry_follows_the_service_time_expected_now printed left Some(Time), right Some(Time); waiting_request_that_can_no_longer_be_answered_is_refused_unsent printed [Send(Ticket(1v1), Key(1v1))], the request with 0.5 s left for a service of 2 s.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -55,7 +55,7 @@
 pub struct Queue<K> {
     waiting: SlotMap<Ticket, WaitingRequest<K>>,
     order: BTreeSet<(Time, Ticket)>,
-    expiries: BTreeSet<(Time, Ticket)>,
+    deadlines: BTreeSet<(Time, Ticket)>,
     buckets: BTreeMap<u64, usize>,
     release_interval_micros: f64,
     service_time_micros: f64,
@@ -69,7 +69,7 @@
         Self {
             waiting: SlotMap::with_key(),
             order: BTreeSet::new(),
-            expiries: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
             buckets: BTreeMap::new(),
             release_interval_micros: 0.0,
             service_time_micros: 0.0,
@@ -98,7 +98,8 @@
     /// Returns the earliest time at which [`Queue::expire`] returns a request.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Time> {
-        self.expiries.first().map(|&(time, _)| time)
+        let &(deadline, _) = self.deadlines.first()?;
+        Some(self.latest_send(deadline))
     }
 
     /// Sets the expected interval between releases and the expected service time, in microseconds.
@@ -119,17 +120,14 @@
             self.nonempty_since = now;
         }
         self.check_admission(deadline, effective_deadline, now)?;
-        let slack = deadline.micros_since(now) - self.service_time_micros as u64;
-        let expires_at = now.plus_micros(slack);
         let ticket = self.waiting.insert(WaitingRequest {
             deadline,
-            expires_at,
             effective_deadline,
             enqueued_at: now,
             excluded: excluded.into(),
         });
         self.order.insert((effective_deadline, ticket));
-        self.expiries.insert((expires_at, ticket));
+        self.deadlines.insert((deadline, ticket));
         *self
             .buckets
             .entry(Self::bucket(effective_deadline))
@@ -143,10 +141,11 @@
         self.cancel(ticket).map(|waiting| (ticket, waiting))
     }
 
-    /// Removes and returns one request that can no longer be answered in time, if any.
+    /// Removes and returns one request that can no longer be answered in time, if any, by the
+    /// service time that is expected now.
     pub fn expire(&mut self, now: Time) -> Option<Ticket> {
-        let &(time, ticket) = self.expiries.first()?;
-        if time > now {
+        let &(deadline, ticket) = self.deadlines.first()?;
+        if self.latest_send(deadline) > now {
             return None;
         }
         self.cancel(ticket).map(|_| ticket)
@@ -156,7 +155,7 @@
     pub fn cancel(&mut self, ticket: Ticket) -> Option<WaitingRequest<K>> {
         let waiting = self.waiting.remove(ticket)?;
         self.order.remove(&(waiting.effective_deadline, ticket));
-        self.expiries.remove(&(waiting.expires_at, ticket));
+        self.deadlines.remove(&(waiting.deadline, ticket));
         let bucket = Self::bucket(waiting.effective_deadline);
         if let Some(count) = self.buckets.get_mut(&bucket) {
             *count -= 1;
@@ -199,6 +198,12 @@
         (ahead + 1) as f64 * self.release_interval_micros
     }
 
+    /// Returns the latest time to send a request with `deadline`, by the expected service time.
+    const fn latest_send(&self, deadline: Time) -> Time {
+        let service_time_micros = self.service_time_micros as u64;
+        Time::from_micros(deadline.as_micros().saturating_sub(service_time_micros))
+    }
+
     const fn bucket(effective_deadline: Time) -> u64 {
         effective_deadline.as_micros() / BUCKET_MICROS
     }
--- a/crates/policy/src/queue/waiting_request.rs
+++ b/crates/policy/src/queue/waiting_request.rs
@@ -8,8 +8,6 @@
 pub struct WaitingRequest<K> {
     /// Time by which the request must be answered.
     pub deadline: Time,
-    /// Latest time to send the request, given the expected service time.
-    pub expires_at: Time,
     /// Deadline by which the queue is ordered. It is bounded so that no request starves.
     pub effective_deadline: Time,
     /// Time at which the request was pushed.
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -44,6 +44,25 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against an expiry that follows the service time expected when the request was pushed.
+#[test]
+fn expiry_follows_the_service_time_expected_now() {
+    let mut queue: Queue<u32> = Queue::new();
+    queue.set_estimates(0.0, 10_000.0);
+    let later = queue.push(NOW.plus_millis(60), &[], NOW).unwrap();
+    let ticket = queue.push(NOW.plus_millis(50), &[], NOW).unwrap();
+
+    queue.set_estimates(0.0, 30_000.0);
+
+    assert_eq!(queue.next_expiry(), Some(NOW.plus_millis(20)));
+    assert_eq!(queue.expire(NOW.plus_millis(19)), None);
+    assert_eq!(queue.expire(NOW.plus_millis(20)), Some(ticket));
+    assert_eq!(queue.expire(NOW.plus_millis(20)), None);
+    queue.set_estimates(0.0, 5_000.0);
+    assert_eq!(queue.next_expiry(), Some(NOW.plus_millis(55)));
+    assert_eq!(queue.expire(NOW.plus_millis(55)), Some(later));
+}
+
 /// Guards against serving requests that will be late. A request that cannot be served in time is
 /// refused immediately, with the expected wait as a retry hint.
 #[test]
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -201,6 +201,31 @@
     assert_eq!(released.len(), 1);
 }
 
+/// Guards against sending a waiting request that the service no longer has the time to answer.
+#[test]
+fn waiting_request_that_can_no_longer_be_answered_is_refused_unsent() {
+    let mut balancer = Balancer::new("a");
+    let key = balancer.insert_warm("a", 1, NOW);
+    let request = Request::new(NOW.plus_millis(2_500));
+    assert_eq!(sent(balancer.admit(&request, NOW, 1)), Some(key));
+    let patient = Request::new(NOW.plus_millis(9_000));
+    let [Decision::Wait(hopeless), Decision::Wait(served)] =
+        [&request, &patient].map(|request| balancer.admit(request, NOW, 2))
+    else {
+        panic!("the only slot is in use");
+    };
+
+    let answered_at = NOW.plus_millis(2_000);
+    balancer.finish(key, Outcome::Succeeded, 2_000_000, answered_at);
+    let releases = balancer.tick(answered_at, 3);
+
+    let [Release::Shed(refused, shed), Release::Send(next, _)] = releases[..] else {
+        panic!("{releases:?}");
+    };
+    assert_eq!((refused, next), (hopeless, served));
+    assert_eq!(shed.reason, Reason::Deadline);
+}
+
 /// Guards against an upstream that is never tried again after a slow response.
 #[test]
 fn slow_upstream_is_tried_again() {
