--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -8,9 +8,11 @@
 mod counts;
 mod host;
 mod owner;
+mod run_parameters;
 mod runtime;
 mod simulation;
 mod store;
 
 pub use counts::FaultCounts;
-pub use simulation::{RunParameters, Simulation};
+pub use run_parameters::RunParameters;
+pub use simulation::Simulation;
