--- a/crates/policy/src/batch/backlog.rs
+++ b/crates/policy/src/batch/backlog.rs
@@ -1,29 +1,25 @@
 //! Waiting and running tasks of a cell.
 
+mod admission;
+mod ranking;
+mod starts;
+
 use std::collections::{BTreeSet, HashMap};
 
 use foldhash::fast::RandomState;
 use slotmap::SlotMap;
 use smallvec::SmallVec;
-use toucanquay_model::{
-    Resources, Section, Time, exchange::TaskUsage, job, job::Urgency, task, worker,
-};
+use toucanquay_model::{Resources, Section, Time, exchange::TaskUsage, job, task, worker};
 
 use super::{
-    Assignment, Job, Outcome, Settings, Unschedulable, WaitReason, WorkerResources,
+    Job, Outcome, Settings, Unschedulable, WaitReason,
     fleet::Fleet,
     groups::Groups,
     job_entry::JobEntry,
     long_tasks::LongTasks,
-    order::{Cursor, JobKey, Order, OrderKey},
-    round::Round,
-    run::Run,
+    order::{JobKey, Order},
 };
 
-/// Number of workers per permitted claim by a starved job. It bounds the share of the cell that
-/// claims can leave idle.
-const WORKERS_PER_CLAIM: usize = 16;
-
 /// Waiting tasks in scheduling order, and running tasks.
 ///
 /// The caller reports every worker with [`add_worker`](Self::add_worker), every waiting task with
@@ -235,44 +231,6 @@
         }
     }
 
-    /// Starts up to `max_assignments` waiting tasks in scheduling order and subtracts their
-    /// reservations from `workers`.
-    ///
-    /// `cost` returns the cost of running a task of a kind on a worker, on the scale of
-    /// [`placement_cost`](crate::interfere::InterferenceModel::placement_cost), or `None` if no
-    /// task may start there.
-    pub fn assign(
-        &mut self,
-        workers: &mut [WorkerResources],
-        now: Time,
-        max_assignments: usize,
-        cost: impl Fn(&WorkerResources, &str) -> Option<f64>,
-    ) -> Vec<Assignment> {
-        self.mark_long_tasks(now);
-        let candidates = self.settings.candidates;
-        let mut round = Round::new(workers, &self.claims, candidates, self.offset, cost);
-        let mut cursor = Cursor::default();
-        let mut assignments = Vec::new();
-        let mut same_job = None;
-        while assignments.len() < max_assignments {
-            if let Some(key) = self.next_starved(&mut cursor, now) {
-                self.start(key, 1, &mut round, now, &mut assignments);
-                continue;
-            }
-            let next = same_job.or_else(|| self.order.next_ranked(&mut cursor, now));
-            let Some(key) = next else {
-                break;
-            };
-            let level = self.level(key);
-            let count = (max_assignments - assignments.len()).min(self.starts_before_starved());
-            let has_more_waiting = self.start(key, count, &mut round, now, &mut assignments);
-            // Starting tasks can demote the job; it then waits for its turn in the lower level.
-            same_job = (has_more_waiting && self.level(key) == level).then_some(key);
-        }
-        self.offset = round.offset();
-        assignments
-    }
-
     /// Returns why a task is waiting, or `None` if it is not.
     #[must_use]
     pub fn wait_reason(&self, task: &task::Id) -> Option<WaitReason> {
@@ -325,299 +283,6 @@
         team.map_or(Resources::ZERO, |index| self.groups.teams[index].reserved)
     }
 
-    fn level(&self, key: JobKey) -> Option<usize> {
-        self.jobs[key].order_key.map(|order_key| order_key.level)
-    }
-
-    /// Starts up to `count` tasks of a job. Returns whether all of them started and more are
-    /// waiting.
-    fn start<Cost: Fn(&WorkerResources, &str) -> Option<f64>>(
-        &mut self,
-        key: JobKey,
-        count: usize,
-        round: &mut Round<'_, Cost>,
-        now: Time,
-        assignments: &mut Vec<Assignment>,
-    ) -> bool {
-        for _ in 0..count {
-            let Some(assignment) = self.start_one(key, round, now) else {
-                return false;
-            };
-            assignments.push(assignment);
-        }
-        !self.jobs[key].waiting.is_empty()
-    }
-
-    fn start_one<Cost: Fn(&WorkerResources, &str) -> Option<f64>>(
-        &mut self,
-        key: JobKey,
-        round: &mut Round<'_, Cost>,
-        now: Time,
-    ) -> Option<Assignment> {
-        let entry = &self.jobs[key];
-        let (&index, &earlier_micros) = entry.waiting.first_key_value()?;
-        let reservation = match self.admit(entry, earlier_micros) {
-            Ok(reservation) => reservation,
-            Err(reason) => {
-                self.exclude_if_unschedulable(key, &reason);
-                return None;
-            }
-        };
-        let is_overdue = entry.job.finish_by.is_some_and(|deadline| deadline <= now);
-        if is_overdue
-            && entry
-                .order_key
-                .is_some_and(|order_key| order_key.start_by.is_some())
-        {
-            self.update_order(key, now);
-        }
-        let entry = &self.jobs[key];
-        let Some(worker_index) = round.select_worker(key, &reservation, &entry.job.kind) else {
-            self.claim_if_starved(key, &reservation, round, now);
-            return None;
-        };
-        round.reserve(worker_index, &reservation);
-        let task = task::Id::new(entry.job.id.clone(), index);
-        self.move_to_running(key, index, earlier_micros, reservation, now);
-        Some(Assignment {
-            task,
-            worker_index,
-            reservation,
-        })
-    }
-
-    /// Moves a task from waiting to running.
-    fn move_to_running(
-        &mut self,
-        key: JobKey,
-        index: u32,
-        earlier_micros: u64,
-        reservation: Resources,
-        now: Time,
-    ) {
-        let is_starved = self.is_starved(self.jobs[key].waiting_since, now);
-        self.starts_in_order = if is_starved {
-            0
-        } else {
-            self.starts_in_order.saturating_add(1)
-        };
-        let entry = &mut self.jobs[key];
-        entry.waiting.remove(&index);
-        entry.waiting_since = now;
-        self.waiting_count -= 1;
-        self.claims.retain(|(claimant, _)| *claimant != key);
-        self.record_start(key, index, earlier_micros, reservation, now);
-        self.update_order(key, now);
-    }
-
-    /// Adds a running task to the accounts of its team, its kind and long tasks.
-    fn record_start(
-        &mut self,
-        key: JobKey,
-        index: u32,
-        earlier_micros: u64,
-        reservation: Resources,
-        now: Time,
-    ) {
-        let entry = &mut self.jobs[key];
-        let kind = &mut self.groups.kinds[entry.kind];
-        let team = &mut self.groups.teams[entry.team];
-        team.reserved = team.reserved.plus(&reservation);
-        kind.running += 1;
-        let charged = processor_micros(kind.median_run_micros(), &reservation);
-        entry.attained_service += charged;
-        let is_long =
-            earlier_micros >= self.settings.short_task_max_micros || kind.is_long(&self.settings);
-        let long_at = now.plus_micros(
-            self.settings
-                .short_task_max_micros
-                .saturating_sub(earlier_micros),
-        );
-        let run = Run {
-            reservation,
-            started_at: now,
-            earlier_micros,
-            charged,
-            is_long,
-            long_at,
-        };
-        self.long_tasks.add(key, index, &run);
-        entry.runs.insert(index, run);
-    }
-
-    /// Reverses [`record_start`](Self::record_start), except for the job's attained service.
-    fn record_end(&mut self, key: JobKey, index: u32, run: &Run) {
-        let entry = &self.jobs[key];
-        let team = &mut self.groups.teams[entry.team];
-        team.reserved = team.reserved.saturating_sub(&run.reservation);
-        self.groups.kinds[entry.kind].running -= 1;
-        self.long_tasks.remove(key, index, run);
-    }
-
-    /// Reclassifies as long the tasks whose run time has reached the limit for short tasks.
-    fn mark_long_tasks(&mut self, now: Time) {
-        while let Some((key, index)) = self.long_tasks.pop_pending(now) {
-            let entry = &mut self.jobs[key];
-            if let Some(run) = entry.runs.get_mut(&index) {
-                run.is_long = true;
-                self.long_tasks.add(key, index, run);
-            }
-        }
-    }
-
-    /// Returns the reservation for the job's next task, or why it may not start.
-    fn admit(&self, entry: &JobEntry, earlier_micros: u64) -> Result<Resources, WaitReason> {
-        let reservation = self.reservation(entry).map_err(WaitReason::Unschedulable)?;
-        let team = &self.groups.teams[entry.team];
-        if let Some(quota) = team.quota.filter(|_| !team.admits(&reservation)) {
-            let reserved = team.reserved;
-            return Err(WaitReason::Quota { reserved, quota });
-        }
-        let kind = &self.groups.kinds[entry.kind];
-        if kind.running_max.is_some_and(|max| kind.running >= max) {
-            let running = kind.running;
-            return Err(WaitReason::KindLimit { running });
-        }
-        let is_long =
-            earlier_micros >= self.settings.short_task_max_micros || kind.is_long(&self.settings);
-        if is_long && !self.fits_long_task_share(&reservation) {
-            return Err(WaitReason::LongTaskShare);
-        }
-        Ok(reservation)
-    }
-
-    /// Returns whether `reservation` fits the share for long tasks. One long task may always run,
-    /// whatever its size.
-    fn fits_long_task_share(&self, reservation: &Resources) -> bool {
-        let limit = self.fleet.total_processors_milli() as f64 * self.settings.long_task_share;
-        let reserved = self.long_tasks.processors_milli();
-        let wanted = reserved + u64::from(reservation.processors_milli);
-        reserved == 0 || wanted as f64 <= limit
-    }
-
-    /// Returns the reservation for one task of the job.
-    fn reservation(&self, entry: &JobEntry) -> Result<Resources, Unschedulable> {
-        self.reservation_for(&entry.job, Some(entry.team), Some(entry.kind))
-    }
-
-    fn reservation_for(
-        &self,
-        job: &Job,
-        team: Option<usize>,
-        kind: Option<usize>,
-    ) -> Result<Resources, Unschedulable> {
-        let wanted = kind.map_or(job.demand, |kind| {
-            self.groups.kinds[kind].reservation(&job.demand, &self.settings)
-        });
-        if self.fleet.is_empty() {
-            return Ok(wanted);
-        }
-        let reservation = self.fleet.fit(&wanted, &job.demand)?;
-        let quota = team.and_then(|team| self.groups.teams[team].quota);
-        match quota {
-            Some(quota) if !reservation.fits(&quota) => Err(Unschedulable::Quota {
-                demand: reservation,
-                team: job.team.clone(),
-                quota,
-            }),
-            _ => Ok(reservation),
-        }
-    }
-
-    fn exclude_if_unschedulable(&mut self, key: JobKey, reason: &WaitReason) {
-        if !matches!(reason, WaitReason::Unschedulable(_)) {
-            return;
-        }
-        if let Some(order_key) = self.jobs[key].order_key.take() {
-            self.order.remove(key, &order_key);
-        }
-        self.unschedulable.insert(key);
-    }
-
-    fn recheck_unschedulable(&mut self, now: Time) {
-        for key in std::mem::take(&mut self.unschedulable) {
-            self.update_order(key, now);
-        }
-    }
-
-    /// Claims a worker for a starved job that currently fits nowhere. Without a claim, smaller
-    /// tasks could fill every gap and keep the job waiting indefinitely.
-    fn claim_if_starved<Cost: Fn(&WorkerResources, &str) -> Option<f64>>(
-        &mut self,
-        key: JobKey,
-        reservation: &Resources,
-        round: &mut Round<'_, Cost>,
-        now: Time,
-    ) {
-        let entry = &self.jobs[key];
-        let claims_max = (self.fleet.len() / WORKERS_PER_CLAIM).max(1);
-        let has_claim = self.claims.iter().any(|(claimant, _)| *claimant == key);
-        let is_starved = self.is_starved(entry.waiting_since, now);
-        if !is_starved || has_claim || self.claims.len() >= claims_max {
-            return;
-        }
-        if let Some(worker) = round.choose_claim(reservation, &entry.job.kind) {
-            round.claim(key, &worker);
-            self.claims.push((key, worker));
-        }
-    }
-
-    fn next_starved(&self, cursor: &mut Cursor, now: Time) -> Option<JobKey> {
-        if self.starts_in_order < self.settings.starts_between_starved {
-            return None;
-        }
-        self.order
-            .next_starved(cursor, |waiting_since| self.is_starved(waiting_since, now))
-    }
-
-    fn starts_before_starved(&self) -> usize {
-        let starts = self.settings.starts_between_starved;
-        starts.saturating_sub(self.starts_in_order).max(1) as usize
-    }
-
-    /// Returns whether a job without a start since `waiting_since` counts as starved.
-    fn is_starved(&self, waiting_since: Time, now: Time) -> bool {
-        waiting_since.plus_micros(self.settings.starved_micros) <= now
-    }
-
-    /// Recomputes a job's position in the order, or removes it if it has no schedulable task.
-    fn update_order(&mut self, key: JobKey, now: Time) {
-        let entry = &self.jobs[key];
-        let order_key = (!entry.waiting.is_empty()).then(|| self.order_key(entry, now));
-        let is_unschedulable = order_key.is_some() && self.reservation(entry).is_err();
-        let order_key = order_key.filter(|_| !is_unschedulable);
-        let previous = entry.order_key;
-        if is_unschedulable {
-            self.unschedulable.insert(key);
-        } else {
-            self.unschedulable.remove(&key);
-        }
-        if previous == order_key {
-            return;
-        }
-        if let Some(previous) = previous {
-            self.order.remove(key, &previous);
-        }
-        if let Some(order_key) = order_key {
-            self.order.insert(key, &order_key);
-        }
-        self.jobs[key].order_key = order_key;
-    }
-
-    fn order_key(&self, entry: &JobEntry, now: Time) -> OrderKey {
-        let run_micros = self.groups.kinds[entry.kind].p90_run_micros();
-        OrderKey {
-            urgency: entry.job.urgency,
-            level: match entry.job.urgency {
-                Urgency::Urgent => 0,
-                Urgency::Normal | Urgency::Idle => self.settings.level(entry.attained_service),
-            },
-            sequence: entry.sequence,
-            start_by: entry.start_by(run_micros, self.settings.deadline_slack_micros, now),
-            waiting_since: entry.waiting_since,
-        }
-    }
-
     fn get_or_insert(&mut self, job: &Job, now: Time) -> JobKey {
         if let Some(key) = self.by_id.get(&job.id) {
             return *key;
