--- a/crates/policy/src/interfere/model.rs
+++ b/crates/policy/src/interfere/model.rs
@@ -1,5 +1,9 @@
 //! Estimates of the slowdown of services by kinds of batch tasks.
 
+mod changes;
+mod effects;
+mod learning;
+
 use std::collections::HashMap;
 
 use foldhash::fast::RandomState;
@@ -10,6 +14,10 @@
     task, worker,
 };
 
+use changes::{evict, release, throttle};
+use effects::{predicted_slowdown, worst_service};
+use learning::learn;
+
 use super::{
     Advice, Settings,
     profile::{HIGH_LOAD, Profile},
@@ -19,16 +27,6 @@
     worker_state::WorkerState,
 };
 
-/// Residual variance of a window's log latency that no task explains.
-const WINDOW_VARIANCE: f64 = 0.05;
-
-/// Additional variance of a window with a single request. It is inversely proportional to the
-/// number of requests.
-const SINGLE_REQUEST_VARIANCE: f64 = 2.0;
-
-/// Variance that each window adds to a coefficient, so that the estimate can follow changes.
-const PROCESS_NOISE: f64 = 1e-5;
-
 /// Share of the placement limit up to which a task's slowdown is ignored. Tasks that hardly
 /// interfere must not wait for tasks that do.
 const NEGLIGIBLE_SHARE: f64 = 0.1;
@@ -310,230 +308,3 @@
         .get_mut(worker)
         .expect("the worker was inserted above")
 }
-
-/// Updates all coefficients that contributed to a window, each in proportion to its share of the
-/// variance.
-fn learn(
-    profile: &mut Profile,
-    state: &mut WorkerState,
-    mean_usage_milli: &[f64],
-    usage: &ServiceUsage,
-    load_class: usize,
-    (from, to): (Time, Time),
-) {
-    let log_latency = f64::midpoint(
-        f64::from(usage.p50_micros.max(1)).ln(),
-        f64::from(usage.p99_micros.max(1)).ln(),
-    );
-    let noise_variance = WINDOW_VARIANCE + SINGLE_REQUEST_VARIANCE / f64::from(usage.requests);
-    let multiplier = profile.load_multiplier(load_class);
-    let base_latency = *profile.base_latency(usage);
-    let mut innovation_variance = noise_variance + base_latency.variance_contribution(1.0);
-    let mut slowdown = 0.0;
-    let mut kinds: SmallVec<[(usize, f64); 16]> = SmallVec::new();
-    for history in state.histories() {
-        let activity = history.activity(from, to, mean_usage_milli[history.kind]);
-        if activity > 0.0 {
-            slowdown += history.task_effect.mean * activity;
-            innovation_variance += history
-                .task_effect
-                .variance_contribution(multiplier * activity);
-            match kinds.iter_mut().find(|(kind, _)| *kind == history.kind) {
-                Some((_, sum)) => *sum += activity,
-                None => kinds.push((history.kind, activity)),
-            }
-        }
-    }
-    for (kind, activity) in &kinds {
-        let kind_effect = profile.kind_effect(*kind);
-        slowdown += kind_effect.mean * activity;
-        innovation_variance += kind_effect.variance_contribution(multiplier * activity);
-    }
-    let innovation = log_latency - base_latency.mean - multiplier * slowdown;
-    profile
-        .base_latency(usage)
-        .update(1.0, innovation, innovation_variance, PROCESS_NOISE);
-    for (kind, activity) in &kinds {
-        let kind_effect = profile.kind_effect_mut(*kind);
-        kind_effect.update(
-            multiplier * activity,
-            innovation,
-            innovation_variance,
-            PROCESS_NOISE,
-        );
-        // Batch tasks never speed up a service. Without this bound, kinds that alternate would be
-        // attributed each other's effects with opposite signs.
-        kind_effect.mean = kind_effect.mean.max(0.0);
-    }
-    for history in state.histories_mut() {
-        let activity = history.activity(from, to, mean_usage_milli[history.kind]);
-        if activity > 0.0 {
-            history.task_effect.update(
-                multiplier * activity,
-                innovation,
-                innovation_variance,
-                PROCESS_NOISE,
-            );
-        }
-    }
-    if load_class == HIGH_LOAD {
-        profile.high_load_multiplier_mut().update(
-            slowdown,
-            innovation,
-            innovation_variance,
-            PROCESS_NOISE,
-        );
-    }
-}
-
-/// Returns a lower bound on the slowdown by one task at its full share.
-fn effect(profile: &Profile, history: &TaskHistory, load_class: usize) -> f64 {
-    let kind_effect = profile.kind_effect(history.kind);
-    (kind_effect.lower_bound() + history.task_effect.mean).max(0.0)
-        * profile.load_multiplier(load_class)
-}
-
-/// Returns the predicted slowdown of a service by the running tasks of a worker.
-fn predicted_slowdown(profile: &Profile, state: &WorkerState, load_class: usize) -> f64 {
-    state
-        .running_tasks
-        .values()
-        .filter(|history| !history.is_evicting)
-        .map(|history| {
-            effect(profile, history, load_class) * f64::from(history.share_percent()) / 100.0
-        })
-        .sum()
-}
-
-/// Returns the service on a worker with the largest predicted slowdown, and its load class.
-fn worst_service(
-    services: &[Profile],
-    state: &WorkerState,
-    settings: &Settings,
-    now: Time,
-) -> Option<(usize, usize)> {
-    state
-        .services
-        .iter()
-        .map(|load| (load.service, load.load_class(settings, now)))
-        .max_by(|a, b| {
-            let slowdown = |(service, load_class): &(usize, usize)| {
-                predicted_slowdown(&services[*service], state, *load_class)
-            };
-            slowdown(a).total_cmp(&slowdown(b))
-        })
-}
-
-/// Lowers the share of the task with the largest effect until the predicted slowdown is low enough
-/// or the minimum share is reached.
-fn throttle(
-    profile: &Profile,
-    state: &mut WorkerState,
-    load_class: usize,
-    slowdown: f64,
-    settings: &Settings,
-    now: Time,
-    horizon: Time,
-) -> Option<Advice> {
-    let (task, history) = state
-        .running_tasks
-        .iter_mut()
-        .filter(|(_, history)| history.share_percent() > settings.share_min_percent)
-        .filter(|(_, history)| !history.is_evicting)
-        .max_by(|a, b| {
-            let gain = |history: &TaskHistory| {
-                effect(profile, history, load_class) * f64::from(history.share_percent())
-            };
-            gain(a.1).total_cmp(&gain(b.1)).then_with(|| b.0.cmp(a.0))
-        })?;
-    let effect = effect(profile, history, load_class);
-    if effect <= 0.0 {
-        return None;
-    }
-    let excess = slowdown - f64::midpoint(settings.throttle_above, settings.release_below);
-    let wanted = f64::from(history.share_percent()) - 100.0 * excess / effect;
-    let step = f64::from(settings.share_step_percent);
-    let share = (wanted / step).floor() * step;
-    let share = share.max(f64::from(settings.share_min_percent)) as u8;
-    let is_repeated = history.hold_until != Time::ZERO;
-    if is_repeated {
-        history.hold_micros = (history.hold_micros * 2).min(settings.hold_max_micros);
-    }
-    history.hold_until = now.plus_micros(history.hold_micros);
-    history.set_share(share, now, horizon);
-    let task = task.clone();
-    state.last_change = now;
-    Some(Advice::Throttle {
-        task,
-        share_percent: share,
-    })
-}
-
-/// Raises the share of the throttled task with the smallest effect by one step, if the predicted
-/// slowdown stays low enough.
-fn release(
-    profile: &Profile,
-    state: &mut WorkerState,
-    load_class: usize,
-    slowdown: f64,
-    settings: &Settings,
-    now: Time,
-    horizon: Time,
-) -> Option<Advice> {
-    let (task, history) = state
-        .running_tasks
-        .iter_mut()
-        .filter(|(_, history)| history.share_percent() < 100 && history.hold_until <= now)
-        .min_by(|a, b| {
-            let effect = |history: &TaskHistory| effect(profile, history, load_class);
-            effect(a.1)
-                .total_cmp(&effect(b.1))
-                .then_with(|| a.0.cmp(b.0))
-        })?;
-    let share = (history.share_percent() + settings.share_step_percent).min(100);
-    let raise = f64::from(share - history.share_percent()) / 100.0;
-    // The bound is the placement limit, whose margin below the throttling limit keeps a raise from
-    // being reverted.
-    if slowdown + effect(profile, history, load_class) * raise > settings.place_below {
-        return None;
-    }
-    history.hold_until = now.plus_micros(settings.hold_micros);
-    history.set_share(share, now, horizon);
-    let task = task.clone();
-    state.last_change = now;
-    Some(Advice::Throttle {
-        task,
-        share_percent: share,
-    })
-}
-
-/// Evicts the task with the largest effect, if the model has learned from a window that started
-/// after the last change and the eviction budget allows it.
-fn evict(
-    profile: &Profile,
-    state: &mut WorkerState,
-    load_class: usize,
-    evictions: &mut TokenBucket,
-    now: Time,
-) -> Option<Advice> {
-    if state.last_window_start <= state.last_change {
-        return None;
-    }
-    let (task, history) = state
-        .running_tasks
-        .iter_mut()
-        .filter(|(_, history)| !history.is_evicting)
-        .max_by(|a, b| {
-            let effect = |history: &TaskHistory| effect(profile, history, load_class);
-            effect(a.1)
-                .total_cmp(&effect(b.1))
-                .then_with(|| b.0.cmp(a.0))
-        })?;
-    if !evictions.take(now) {
-        return None;
-    }
-    history.is_evicting = true;
-    let task = task.clone();
-    state.last_change = now;
-    Some(Advice::Evict { task })
-}
