control: lasting suspects are probed before batch suspects

Cause: suspects were probed in the order of their jobs, in which a batch job of a higher priority or an earlier objective comes first. A perpetual task has to run at all times; a batch task is only later.

Test: perpetual_suspect_is_probed_before_suspects_of_batch_jobs. Before the fix the batch task got the only host for probes (`left: [Task { job: Id(1), .. }], right: [Task { job: Id(2), .. }]`).

--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -56,12 +56,10 @@
                 self.place_job(*key, Part::Lasting, now);
             }
             // Other tasks would occupy the hosts that suspects need for themselves.
-            for key in order
-                .iter()
-                .filter(|key| self.suspect_jobs.contains(key))
-                .copied()
-                .collect::<Vec<_>>()
-            {
+            let suspects = order.iter().filter(|key| self.suspect_jobs.contains(key));
+            let mut suspects: Vec<JobKey> = suspects.copied().collect();
+            suspects.sort_by_key(|key| !self.jobs[*key].is_perpetual);
+            for key in suspects {
                 self.place_job(key, Part::Suspects, now);
             }
         }
--- a/crates/control/tests/suspects.rs
+++ b/crates/control/tests/suspects.rs
@@ -11,14 +11,14 @@
     simulation::Simulation, start, started, step, task, update, worker,
 };
 use rstest::rstest;
-use smallvec::{SmallVec, smallvec};
+use smallvec::SmallVec;
 use toucanquay_control::{
     runner::{CallOutcome, Heartbeat, Runner},
     scheduler::{RestoredJob, Scheduler},
 };
 use toucanquay_model::{
     Resources,
-    graph::{Id, Place, Progress, State, Step, TaskProgress},
+    graph::{Id, Place, Progress, State, Step, Task, TaskProgress},
     session::{AttemptStatus, Ending, Orders, Phase, Rejection, Start, Update, Worker},
 };
 
@@ -624,33 +624,66 @@
     assert!(!events.contains("Suspected"), "{events}");
 }
 
-/// Guards against starts beside an adopted suspect because another one has been proved.
-#[rstest]
-fn host_of_two_adopted_suspects_is_kept_free_until_both_have_survived(
-    #[values(0, 1)] first_survivor: usize,
-) {
-    let mut scheduler = owner(2, &[]);
-    let suspicion = |job: u64| TaskProgress {
+/// Restores a job of one step under whose tasks workers have crashed, as often as given for each.
+fn restore_suspects(scheduler: &mut Scheduler, job: u64, crashes: &[u64]) {
+    let suspicion = |(index, crashes): (u32, &u64)| TaskProgress {
         place: Place {
             occurrence: 0,
             step: 0,
-            index: 0,
+            index,
         },
         failed: SmallVec::new(),
-        crashed: smallvec![job],
+        crashed: (1..=*crashes).collect(),
         suspected: SmallVec::new(),
         checkpoint: None,
     };
+    let progress = Progress {
+        tallies: (0..).zip(crashes).map(suspicion).collect(),
+        ..Progress::default()
+    };
+    let tasks = u32::try_from(crashes.len()).expect("a small number of tasks");
+    let restored = RestoredJob {
+        progress,
+        revision: 5,
+    };
+    let job_spec = accepted_job(vec![small_step(tasks)]);
+    scheduler.restore(Id::new(job), job_spec, restored, at(0));
+}
+
+/// Guards against perpetual tasks that wait for the proofs of batch tasks.
+#[test]
+fn perpetual_suspect_is_probed_before_suspects_of_batch_jobs() {
+    let mut scheduler = owner(1, &["h1"]);
+    let perpetual = Step {
+        is_perpetual: true,
+        ..small_step(1)
+    };
+    for (job, step) in [(1, small_step(3)), (2, perpetual)] {
+        let mut accepted = accepted_job(vec![step]);
+        accepted.policy.priority = u32::try_from(job).expect("a small number");
+        scheduler.accept(Id::new(job), accepted, at(0));
+    }
+    let starts = orders(&mut scheduler, "h1", at(1)).starts;
+    let suspects: Vec<&Start> = starts.iter().collect();
+    scheduler.update(&crashed("h1", 2, WORKER_INCARNATION, &suspects), at(50));
+    commit_all(&mut scheduler, 20, 60);
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(2_000));
+
+    let probed = orders(&mut scheduler, "h2", at(2_001)).starts;
+
+    let tasks: Vec<Task> = probed.iter().map(|start| start.task).collect();
+    assert_eq!(tasks, [task(2, 0, 0)]);
+}
+
+/// Guards against starts beside an adopted suspect because another one has been proved.
+#[rstest]
+fn host_of_two_adopted_suspects_is_kept_free_until_both_have_survived(
+    #[values(0, 1)] first_survivor: usize,
+) {
+    let mut scheduler = owner(2, &[]);
     for job in [1, 2] {
-        let progress = Progress {
-            tallies: vec![suspicion(job)],
-            ..Progress::default()
-        };
-        let restored = RestoredJob {
-            progress,
-            revision: 5,
-        };
-        scheduler.restore(Id::new(job), accepted_job(vec![step(1)]), restored, at(0));
+        restore_suspects(&mut scheduler, job, &[1]);
     }
     let probes = [start(task(1, 0, 0), 11), start(task(2, 0, 0), 12)];
     scheduler.connect("h1");
