control: a suspect joins a probe although another task of its step can't

What callers would see: suspects wait for further rounds of probes although a probe has a place for them.

Cause: when one task of a step found no host for a probe, the rest of the step was given up for the round. A task that was among the suspects of two crashes needs a probe alone; the tasks after it may join one.

Test: suspect_joins_a_probe_although_an_earlier_task_of_its_step_may_not. Found by reading; the delay is one round for each job that is passed over.

--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -32,6 +32,7 @@
 impl Scheduler {
     /// Starts the suspect tasks of a stage for which there is a host without other suspects.
     pub(super) fn place_probes(&mut self, stage: StageRef<'_>, now: Time) {
+        let mut is_host_lacking = false;
         for index in 0..stage.step.tasks {
             let task = self.waiting_task(stage, index, now);
             let Some(task) = task.filter(|task| task.is_suspect()) else {
@@ -49,9 +50,14 @@
                 }
                 continue;
             }
+            if is_host_lacking {
+                continue;
+            }
             let Some(host) = self.probe_host(stage, place, avoided_host, now) else {
                 self.reserve_host(stage, now);
-                return;
+                // The other tasks may still join probes of other stages.
+                is_host_lacking = true;
+                continue;
             };
             let attempt = self.next_attempt();
             let run = self.start_task(stage, index, host, attempt, now);
--- a/crates/control/tests/suspects.rs
+++ b/crates/control/tests/suspects.rs
@@ -676,6 +676,20 @@
     assert_eq!(tasks, [task(2, 0, 0)]);
 }
 
+/// Guards against suspects that wait because another task of their step needs a probe alone.
+#[test]
+fn suspect_joins_a_probe_although_an_earlier_task_of_its_step_may_not() {
+    let mut scheduler = owner(2, &["h1"]);
+    restore_suspects(&mut scheduler, 1, &[1]);
+    restore_suspects(&mut scheduler, 2, &[2, 1]);
+    restore_suspects(&mut scheduler, 3, &[1; 10]);
+
+    let starts = orders(&mut scheduler, "h1", at(1)).starts;
+
+    let tasks: Vec<Task> = starts.iter().map(|start| start.task).collect();
+    assert_eq!(tasks, [task(1, 0, 0), task(2, 0, 1), task(3, 0, 0)]);
+}
+
 /// Guards against starts beside an adopted suspect because another one has been proved.
 #[rstest]
 fn host_of_two_adopted_suspects_is_kept_free_until_both_have_survived(
