control: randomised runs with perpetual jobs beside deadly tasks

The runs had batch jobs only, so that nothing combined perpetual tasks with suspects, takeovers and late orders. The new mode adds perpetual jobs, one in eight of them with a deadly task, checks the same invariants (no task twice at a time, no worker beyond its capacity, deadly tasks given up, sound jobs not), and that all perpetual tasks run at the same moment within 30 s after the faults.

--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -49,6 +49,12 @@
 /// Number of starts of a task after [`CRASHES_MAX`] workers have crashed under it.
 const STARTS_MAX: usize = 2;
 
+/// Maximum number of jobs with perpetual tasks, so that these fit even if a worker is away.
+const PERPETUAL_JOBS_MAX: usize = 4;
+
+/// Time without faults after which all perpetual tasks run, in milliseconds.
+const PERPETUAL_MS_MAX: u64 = 30_000;
+
 /// Probability that a busy worker turns a call away, in percent.
 const TURNED_AWAY_PERCENT: u32 = 60;
 
@@ -111,6 +117,8 @@
     fault_rng: Option<StdRng>,
     /// Random numbers for silent workers; `None` if there are none.
     silence_rng: Option<StdRng>,
+    /// Random numbers for perpetual jobs; `None` if there are none.
+    lasting_rng: Option<StdRng>,
     /// Interval at which workers announce themselves, in milliseconds.
     heartbeat_millis: u64,
     now_ms: u64,
@@ -151,6 +159,7 @@
             rng: StdRng::seed_from_u64(seed),
             fault_rng: None,
             silence_rng: None,
+            lasting_rng: None,
             heartbeat_millis: 0,
             now_ms: 0,
             epoch: 0,
@@ -195,6 +204,12 @@
         self
     }
 
+    /// Adds jobs with tasks that run until they are cancelled.
+    pub fn with_perpetual_jobs(mut self, seed: u64) -> Self {
+        self.lasting_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
     /// Lets workers announce themselves at an interval, in milliseconds.
     pub const fn with_heartbeat_millis(mut self, millis: u64) -> Self {
         self.heartbeat_millis = millis;
@@ -221,12 +236,14 @@
             if self.rng.random_range(0..40) == 0 {
                 self.cancel_random_job();
             }
+            self.submit_perpetual_job();
             self.inject_fault();
             self.occupy_worker();
             self.silence_worker();
             self.advance();
         }
         self.is_fault_free = true;
+        self.await_perpetual_tasks();
         let end_by = self.now_ms + 60_000;
         while !self.all_jobs_ended() {
             assert!(
@@ -270,6 +287,79 @@
         }
     }
 
+    /// Waits until all perpetual tasks run, and then cancels their jobs.
+    fn await_perpetual_tasks(&mut self) {
+        let run_by = self.now_ms + PERPETUAL_MS_MAX;
+        while let Some(task) = self.missing_perpetual_task() {
+            assert!(self.now_ms < run_by, "{task} doesn't run");
+            self.advance();
+        }
+        let is_perpetual = |(_, record): &(&Id, &JobRecord)| record.steps[0].is_perpetual;
+        let jobs = self.jobs.iter().filter(is_perpetual);
+        for id in jobs.map(|(id, _)| *id).collect::<Vec<Id>>() {
+            self.cancel_job(id);
+        }
+    }
+
+    /// Returns a task of a perpetual job that has no attempt on a worker.
+    fn missing_perpetual_task(&self) -> Option<Task> {
+        let running = self
+            .hosts
+            .iter()
+            .flat_map(|host| host.worker.running.keys());
+        let running: BTreeSet<Task> = running.map(|(task, _)| *task).collect();
+        let is_lasting = |record: &JobRecord| {
+            let is_over = record.is_cancelled || record.progress.state.is_over();
+            record.steps[0].is_perpetual && !is_over
+        };
+        let lasting = self.jobs.iter().filter(|(_, record)| is_lasting(record));
+        let mut tasks = lasting.flat_map(|(id, record)| {
+            (0..record.steps[0].tasks).map(|index| Task {
+                job: *id,
+                occurrence: 0,
+                step: 0,
+                index,
+            })
+        });
+        tasks.find(|task| !running.contains(task))
+    }
+
+    /// Submits a job with perpetual tasks from time to time, unless there are many already.
+    fn submit_perpetual_job(&mut self) {
+        let Some(rng) = &mut self.lasting_rng else {
+            return;
+        };
+        let active = self.jobs.values().filter(|record| {
+            let is_over = record.is_cancelled || record.progress.state.is_over();
+            record.steps[0].is_perpetual && !is_over
+        });
+        if rng.random_range(0..60) != 0 || active.count() >= PERPETUAL_JOBS_MAX {
+            return;
+        }
+        let id = Id::new(rng.random());
+        let perpetual = Step {
+            is_perpetual: true,
+            ..step(rng.random_range(1..4))
+        };
+        let is_deadly = rng.random_range(0..8) == 0;
+        let deadly_task = is_deadly.then_some(Task {
+            job: id,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        });
+        let record = JobRecord {
+            deadly_task,
+            steps: vec![perpetual.clone()],
+            ..JobRecord::default()
+        };
+        self.jobs.insert(id, record);
+        let now = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.accept(id, accepted_job(vec![perpetual]), now);
+        }
+    }
+
     fn submit_job(&mut self) {
         let id = Id::new(self.rng.random());
         let second = Step {
@@ -311,6 +401,10 @@
             return;
         }
         let id = active[self.rng.random_range(0..active.len())];
+        self.cancel_job(id);
+    }
+
+    fn cancel_job(&mut self, id: Id) {
         self.jobs.get_mut(&id).expect("the job exists").is_cancelled = true;
         let now = self.time();
         if let Some(owner) = &mut self.owner {
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -115,3 +115,24 @@
             .run(FAULTS_MS);
     }
 }
+
+/// Guards against perpetual tasks that don't run or run twice while others are suspects.
+#[test]
+fn perpetual_tasks_run_beside_suspects() {
+    let (seeds, is_replay) = seeds();
+
+    let simulations = seeds.map(|seed| {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        let mut simulation = Simulation::new(seed, 3 + seed % 4)
+            .with_busy_workers_and_deadly_tasks(seed)
+            .with_perpetual_jobs(seed);
+        simulation.run(FAULTS_MS);
+        simulation
+    });
+    let crashes: u64 = simulations
+        .map(|simulation| simulation.deadly_crashes)
+        .sum();
+
+    println!("{crashes} crashes");
+    assert!(crashes > 0 || is_replay, "deadly tasks crash their workers");
+}
