control: a host on which nothing runs is known as vacant although its companion is new

What callers saw: tasks that last wait for a lease that nobody holds. When a worker and its companion end together (a machine that is replaced, a loss of power), the companion is back at once and finds its worker's address refusing connections. Its tasks still waited for 6.4 s, and so did, after a takeover, all tasks of older jobs.

Cause: only a companion that had known its worker concluded an exit from refused connections. A new process, and one whose worker had said that it leaves, ignored them and were settled only when each lease must have ended. And an owner released the attempts of a worker without a companion's report of it only after the lease, even if the update said that nothing runs there.

An exit by refusals (runner/refusals.rs) now counts whether or not the worker was known. An update that names no worker, isn't silent, lists no attempt and is settled releases the host's attempts. Those that had just started are suspects first, as when the next life of the worker shows a crash that no companion saw.

Two tests of crates/control/tests/scheduler.rs are changed: their updates of a restarted companion without a worker had is_settled set, by the default of the fixture. No companion sends that before the lease has ended (owner_does_not_wait_for_a_worker_that_never_announces_itself), and it now means what it says. With is_settled as a companion sets it, both check what they did.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -204,18 +204,20 @@
     /// Processes a refused connection to the worker. Returns whether its process counts as exited
     /// from now on.
     pub fn record_refusal(&mut self, now: Time) -> bool {
-        let is_exit = self.refusals.record(now);
-        let is_known = self.worker.is_some() || self.is_worker_unannounced();
-        if !is_exit || !is_known {
+        if !self.refusals.record(now) {
             return false;
         }
-        let exit = Exit {
-            incarnation: self.incarnation,
-            worker: self.worker.clone(),
-            recorded_at: now,
-        };
-        self.mark_worker_exited();
-        self.exit = Some(exit);
+        if self.worker.is_some() || self.is_worker_unannounced() {
+            self.exit = Some(Exit {
+                incarnation: self.incarnation,
+                worker: self.worker.clone(),
+                recorded_at: now,
+            });
+            self.record_crash();
+        }
+        // Nothing runs on a worker that this process has not seen, either.
+        self.end_incarnation();
+        self.is_exit_confirmed = true;
         true
     }
 
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -100,7 +100,11 @@
             let is_gone = !is_agent_restarted && !update.is_worker_silent && was_known;
             host.worker = None;
             host.is_worker_silent = update.is_worker_silent;
-            if is_gone {
+            let is_vacant = !host.runs.is_empty() && is_vacant(update);
+            if is_vacant {
+                self.apply_unreported_crash(key, now);
+            }
+            if is_gone || is_vacant {
                 self.handle_worker_loss(key, Loss::Exited, now);
             }
             return false;
@@ -437,6 +441,12 @@
     update.is_settled && (is_heard || update.runs.is_empty())
 }
 
+/// Returns whether nothing runs on a host whose agent knows no worker: neither by order of this owner
+/// nor of a former one.
+fn is_vacant(update: &Update) -> bool {
+    update.worker.is_none() && !update.is_worker_silent && is_settled(update)
+}
+
 /// Returns the position of a task within its job.
 pub(super) const fn task_place(task: Task) -> Place {
     Place {
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -306,9 +306,11 @@
     let mut successor = update(name, 1);
     successor.process = 2;
     successor.worker = None;
+    successor.is_settled = false;
     scheduler.update(&successor, at(400));
     successor.number = 2;
     successor.worker = Some(worker());
+    successor.is_settled = true;
     scheduler.update(&successor, at(500));
     let resolving = ["h1", "h2"].map(|host| orders(&mut scheduler, host, at(501)));
     let mut resolved = update(name, 3);
@@ -754,6 +756,7 @@
     let mut successor = update("h1", 1);
     successor.process = 2;
     successor.worker = None;
+    successor.is_settled = false;
     let mut elsewhere = 0;
     let mut lease_begins = Vec::new();
     for now in (400..=millis).step_by(100).map(at) {
--- a/crates/node/tests/companion.rs
+++ b/crates/node/tests/companion.rs
@@ -95,6 +95,11 @@
     })
 }
 
+/// Returns a worker at whose address nothing listens.
+fn absent_worker() -> Worker {
+    Worker::new(|_call, _deadline| async { Reply::ConnectionRefused }.boxed())
+}
+
 /// Starts a companion of a worker. Returns it and the address at which it accepts sessions.
 async fn start_companion(worker: Worker) -> (Companion, SocketAddr) {
     let settings = companion::Settings {
@@ -132,6 +137,23 @@
     reports
 }
 
+/// Returns whether an update within a time says that nothing unknown runs on the worker.
+async fn is_settled_within(address: SocketAddr, duration: Duration) -> bool {
+    let until = Instant::now() + duration;
+    let mut stream = open_session(address).await;
+    while let Ok(Ok(Some(frame))) = timeout_at(until, stream.recv()).await {
+        let is_settled = match frame {
+            Frame::Update(update) => update.is_settled,
+            Frame::Delta(delta) => delta.is_settled,
+            other => panic!("not an update: {other:?}"),
+        };
+        if is_settled {
+            return true;
+        }
+    }
+    false
+}
+
 /// Returns the worker in the first update of a session.
 async fn reported_worker(address: SocketAddr) -> Option<session::Worker> {
     let mut stream = open_session(address).await;
@@ -230,3 +252,14 @@
     let calls = calls.load(Ordering::Relaxed);
     assert!(calls <= LISTS_PER_SECOND_MAX, "{calls} lists in a second");
 }
+
+/// Guards against a new owner that waits for a lease on a host whose companion has started again and
+/// whose worker is gone.
+#[tokio::test]
+async fn new_companion_of_a_worker_that_is_gone_is_settled_before_the_end_of_a_lease() {
+    let (_companion, address) = start_companion(absent_worker()).await;
+
+    let is_settled = is_settled_within(address, Duration::from_secs(2)).await;
+
+    assert!(is_settled, "not within 2 s");
+}
