control: randomised runs with workers whose addresses refuse connections

Workers refuse connections for up to 0.59 s while they live, or end and come back within 5 s, some together with their companions. Calls to an address that refuses are executed by nobody.

--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -28,6 +28,16 @@
 /// Timeout of a call to a worker, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 
+/// Time after which a refused request for a list is repeated, in milliseconds.
+const LIST_RETRY_MS: u64 = 150;
+
+/// Time for which the address of a worker that lives refuses connections, in milliseconds. Agents
+/// can't tell a longer one from an exit.
+const REFUSAL_MS_MAX: u64 = 590;
+
+/// Time for which a worker answers until its address refuses connections again, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 1_000;
+
 /// Time for which an owner may act after its last renewal, in milliseconds.
 const OWNERSHIP_MS: u64 = 1_600;
 
@@ -85,6 +95,10 @@
     busy_until: Time,
     /// Until then, the worker answers no call, and runs on. Calls take effect afterwards.
     silent_until: Time,
+    /// Until then, the worker's address refuses connections.
+    refuses_until: Time,
+    /// Until then, there is no worker process.
+    absent_until: Time,
     /// When a task that crashes the worker does so.
     crash_at: Time,
     next_heartbeat_at: Time,
@@ -111,6 +125,8 @@
     fault_rng: Option<StdRng>,
     /// Random numbers for silent workers; `None` if there are none.
     silence_rng: Option<StdRng>,
+    /// Random numbers for workers whose addresses refuse connections; `None` if there are none.
+    refusal_rng: Option<StdRng>,
     /// Interval at which workers announce themselves, in milliseconds.
     heartbeat_millis: u64,
     now_ms: u64,
@@ -140,6 +156,8 @@
     pub stops_turned_away: u64,
     /// Number of times that a worker fell silent.
     pub silences: u64,
+    /// Number of times that a worker's address began to refuse connections.
+    pub refusals: u64,
     /// Number of workers that deadly tasks crashed.
     pub deadly_crashes: u64,
 }
@@ -151,6 +169,7 @@
             rng: StdRng::seed_from_u64(seed),
             fault_rng: None,
             silence_rng: None,
+            refusal_rng: None,
             heartbeat_millis: 0,
             now_ms: 0,
             epoch: 0,
@@ -171,6 +190,7 @@
             starts: 0,
             stops_turned_away: 0,
             silences: 0,
+            refusals: 0,
             deadly_crashes: 0,
         };
         for number in 0..hosts {
@@ -195,6 +215,13 @@
         self
     }
 
+    /// Adds workers whose addresses refuse connections for some time, for a moment while they live or
+    /// because they have ended. Some end together with their agents.
+    pub fn with_refusing_workers(mut self, seed: u64) -> Self {
+        self.refusal_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
     /// Lets workers announce themselves at an interval, in milliseconds.
     pub const fn with_heartbeat_millis(mut self, millis: u64) -> Self {
         self.heartbeat_millis = millis;
@@ -224,6 +251,7 @@
             self.inject_fault();
             self.occupy_worker();
             self.silence_worker();
+            self.refuse_connections();
             self.advance();
         }
         self.is_fault_free = true;
@@ -263,6 +291,8 @@
             partitioned_until: Time::ZERO,
             busy_until: Time::ZERO,
             silent_until: Time::ZERO,
+            refuses_until: Time::ZERO,
+            absent_until: Time::ZERO,
             crash_at: Time::NEVER,
             next_heartbeat_at: Time::ZERO,
             next_list_at: Time::ZERO,
@@ -364,6 +394,44 @@
         self.silences += 1;
     }
 
+    /// Lets the address of a random worker refuse connections for some time.
+    fn refuse_connections(&mut self) {
+        let Some(rng) = &mut self.refusal_rng else {
+            return;
+        };
+        if rng.random_range(0..150) != 0 {
+            return;
+        }
+        let index = rng.random_range(0..self.hosts.len());
+        let is_alive = rng.random_bool(0.4);
+        let is_agent_restarted = rng.random_bool(0.4);
+        let millis = match is_alive {
+            true => rng.random_range(50..REFUSAL_MS_MAX),
+            false => rng.random_range(100..5_000),
+        };
+        if self.time()
+            < self.hosts[index]
+                .refuses_until
+                .plus_millis(REFUSAL_PAUSE_MS)
+        {
+            return;
+        }
+        self.refusals += 1;
+        let until = at(self.now_ms + millis);
+        if !is_alive {
+            self.replace_worker(index);
+            self.hosts[index].absent_until = until;
+        }
+        self.hosts[index].refuses_until = until;
+        if !is_alive && is_agent_restarted {
+            self.restart_agent(index);
+        }
+    }
+
+    fn is_refusing(&self, index: usize) -> bool {
+        self.time() < self.hosts[index].refuses_until
+    }
+
     fn is_silent(&self, index: usize) -> bool {
         !self.is_fault_free && self.time() < self.hosts[index].silent_until
     }
@@ -397,6 +465,8 @@
         let mut host = Host {
             busy_until: self.hosts[index].busy_until,
             silent_until: self.hosts[index].silent_until,
+            refuses_until: self.hosts[index].refuses_until,
+            absent_until: self.hosts[index].absent_until,
             crash_at: self.hosts[index].crash_at,
             next_heartbeat_at: at(self.now_ms + ANNOUNCEMENT_DELAY_MS),
             ..self.host(name, process, worker)
@@ -545,6 +615,14 @@
         let random = self.rng.random();
         let is_lost = !self.is_fault_free && self.rng.random_range(0..25) == 0;
         match call {
+            Call::Start(start, ..) if self.is_refusing(index) => {
+                let outcome = CallOutcome::Refused;
+                self.schedule_reply(index, Call::Started(start.task, start.attempt, outcome));
+            }
+            Call::Stop(stop, _) if self.is_refusing(index) => {
+                let outcome = CallOutcome::Refused;
+                self.schedule_reply(index, Call::Stopped(stop.task, stop.attempt, outcome));
+            }
             Call::Start(..) | Call::Stop(..) if self.is_silent(index) => {
                 self.postpone_call(index, call);
             }
@@ -615,7 +693,7 @@
         let host = &mut self.hosts[index];
         worker.incarnation = host.worker.incarnation;
         worker.capacity = cores(PROCESSORS);
-        if now >= host.next_heartbeat_at {
+        if now >= host.next_heartbeat_at.max(host.absent_until) {
             host.next_heartbeat_at = now.plus_millis(self.heartbeat_millis);
             let heartbeat = Heartbeat {
                 id: "w".to_owned(),
@@ -640,7 +718,14 @@
         }
         let now = self.time();
         let is_silent = self.is_silent(index);
+        let is_refusing = self.is_refusing(index);
         let host = &mut self.hosts[index];
+        if is_refusing {
+            host.next_list_at = now.plus_millis(LIST_RETRY_MS);
+            host.runner.record_failed_list(now);
+            host.runner.record_refusal(now);
+            return;
+        }
         if is_silent {
             host.next_list_at = now.plus_millis(CALL_TIMEOUT_MS);
             host.runner.record_failed_list(now);
@@ -657,6 +742,8 @@
         let epoch = self.hosts[index].runner.epoch();
         for action in actions {
             let is_late = !self.is_fault_free && self.rng.random_range(0..30) == 0;
+            // A call that no process accepts is executed by none.
+            let is_late = is_late && !self.is_refusing(index);
             let millis = if is_late {
                 self.rng.random_range(2_000..12_000)
             } else {
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -115,3 +115,21 @@
             .run(FAULTS_MS);
     }
 }
+
+/// Guards against tasks that run twice because the address of their worker refuses connections, which
+/// the agent takes for an exit, or of which a restarted agent concludes that nothing runs.
+#[test]
+fn tasks_of_workers_that_refuse_connections_run_once() {
+    let (seeds, is_replay) = seeds();
+
+    let simulations = seeds.map(|seed| {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        let mut simulation = Simulation::new(seed, 3 + seed % 4).with_refusing_workers(seed);
+        simulation.run(FAULTS_MS);
+        simulation
+    });
+    let refusals: u64 = simulations.map(|simulation| simulation.refusals).sum();
+
+    println!("{refusals} refusals");
+    assert!(refusals > 0 || is_replay, "addresses refuse connections");
+}
