--- a/crates/toucanquay/tests/support/mod.rs
+++ b/crates/toucanquay/tests/support/mod.rs
@@ -11,6 +11,8 @@
 
 use std::time::Duration;
 
+use reqwest::{RequestBuilder, Response};
+use serde_json::Value;
 use tokio::time::Instant;
 
 /// Maximum time to wait for an expected state. Only a failing test waits this long.
@@ -37,3 +39,15 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Sends a request and returns the status and the body of the response, as JSON.
+pub async fn send_json(request: RequestBuilder) -> (u16, Value) {
+    read_json(request.send().await.expect("the entry responds")).await
+}
+
+/// Returns the status and the body of a response, as JSON; null if it is none.
+pub async fn read_json(response: Response) -> (u16, Value) {
+    let status = response.status().as_u16();
+    let body = response.text().await.unwrap_or_default();
+    (status, serde_json::from_str(&body).unwrap_or(Value::Null))
+}
