control, node: owners record silent hosts, so that a successor doesn't wait for them anew

Cause: a new owner waits for each host that doesn't report, until the longest lease must have ended that could have been granted until its own takeover. It knows neither since when a host has been silent nor since when its predecessor has given no orders, so that each owner waits for 6.4 s anew, 8.4 s after the loss of the last one; every inherited job stands still meanwhile. The users' rule allows 7 s of calm. Class: a wait that nobody's state justifies.

Fix: the owner writes the hosts without a session into one key, with the time that their leases still last. A successor dates the record by the revisions that it has seen of the store, on its own clock, so that no common clock is needed, and waits until that time has passed. A host in the record gets no orders, which would extend its leases, until a record without it is written; each record replaces the one with the known revision and depends on the fence, so that a late write can't bring a host back into it. Leases are also counted from the end of the former owner's authority. One write when hosts fall silent, at most two a second, and one when one returns; none while most are silent.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod roster;
 pub mod runner;
 pub mod scheduler;
+pub mod silence;
--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -115,13 +115,12 @@
     placement_round: u64,
     /// Hosts by the placement round that first saw their last change.
     changed_hosts: BTreeMap<u64, BTreeSet<HostKey>>,
-    /// Hosts that may still run tasks of inherited jobs and have not reported yet. Until they have
-    /// all reported, or the longest possible lease has ended, no task of an inherited job is
-    /// placed, because it may already be running.
-    awaited_hosts: BTreeSet<String>,
-    takeover_complete_at: Time,
+    /// Hosts that may still run tasks of inherited jobs and have not reported yet, with the time by
+    /// which each lease that a former owner has granted there must have ended. Until then, or until
+    /// all have reported, no task of an inherited job is placed, because it may already be running.
+    awaited_hosts: BTreeMap<String, Time>,
     taken_over_at: Time,
-    /// Number of awaited hosts that had not reported when the longest possible lease ended.
+    /// Number of awaited hosts that had not reported when their leases must have ended.
     unreported_hosts: usize,
     is_takeover_reported: bool,
     /// Number of perpetual tasks that have not run for a time.
@@ -139,7 +138,9 @@
 impl Scheduler {
     /// Creates the scheduler of an owner that has just taken over.
     ///
-    /// `hosts` are the hosts to which the former owner may have sent orders.
+    /// `hosts` are the hosts to which the former owner may have sent orders. Their leases must have
+    /// ended when the longest possible one has that is granted until now, unless
+    /// [`end_orders_by`](Self::end_orders_by) or [`end_leases_by`](Self::end_leases_by) tells more.
     #[must_use]
     pub fn new(
         settings: Settings,
@@ -147,7 +148,9 @@
         hosts: impl IntoIterator<Item = String>,
         now: Time,
     ) -> Self {
-        let awaited_hosts: BTreeSet<String> = hosts.into_iter().collect();
+        let lease_end = settings.lease_end_bound(now);
+        let hosts = hosts.into_iter();
+        let awaited_hosts: BTreeMap<String, Time> = hosts.map(|host| (host, lease_end)).collect();
         Self {
             settings,
             epoch,
@@ -176,7 +179,6 @@
             changed_hosts: BTreeMap::new(),
             is_takeover_reported: awaited_hosts.is_empty(),
             awaited_hosts,
-            takeover_complete_at: settings.lease_end_bound(now),
             taken_over_at: now,
             unreported_hosts: 0,
             lasting_tasks_waiting: 0,
@@ -238,11 +240,7 @@
         self.expire_hosts(now);
         self.expire_probes(now);
         self.fire_timers(now);
-        if !self.awaited_hosts.is_empty() && now >= self.takeover_complete_at {
-            self.unreported_hosts = self.awaited_hosts.len();
-            self.awaited_hosts.clear();
-            self.is_placement_due = true;
-        }
+        self.release_awaited_hosts(now);
         let is_round_due = !self.waiting_jobs.is_empty() && now >= self.next_placement_at;
         if self.is_placement_due || is_round_due {
             self.place_waiting_tasks(now);
@@ -254,6 +252,32 @@
         }
     }
 
+    /// Records that the former owner has sent no orders since a time, so that the leases on all
+    /// awaited hosts end accordingly.
+    pub fn end_orders_by(&mut self, until: Time) {
+        let at = self.settings.lease_end_bound(until);
+        for lease_end in self.awaited_hosts.values_mut() {
+            *lease_end = at.min(*lease_end);
+        }
+    }
+
+    /// Lowers the time by which each lease on an awaited host must have ended.
+    pub fn end_leases_by(&mut self, host: &str, at: Time) {
+        if let Some(lease_end) = self.awaited_hosts.get_mut(host) {
+            *lease_end = at.min(*lease_end);
+        }
+    }
+
+    /// Returns the time by which each lease on a host must have ended that this owner or a former
+    /// one has granted so far.
+    #[must_use]
+    pub fn lease_end_bound(&self, host: &str) -> Time {
+        let key = self.host_keys.get(host);
+        let granted = key.map_or(Time::ZERO, |key| self.hosts[*key].lease_end_bound);
+        let inherited = self.awaited_hosts.get(host).copied();
+        granted.max(inherited.unwrap_or(Time::ZERO))
+    }
+
     /// Returns the events since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
@@ -310,6 +334,17 @@
     }
 
     fn is_takeover_complete(&self, now: Time) -> bool {
-        self.awaited_hosts.is_empty() || now >= self.takeover_complete_at
+        self.awaited_hosts
+            .values()
+            .all(|lease_end| now >= *lease_end)
+    }
+
+    /// Stops waiting for the hosts whose leases must have ended.
+    fn release_awaited_hosts(&mut self, now: Time) {
+        let awaited = self.awaited_hosts.len();
+        self.awaited_hosts.retain(|_, lease_end| now < *lease_end);
+        let released = awaited - self.awaited_hosts.len();
+        self.unreported_hosts += released;
+        self.is_placement_due |= released > 0;
     }
 }
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -60,7 +60,7 @@
             self.acknowledge_ends(key);
             self.acknowledge_crashes(key);
         }
-        if is_settled(update) && self.awaited_hosts.remove(&update.host) {
+        if is_settled(update) && self.awaited_hosts.remove(&update.host).is_some() {
             self.is_placement_due = true;
         }
     }
--- a/crates/control/src/scheduler/waits.rs
+++ b/crates/control/src/scheduler/waits.rs
@@ -171,7 +171,12 @@
         } else if job.is_inherited && !self.is_takeover_complete(now) {
             Wait::Takeover {
                 hosts: self.awaited_hosts.len(),
-                host: self.awaited_hosts.first().cloned().unwrap_or_default(),
+                host: self
+                    .awaited_hosts
+                    .keys()
+                    .next()
+                    .cloned()
+                    .unwrap_or_default(),
             }
         } else if job.recorded_version < task.suspected_in {
             Wait::Unrecorded
@@ -253,7 +258,7 @@
         let waiting = self.waiting_jobs.iter();
         let waiting = waiting.filter_map(|key| self.jobs.get(*key));
         let jobs = waiting.filter(|job| job.is_inherited && job.has_waiting());
-        let names = self.awaited_hosts.iter().take(AWAITED_HOSTS_MAX);
+        let names = self.awaited_hosts.keys().take(AWAITED_HOSTS_MAX);
         self.events.push(Event::TakeoverWaiting {
             waited_ms: now.micros_since(self.taken_over_at) / 1_000,
             hosts: self.awaited_hosts.len(),
--- a/crates/control/tests/graph/mod.rs
+++ b/crates/control/tests/graph/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures for the tests of the scheduler and the runner.
 
 pub mod simulation;
+pub mod watch;
 pub mod worker;
 
 use std::sync::Arc;
--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -6,6 +6,7 @@
 use toucanquay_control::{
     runner::{self, Action, AttemptList, CallOutcome, Heartbeat, Runner},
     scheduler::{self, RestoredJob, Scheduler},
+    silence::{Record, Tracker},
 };
 use toucanquay_model::{
     Time,
@@ -13,7 +14,7 @@
     session::{Ending, Orders, Start, Stop, Update},
 };
 
-use super::{accepted_job, at, cores, queue, step, worker::SimulatedWorker};
+use super::{accepted_job, at, cores, queue, step, watch::Watch, worker::SimulatedWorker};
 
 /// Time from the restart of an agent until it hears from its worker, in milliseconds.
 const ANNOUNCEMENT_DELAY_MS: u64 = 500;
@@ -52,6 +53,24 @@
 /// Probability that a busy worker turns a call away, in percent.
 const TURNED_AWAY_PERCENT: u32 = 60;
 
+/// Time after which the owner notices that an agent is silent, in milliseconds.
+const SESSION_TIMEOUT_MS: u64 = 1_500;
+
+/// Interval at which an entry sees the store change, in milliseconds.
+const SIGHTING_INTERVAL_MS: u64 = 500;
+
+/// Time without a session after which a host counts as silent, in milliseconds.
+const SILENT_MS: u64 = 250;
+
+/// Time that a write of the record of silent hosts takes, in milliseconds.
+const WRITE_MS: u64 = 50;
+
+/// Length of a phase without faults, in milliseconds.
+const CALM_MS: u64 = 16_000;
+
+/// Maximum number of jobs with perpetual tasks at a time.
+const LASTING_JOBS_MAX: usize = 3;
+
 /// Message in flight between the owner and an agent.
 #[derive(Debug, Clone)]
 enum Message {
@@ -80,11 +99,19 @@
     messages: VecDeque<(Time, Message)>,
     /// Epoch of the owner with which the agent has a session.
     session: Option<u64>,
+    /// Since when the owner can't reach the agent.
+    unreached_since: Option<u64>,
     partitioned_until: Time,
     /// Until then, the worker turns most calls away without doing anything.
     busy_until: Time,
     /// Until then, the worker answers no call, and runs on. Calls take effect afterwards.
     silent_until: Time,
+    /// Until then, the whole host is gone, with its agent and its worker.
+    lost_until: Time,
+    /// Until then, the agent's process is suspended.
+    suspended_until: Time,
+    /// Until then, one row of each list of the worker can't be read.
+    odd_until: Time,
     /// When a task that crashes the worker does so.
     crash_at: Time,
     next_heartbeat_at: Time,
@@ -92,6 +119,14 @@
     next_update_at: Time,
 }
 
+/// Returns the record of silent hosts before the first one is written.
+const fn no_silence() -> Record {
+    Record {
+        revision: 0,
+        remaining_ms: BTreeMap::new(),
+    }
+}
+
 /// Job as persisted in the store.
 #[derive(Debug, Default)]
 struct JobRecord {
@@ -103,6 +138,12 @@
     deadly_task: Option<Task>,
 }
 
+impl JobRecord {
+    fn is_lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.is_perpetual)
+    }
+}
+
 /// State of a simulation.
 #[derive(Debug)]
 pub struct Simulation {
@@ -111,6 +152,18 @@
     fault_rng: Option<StdRng>,
     /// Random numbers for silent workers; `None` if there are none.
     silence_rng: Option<StdRng>,
+    /// Random numbers for perpetual tasks and the faults that occur beside them; `None` if there are
+    /// none.
+    lasting_rng: Option<StdRng>,
+    watch: Watch,
+    /// What the owner knows of the record of silent hosts.
+    tracker: Tracker,
+    /// The record of silent hosts, and when it was written.
+    silence_record: (u64, Record),
+    /// The record that the owner writes, and when it arrives.
+    silence_write: Option<(u64, Record)>,
+    /// When the owner is lost once more.
+    owner_lost_at: u64,
     /// Interval at which workers announce themselves, in milliseconds.
     heartbeat_millis: u64,
     now_ms: u64,
@@ -151,6 +204,12 @@
             rng: StdRng::seed_from_u64(seed),
             fault_rng: None,
             silence_rng: None,
+            lasting_rng: None,
+            watch: Watch::default(),
+            tracker: Tracker::default(),
+            silence_record: (0, no_silence()),
+            silence_write: None,
+            owner_lost_at: u64::MAX,
             heartbeat_millis: 0,
             now_ms: 0,
             epoch: 0,
@@ -195,6 +254,13 @@
         self
     }
 
+    /// Adds perpetual tasks, and faults of whole hosts, suspended agents, lists with odd rows and
+    /// owners that are lost one after another.
+    pub fn with_lasting_tasks(mut self, seed: u64) -> Self {
+        self.lasting_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
     /// Lets workers announce themselves at an interval, in milliseconds.
     pub const fn with_heartbeat_millis(mut self, millis: u64) -> Self {
         self.heartbeat_millis = millis;
@@ -222,10 +288,56 @@
                 self.cancel_random_job();
             }
             self.inject_fault();
+            self.inject_lasting_fault();
             self.occupy_worker();
             self.silence_worker();
             self.advance();
         }
+        self.finish();
+    }
+
+    /// Simulates phases with and without faults. In those without, each perpetual task must run
+    /// again as soon as the users' rule demands.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant is violated.
+    pub fn run_phases(&mut self, phases: usize) {
+        for _ in 0..phases {
+            let faults_ms = self.rng.random_range(500..8_000);
+            self.run_phase(faults_ms, false);
+            self.run_phase(CALM_MS, true);
+        }
+        let ids: Vec<Id> = self.jobs.keys().copied().collect();
+        for id in ids {
+            self.cancel_job(id);
+        }
+        self.finish();
+    }
+
+    fn run_phase(&mut self, millis: u64, is_fault_free: bool) {
+        self.is_fault_free = is_fault_free;
+        let phase_end = self.now_ms + millis;
+        while self.now_ms < phase_end {
+            if self.rng.random_range(0..60) == 0 {
+                self.submit_job();
+            }
+            self.submit_lasting_job();
+            if self.rng.random_range(0..200) == 0 {
+                self.cancel_random_job();
+            }
+            if !is_fault_free {
+                self.inject_fault();
+                self.inject_lasting_fault();
+                self.silence_worker();
+            }
+            self.advance();
+            self.watch_lasting_tasks();
+        }
+    }
+
+    /// Continues without faults until all jobs have ended.
+    fn finish(&mut self) {
         self.is_fault_free = true;
         let end_by = self.now_ms + 60_000;
         while !self.all_jobs_ended() {
@@ -260,9 +372,13 @@
             calls: Vec::new(),
             messages: VecDeque::new(),
             session: None,
+            unreached_since: None,
             partitioned_until: Time::ZERO,
             busy_until: Time::ZERO,
             silent_until: Time::ZERO,
+            lost_until: Time::ZERO,
+            suspended_until: Time::ZERO,
+            odd_until: Time::ZERO,
             crash_at: Time::NEVER,
             next_heartbeat_at: Time::ZERO,
             next_list_at: Time::ZERO,
@@ -311,6 +427,10 @@
             return;
         }
         let id = active[self.rng.random_range(0..active.len())];
+        self.cancel_job(id);
+    }
+
+    fn cancel_job(&mut self, id: Id) {
         self.jobs.get_mut(&id).expect("the job exists").is_cancelled = true;
         let now = self.time();
         if let Some(owner) = &mut self.owner {
@@ -337,6 +457,106 @@
         }
     }
 
+    /// Submits a job with perpetual tasks unless there are enough.
+    fn submit_lasting_job(&mut self) {
+        let is_active = |record: &&JobRecord| record.is_lasting() && !record.is_cancelled;
+        if self.jobs.values().filter(is_active).count() >= LASTING_JOBS_MAX {
+            return;
+        }
+        let Some(rng) = &mut self.lasting_rng else {
+            return;
+        };
+        let id = Id::new(rng.random());
+        let steps = vec![Step {
+            is_perpetual: true,
+            ..step(rng.random_range(1..4))
+        }];
+        let record = JobRecord {
+            steps: steps.clone(),
+            ..JobRecord::default()
+        };
+        self.jobs.insert(id, record);
+        let now = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.accept(id, accepted_job(steps), now);
+        }
+    }
+
+    fn inject_lasting_fault(&mut self) {
+        let now_ms = self.now_ms;
+        let hosts = self.hosts.len();
+        let is_lost = |host: &Host| at(now_ms) < host.lost_until;
+        let lost = self.hosts.iter().filter(|host| is_lost(host)).count();
+        let Some(rng) = &mut self.lasting_rng else {
+            return;
+        };
+        if rng.random_range(0..80) != 0 {
+            return;
+        }
+        self.faults += 1;
+        let index = rng.random_range(0..hosts);
+        let until = |millis: u64| at(now_ms + millis);
+        match rng.random_range(0..4) {
+            0 if lost == 0 => {
+                let millis = rng.random_range(500..60_000);
+                self.lose_host(index, until(millis));
+            }
+            1 => self.hosts[index].suspended_until = until(rng.random_range(100..12_000)),
+            2 => self.hosts[index].odd_until = until(rng.random_range(100..6_000)),
+            _ => {
+                self.owner = None;
+                self.owner_lost_at = now_ms + TAKEOVER_MS + rng.random_range(10..5_000);
+            }
+        }
+    }
+
+    /// Ends a host's processes until it returns with other ones.
+    fn lose_host(&mut self, index: usize, until: Time) {
+        let session = self.hosts[index].session;
+        self.replace_worker(index);
+        self.restart_agent(index);
+        self.hosts[index].session = session;
+        let host = &mut self.hosts[index];
+        host.calls.clear();
+        host.lost_until = until;
+        host.next_update_at = at(self.now_ms);
+        host.next_heartbeat_at = until;
+    }
+
+    /// Compares what runs with what the users' rule demands.
+    fn watch_lasting_tasks(&mut self) {
+        let now = self.time();
+        let is_disturbed = |host: &Host| now < host.partitioned_until.max(host.suspended_until);
+        let is_calm = self.is_fault_free
+            && self.now_ms >= self.paused_until
+            && self.owner_lost_at == u64::MAX
+            && !self.hosts.iter().any(is_disturbed);
+        if let Some(owner) = &mut self.owner {
+            self.watch.record_waits(owner.take_events());
+        }
+        let lasting = self.jobs.iter().filter(|(_, record)| {
+            record.is_lasting() && !record.is_cancelled && !record.progress.state.is_over()
+        });
+        let tasks = lasting.flat_map(|(id, record)| {
+            (0..record.steps[0].tasks).map(|index| Task {
+                job: *id,
+                occurrence: 0,
+                step: 0,
+                index,
+            })
+        });
+        let tasks: BTreeSet<Task> = tasks.collect();
+        let alive = self.hosts.iter().filter(|host| now >= host.lost_until);
+        let workers: Vec<_> = alive
+            .map(|host| {
+                let running = host.worker.running.keys().map(|(task, _)| *task);
+                let running: BTreeSet<Task> = running.collect();
+                (host.name.as_str(), running)
+            })
+            .collect();
+        self.watch.check(&tasks, &workers, is_calm, self.now_ms);
+    }
+
     /// Makes a random worker busy for some time.
     fn occupy_worker(&mut self) {
         let Some(rng) = &mut self.fault_rng else {
@@ -397,6 +617,8 @@
         let mut host = Host {
             busy_until: self.hosts[index].busy_until,
             silent_until: self.hosts[index].silent_until,
+            lost_until: self.hosts[index].lost_until,
+            odd_until: self.hosts[index].odd_until,
             crash_at: self.hosts[index].crash_at,
             next_heartbeat_at: at(self.now_ms + ANNOUNCEMENT_DELAY_MS),
             ..self.host(name, process, worker)
@@ -476,14 +698,92 @@
         self.now_ms += STEP_MS;
         self.elect_owner();
         for index in 0..self.hosts.len() {
+            if self.time() < self.hosts[index].lost_until {
+                self.notice_silence(index);
+                continue;
+            }
             self.run_worker(index);
+            if self.time() < self.hosts[index].suspended_until {
+                self.notice_silence(index);
+                continue;
+            }
             self.run_agent(index);
         }
         self.run_owner();
         self.check_workers();
     }
 
+    /// Ends the session with an agent that has been silent for long enough.
+    fn notice_silence(&mut self, index: usize) {
+        let (now, now_ms) = (self.time(), self.now_ms);
+        let host = &mut self.hosts[index];
+        let is_of_owner = host.session == self.owner.as_ref().map(Scheduler::epoch);
+        if is_of_owner && now < host.next_update_at.plus_millis(SESSION_TIMEOUT_MS) {
+            return;
+        }
+        host.session = None;
+        host.unreached_since.get_or_insert(now_ms);
+        if let Some(owner) = &mut self.owner {
+            owner.disconnect(&host.name);
+        }
+    }
+
+    /// Tells a new owner which hosts its predecessors didn't hear.
+    fn load_silences(&mut self, owner: &mut Scheduler) -> Tracker {
+        // The former owner's write is fenced from now on.
+        self.silence_write = None;
+        let (written_at, record) = &self.silence_record;
+        let seen_at = written_at.next_multiple_of(SIGHTING_INTERVAL_MS);
+        let seen_at = seen_at.min(self.now_ms);
+        for (name, remaining_ms) in &record.remaining_ms {
+            owner.end_leases_by(name, at(seen_at + remaining_ms));
+        }
+        Tracker::new(record.revision, record.remaining_ms.keys().cloned())
+    }
+
+    /// Writes the record of silent hosts, which may arrive after its owner is lost.
+    fn write_silences(&mut self) {
+        let Some((_, record)) = self.silence_write.take_if(|(due, _)| *due <= self.now_ms) else {
+            return;
+        };
+        self.revision += 1;
+        assert_eq!(
+            record.revision, self.silence_record.1.revision,
+            "a record replaces one of another revision"
+        );
+        let written = Record {
+            revision: self.revision,
+            ..record
+        };
+        self.silence_record = (self.now_ms, written);
+        self.tracker.record_written(self.revision);
+    }
+
+    fn record_silences(&mut self) {
+        let Some(owner) = &self.owner else {
+            return;
+        };
+        let is_silent = |host: &&Host| {
+            let since = host.unreached_since;
+            since.is_some_and(|since| self.now_ms >= since + SILENT_MS)
+        };
+        let silent = self.hosts.iter().filter(is_silent);
+        let silent = silent.map(|host| (host.name.clone(), owner.lease_end_bound(&host.name)));
+        let mut silent: BTreeMap<String, Time> = silent.collect();
+        if 2 * silent.len() > self.hosts.len() {
+            silent.retain(|host, _| self.tracker.may_name(host));
+        }
+        let now = self.time();
+        if let Some(record) = self.tracker.next_record(&silent, now) {
+            self.silence_write = Some((self.now_ms + WRITE_MS, record));
+        }
+    }
+
     fn elect_owner(&mut self) {
+        if self.now_ms >= self.owner_lost_at {
+            self.owner_lost_at = u64::MAX;
+            self.owner = None;
+        }
         let is_silent = self.owner.is_none() || self.now_ms < self.paused_until;
         if !is_silent {
             self.renewed_at = self.now_ms;
@@ -496,6 +796,7 @@
             return;
         }
         self.paused_until = 0;
+        let acted_until = at(self.renewed_at + OWNERSHIP_MS);
         self.renewed_at = self.now_ms;
         self.epoch += 1;
         self.commit = None;
@@ -503,6 +804,8 @@
         let names = self.hosts.iter().map(|host| host.name.clone());
         let settings = scheduler::Settings::default();
         let mut owner = Scheduler::new(settings, self.epoch, names, now);
+        owner.end_orders_by(acted_until.min(now));
+        self.tracker = self.load_silences(&mut owner);
         owner.extend_ownership(at(self.now_ms + OWNERSHIP_MS));
         owner.set_wall_clock(5_000_000 + self.now_ms, now);
         for (id, record) in &self.jobs {
@@ -533,7 +836,11 @@
         }
         let mut calls = std::mem::take(&mut self.hosts[index].calls);
         calls.sort_by_key(|(due, number, _)| (*due, *number));
-        let (due, later): (Vec<_>, Vec<_>) = calls.into_iter().partition(|(due, _, _)| *due <= now);
+        let is_suspended = now < self.hosts[index].suspended_until;
+        let (due, later): (Vec<_>, Vec<_>) = calls.into_iter().partition(|(due, _, call)| {
+            let is_request = matches!(call, Call::Start(..) | Call::Stop(..));
+            *due <= now && (is_request || !is_suspended)
+        });
         self.hosts[index].calls = later;
         for (_, _, call) in due {
             self.execute_call(index, call);
@@ -560,8 +867,9 @@
             Call::Start(start, lease_until, epoch) => {
                 self.check_start(&start);
                 let key = (start.task, start.attempt);
+                let is_lasting = self.jobs[&key.0.job].is_lasting();
                 let worker = &mut self.hosts[index].worker;
-                let outcome = worker.start(key, epoch, lease_until, random, now);
+                let outcome = worker.start(key, epoch, lease_until, random, is_lasting, now);
                 if outcome == CallOutcome::Done {
                     self.start_deadly_task(index, key.0);
                 }
@@ -647,9 +955,13 @@
             return;
         }
         let (lease, acknowledged) = (host.runner.lease_until(), host.runner.acknowledged());
-        let list = host
+        let mut list = host
             .worker
             .renew(host.runner.epoch(), lease, acknowledged, now);
+        if !self.is_fault_free && now < host.odd_until {
+            list.is_partial = true;
+            list.running.pop();
+        }
         self.schedule_reply(index, Call::Listed(list));
     }
 
@@ -706,9 +1018,14 @@
                 owner.disconnect(&host.name);
                 let is_reached = now >= host.partitioned_until && !is_paused;
                 if is_reached && host.runner.begin_session(owner.epoch()) {
-                    owner.connect(&host.name);
-                    host.session = epoch;
-                    host.next_update_at = now;
+                    host.unreached_since = None;
+                    if !self.tracker.may_name(&host.name) {
+                        owner.connect(&host.name);
+                        host.session = epoch;
+                        host.next_update_at = now;
+                    }
+                } else {
+                    host.unreached_since.get_or_insert(self.now_ms);
                 }
             }
         }
@@ -745,6 +1062,7 @@
 
     fn run_owner(&mut self) {
         let now = self.time();
+        self.write_silences();
         if self.now_ms < self.paused_until {
             return;
         }
@@ -754,6 +1072,10 @@
         };
         owner.set_wall_clock(5_000_000 + self.now_ms, now);
         owner.tick(now);
+        self.record_silences();
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
         for name in owner.due_hosts(now) {
             let host = self.hosts.iter_mut().find(|host| host.name == name);
             if let (Some(host), Some(orders)) = (host, owner.orders(&name, now)) {
--- a/crates/control/tests/graph/worker.rs
+++ b/crates/control/tests/graph/worker.rs
@@ -16,6 +16,9 @@
 /// Duration of a few long attempts, in milliseconds.
 const LONG_WORK_MS: u64 = 12_000;
 
+/// Upper bound of the random part of the duration of a perpetual task's attempt, in milliseconds.
+const LASTING_MS_MAX: u64 = 60_000;
+
 /// Running attempt.
 #[derive(Debug, Clone)]
 pub struct RunningAttempt {
@@ -57,13 +60,15 @@
         }
     }
 
-    /// Starts an attempt. `random` determines its duration and whether it fails.
+    /// Starts an attempt. `random` determines its duration and whether it fails. One of a perpetual
+    /// task takes longer.
     pub fn start(
         &mut self,
         (task, attempt): (Task, u64),
         epoch: u64,
         lease_until: Time,
         random: u64,
+        is_lasting: bool,
         now: Time,
     ) -> CallOutcome {
         let is_closed = self
@@ -81,6 +86,7 @@
                 // A few attempts run so long that they hardly ever end by themselves within a
                 // simulation.
                 done_at: now.plus_millis(match random % 97 {
+                    _ if is_lasting => 500 + random % LASTING_MS_MAX,
                     0 => LONG_WORK_MS,
                     _ => 50 + random % WORK_MS_MAX,
                 }),
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -16,6 +16,9 @@
 /// Simulated time during which faults are injected, in milliseconds.
 const FAULTS_MS: u64 = 20_000;
 
+/// Number of phases with faults, each followed by one without.
+const PHASES: usize = 3;
+
 fn env_number(name: &str) -> Option<u64> {
     env::var(name).ok()?.parse().ok()
 }
@@ -115,3 +118,40 @@
             .run(FAULTS_MS);
     }
 }
+
+/// Guards against a perpetual task that doesn't run although a worker has room, longer than the
+/// users' rule allows.
+#[test]
+fn perpetual_tasks_run_where_there_is_room() {
+    let (seeds, _) = seeds();
+    for seed in seeds {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        lasting_simulation(seed).run_phases(PHASES);
+    }
+}
+
+/// Guards against perpetual tasks that wait for a host that no owner has lived long enough to record
+/// as silent.
+#[rstest]
+fn host_lost_within_two_seconds_of_its_owner_delays_no_task(#[values(655, 975, 1_132)] seed: u64) {
+    lasting_simulation(seed).run_phases(PHASES);
+}
+
+/// Guards against tasks that run twice because an owner takes the leases of a host as ended that has
+/// returned, beside tasks that crash their workers.
+#[test]
+fn tasks_run_once_when_owners_follow_one_another() {
+    let (seeds, _) = seeds();
+    for seed in seeds {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        lasting_simulation(seed)
+            .with_busy_workers_and_deadly_tasks(seed)
+            .run(FAULTS_MS);
+    }
+}
+
+fn lasting_simulation(seed: u64) -> Simulation {
+    Simulation::new(seed, 4 + seed % 3)
+        .with_silent_workers(seed)
+        .with_lasting_tasks(seed)
+}
--- /dev/null
+++ b/crates/control/tests/silence.rs
@@ -0,0 +1,130 @@
+//! Tests of the record of silent hosts.
+
+#[expect(dead_code, reason = "the fixtures are shared with other tests")]
+mod graph;
+
+use std::collections::BTreeMap;
+
+use graph::{accepted_job, at, orders, step, update};
+use rstest::rstest;
+use toucanquay_control::{
+    scheduler::{RestoredJob, Scheduler, Settings},
+    silence::Tracker,
+};
+use toucanquay_model::{Time, graph::Id};
+
+fn silent(hosts: &[(&str, Time)]) -> BTreeMap<String, Time> {
+    let named = hosts.iter();
+    named.map(|(host, at)| ((*host).to_owned(), *at)).collect()
+}
+
+/// Guards against a host that gets orders while a record that names it is being written or removed.
+#[test]
+fn host_is_named_until_a_record_without_it_is_written() {
+    let mut tracker = Tracker::new(5, []);
+    let first = tracker.next_record(&silent(&[("h1", at(6_400))]), at(1_500));
+    let is_named_at_once = tracker.may_name("h1");
+    tracker.record_written(6);
+    let second = tracker.next_record(&silent(&[]), at(1_600));
+    let is_named_meanwhile = tracker.may_name("h1");
+    tracker.record_written(7);
+
+    let first = first.expect("a record");
+    assert_eq!((first.revision, first.remaining_ms["h1"]), (5, 4_900));
+    assert_eq!(second.expect("a record").revision, 6);
+    assert!(is_named_at_once && is_named_meanwhile);
+    assert!(!tracker.may_name("h1"));
+}
+
+/// Guards against a host that is no longer regarded as named after a write that was rejected.
+#[test]
+fn host_stays_named_after_a_rejected_record() {
+    let mut tracker = Tracker::new(5, ["h1".to_owned()]);
+    let _ = tracker.next_record(&silent(&[("h2", at(6_400))]), at(0));
+    tracker.record_rejected(9);
+    let is_named = tracker.may_name("h1") && tracker.may_name("h2");
+
+    let again = tracker.next_record(&silent(&[("h2", at(6_400))]), at(10));
+
+    assert!(is_named);
+    assert_eq!(again.expect("a record").revision, 9);
+}
+
+/// Guards against many writes while hosts fall silent one after another.
+#[rstest]
+#[case::soon(499, false)]
+#[case::later(500, true)]
+fn further_hosts_are_recorded_together(#[case] millis: u64, #[case] is_due: bool) {
+    let mut tracker = Tracker::default();
+    let _ = tracker.next_record(&silent(&[("h1", at(6_400))]), at(0));
+    tracker.record_written(1);
+
+    let both = silent(&[("h1", at(6_400)), ("h2", at(6_500))]);
+    let record = tracker.next_record(&both, at(millis));
+
+    assert_eq!(record.is_some(), is_due);
+}
+
+/// Returns a new owner that has inherited a job with one task, and has heard `h1`, but not `h2`.
+fn owner_that_awaits_a_host() -> Scheduler {
+    let hosts = ["h1".to_owned(), "h2".to_owned()];
+    let mut scheduler = Scheduler::new(Settings::default(), 2, hosts, at(0));
+    scheduler.extend_ownership(at(100_000));
+    let job = accepted_job(vec![step(1)]);
+    scheduler.restore(Id::new(1), job, RestoredJob::default(), at(0));
+    scheduler.connect("h1");
+    scheduler.update(&update("h1", 1), at(1));
+    scheduler
+}
+
+/// Guards against inherited jobs that wait for a host longer than its lease can last.
+#[rstest]
+#[case::while_it_lasts(1_999, 0)]
+#[case::after_its_end(2_000, 1)]
+fn owner_waits_for_a_silent_host_until_its_lease_has_ended(
+    #[case] millis: u64,
+    #[case] starts: usize,
+) {
+    let mut scheduler = owner_that_awaits_a_host();
+
+    scheduler.end_leases_by("h2", at(2_000));
+
+    assert_eq!(
+        orders(&mut scheduler, "h1", at(millis)).starts.len(),
+        starts
+    );
+}
+
+/// Guards against leases that are counted from the takeover, although the former owner had stopped
+/// giving orders before.
+#[rstest]
+#[case::while_they_last(5_999, 0)]
+#[case::after_their_end(6_000, 1)]
+fn leases_count_from_the_last_orders_of_the_former_owner(
+    #[case] millis: u64,
+    #[case] starts: usize,
+) {
+    let mut scheduler = owner_that_awaits_a_host();
+    let acted_until = Time::from_micros(at(0).as_micros() - 400_000);
+
+    scheduler.end_orders_by(acted_until);
+
+    assert_eq!(
+        orders(&mut scheduler, "h1", at(millis)).starts.len(),
+        starts
+    );
+}
+
+/// Guards against a record that lets a host's lease end before one that this owner has granted.
+#[test]
+fn lease_end_covers_what_this_owner_and_a_former_one_have_granted() {
+    let mut scheduler = owner_that_awaits_a_host();
+    scheduler.end_leases_by("h2", at(2_000));
+    let inherited = scheduler.lease_end_bound("h2");
+    scheduler.connect("h2");
+    scheduler.update(&update("h2", 1), at(500));
+
+    let granted = scheduler.lease_end_bound("h2");
+
+    assert_eq!((inherited, granted), (at(2_000), at(6_900)));
+}
--- a/crates/node/src/entry/election.rs
+++ b/crates/node/src/entry/election.rs
@@ -18,6 +18,8 @@
     observed_owner::{Holding, ObservedOwner},
     odd_entries::OddEntries,
     owner,
+    predecessor::Predecessor,
+    sightings::Sightings,
     term::Term,
 };
 use crate::{
@@ -60,11 +62,12 @@
 /// Runs until the entry stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut observed: Option<ObservedOwner> = None;
+    let mut sightings = Sightings::default();
     let mut odd_entries = OddEntries::new(shared.log.clone());
     while !shared.drain.is_cancelled() {
         let iteration = async {
-            match observe(&shared, &mut observed, &mut odd_entries).await {
-                Ok(true) => take_over(&shared, &mut observed).await,
+            match observe(&shared, &mut observed, &mut sightings, &mut odd_entries).await {
+                Ok(true) => take_over(&shared, &mut observed, &sightings).await,
                 Ok(false) => {}
                 Err(error) => {
                     info!(shared.log, "owner_unknown"; "error" => %error);
@@ -81,6 +84,7 @@
 async fn observe(
     shared: &Shared,
     observed: &mut Option<ObservedOwner>,
+    sightings: &mut Sightings,
     odd_entries: &mut OddEntries,
 ) -> Result<bool, Error> {
     let deadline = Instant::now() + CALL_TIMEOUT;
@@ -94,6 +98,7 @@
         record_owner(shared, observed, odd_entries, item);
     }
     let mut revision = page.revision;
+    sightings.record(revision, shared.clock.now());
     loop {
         let takeover_at = takeover_at(shared, observed);
         if shared.clock.now() >= takeover_at {
@@ -116,6 +121,7 @@
         };
         shared.record_store_response();
         revision = next_revision;
+        sightings.record(revision, shared.clock.now());
         for event in events {
             match event {
                 Event::Written(item) if item.key == key::OWNER => {
@@ -204,7 +210,11 @@
         .plus_micros(takeover_micros + head_start_micros)
 }
 
-async fn take_over(shared: &Arc<Shared>, observed: &mut Option<ObservedOwner>) {
+async fn take_over(
+    shared: &Arc<Shared>,
+    observed: &mut Option<ObservedOwner>,
+    sightings: &Sightings,
+) {
     let Some(last_seen) = observed.take() else {
         return;
     };
@@ -237,7 +247,11 @@
             meters::count_takeover();
             info!(shared.log, "ownership_taken"; "epoch" => term.epoch, "revision" => revision);
             shared.set_owner(Some(term.clone()));
-            run_owner(shared, term, revision, sent_at).await;
+            let predecessor = Predecessor {
+                acted_until: acted_until(&last_seen, sent_at),
+                sightings: sightings.clone(),
+            };
+            run_owner(shared, term, revision, sent_at, predecessor).await;
         }
         Ok(Commit::Conflict { .. }) => {}
         Err(error) => {
@@ -249,6 +263,14 @@
     }
 }
 
+/// Returns a time since which the holder of the replaced term has not acted.
+fn acted_until(last_seen: &ObservedOwner, replaced_at: Time) -> Time {
+    match &last_seen.holding {
+        Holding::Term(_) => ownership_until(last_seen.unchanged_since).min(replaced_at),
+        _ => replaced_at,
+    }
+}
+
 fn own_term(shared: &Shared, epoch: Epoch) -> Term {
     let settings = &shared.settings;
     Term {
@@ -315,10 +337,16 @@
 }
 
 /// Runs the owner until another entry takes over or this one drains.
-async fn run_owner(shared: &Arc<Shared>, mut term: Term, mut revision: Revision, sent_at: Time) {
+async fn run_owner(
+    shared: &Arc<Shared>,
+    mut term: Term,
+    mut revision: Revision,
+    sent_at: Time,
+    predecessor: Predecessor,
+) {
     let fence = revision;
     let mut expires_at = ownership_until(sent_at);
-    let owner = owner::Owner::start(shared, term.epoch, fence, expires_at);
+    let owner = owner::Owner::start(shared, term.epoch, fence, expires_at, predecessor);
     let mut renew_at = Instant::now() + RENEWAL_INTERVAL;
     let larger_ready = wait_for_larger_candidate(shared);
     tokio::pin!(larger_ready);
--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 use toucanquay_model::{Epoch, Revision, Time};
 
-use super::{Shared, takeover};
+use super::{Shared, predecessor::Predecessor, takeover};
 use driver::Driver;
 pub(super) use event::Event;
 
@@ -31,6 +31,7 @@
         epoch: Epoch,
         fence: Revision,
         ownership_until: Time,
+        predecessor: Predecessor,
     ) -> Self {
         let (mailbox, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let stop = shared.stop.child_token();
@@ -41,7 +42,7 @@
         };
         let shared = shared.clone();
         let task = async move {
-            let loaded = takeover::load(&shared, epoch, fence).await;
+            let loaded = takeover::load(&shared, epoch, fence, &predecessor).await;
             shared.set_mailbox(Some(mailbox.clone()));
             Driver::new(shared, mailbox, loaded, fence, ownership_until)
                 .run(events)
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -1,7 +1,7 @@
 //! Event loop that runs the scheduler.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -11,18 +11,21 @@
     task::JoinHandle,
     time::{Duration, Instant, sleep_until},
 };
-use toucanquay_control::scheduler::{Event as SchedulerEvent, Scheduler, Wait};
+use toucanquay_control::{
+    scheduler::{Event as SchedulerEvent, Scheduler, Wait},
+    silence::Tracker,
+};
 use toucanquay_model::{
     Epoch, Revision, Time,
     graph::{AcceptedJob, Id, Task},
-    session::Orders,
+    session::{Orders, Update},
 };
 use toucanquay_wire::graph::{Query, Reply};
 
 use super::Event;
 use crate::{
     entry::{
-        Registration, Shared, record, session,
+        Registration, Shared, record, session, silent_hosts,
         takeover::{self, LoadedState},
         watch,
     },
@@ -37,6 +40,10 @@
 /// host should be usable at once.
 const SILENT_HOST_TIMEOUT_MS: u64 = 20_000;
 
+/// Time without a session after which a host is recorded as silent, in milliseconds. It covers the
+/// opening of a session.
+const RECORDED_SILENCE_MS: u64 = 250;
+
 /// Interval between updates of the gauges, in milliseconds.
 const GAUGE_INTERVAL_MS: u64 = 1_000;
 
@@ -55,6 +62,10 @@
     sessions: HashMap<String, (Registration, JoinHandle<()>)>,
     /// Time since which each host without a session has been disconnected.
     disconnected_since: HashMap<String, Time>,
+    /// Hosts that the record of silent hosts may name.
+    silences: Tracker,
+    /// Sessions to such hosts, which get no orders, with the last update.
+    held_sessions: HashMap<String, (mpsc::Sender<Orders>, Option<Box<Update>>)>,
     /// Removals of the registrations of silent hosts.
     removals: HashMap<String, JoinHandle<()>>,
     background_tasks: Vec<JoinHandle<()>>,
@@ -96,6 +107,8 @@
             addresses: session::Addresses::default(),
             sessions: HashMap::new(),
             disconnected_since: HashMap::new(),
+            silences: loaded.silences,
+            held_sessions: HashMap::new(),
             removals: HashMap::new(),
             is_superseded: false,
             gauges_due_at: Time::ZERO,
@@ -137,21 +150,25 @@
             Event::Connected(name, _) if !self.sessions.contains_key(&name) => {}
             Event::Connected(name, orders) => {
                 info!(self.shared.log, "session_opened"; "host" => &name, "epoch" => self.epoch);
-                self.scheduler.connect(&name);
                 self.disconnected_since.remove(&name);
                 if let Some(removal) = self.removals.remove(&name) {
                     removal.abort();
                 }
-                self.order_senders.insert(name, orders);
+                self.held_sessions.insert(name, (orders, None));
+                self.connect_held_sessions(now);
             }
             Event::Disconnected(name) => {
                 info!(self.shared.log, "session_lost"; "host" => &name, "epoch" => self.epoch);
                 meters::count_session_lost();
                 self.scheduler.disconnect(&name);
                 self.order_senders.remove(&name);
+                self.held_sessions.remove(&name);
                 self.disconnected_since.entry(name).or_insert(now);
             }
-            Event::Update(update) => self.scheduler.update(&update, now),
+            Event::Update(update) => match self.held_sessions.get_mut(&update.host) {
+                Some((_, last_update)) => *last_update = Some(update),
+                None => self.scheduler.update(&update, now),
+            },
             Event::Query(query, reply) => self.answer_query(query, reply, now),
             Event::Accepted(id, accepted_job) => {
                 self.scheduler
@@ -164,6 +181,11 @@
             Event::HostsListed(names) => self.forget_unlisted_hosts(&names),
             Event::CommitSucceeded(revision) => self.scheduler.commit_succeeded(revision),
             Event::CommitRejected(revisions) => self.scheduler.commit_rejected(&revisions),
+            Event::SilenceRecorded(revision) => {
+                self.silences.record_written(revision);
+                self.connect_held_sessions(now);
+            }
+            Event::SilenceRejected(revision) => self.silences.record_rejected(revision),
             Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
             Event::Superseded => self.is_superseded = true,
         }
@@ -218,11 +240,54 @@
                 "hosts_scored" => load.hosts_scored);
             self.remove_silent_hosts(now);
         }
+        self.record_silent_hosts(now);
         for name in self.scheduler.due_hosts(now) {
             self.send_orders(&name, now);
         }
     }
 
+    /// Gives orders from now on in the sessions to hosts that the record of silent hosts doesn't
+    /// name.
+    fn connect_held_sessions(&mut self, now: Time) {
+        let silences = &self.silences;
+        let is_free = |name: &String| !silences.may_name(name);
+        let freed = self.held_sessions.extract_if(|name, _| is_free(name));
+        let freed: Vec<_> = freed.collect();
+        for (name, (orders, last_update)) in freed {
+            self.scheduler.connect(&name);
+            self.order_senders.insert(name, orders);
+            if let Some(update) = last_update {
+                self.scheduler.update(&update, now);
+            }
+        }
+    }
+
+    /// Records the hosts without a session, so that the next owner knows when their leases end.
+    fn record_silent_hosts(&mut self, now: Time) {
+        let is_silent = |since: &Time| now >= since.plus_millis(RECORDED_SILENCE_MS);
+        let disconnected = self.disconnected_since.iter();
+        let silent = disconnected.filter(|(_, since)| is_silent(since));
+        let mut silent: BTreeMap<String, Time> = silent
+            .map(|(name, _)| (name.clone(), self.scheduler.lease_end_bound(name)))
+            .collect();
+        if 2 * silent.len() > self.sessions.len() {
+            // The fault is probably on the owner's side, and each return costs a write.
+            silent.retain(|name, _| self.silences.may_name(name));
+        }
+        if let Some(silent_hosts) = self.silences.next_record(&silent, now) {
+            info!(self.shared.log, "silent_hosts_recorded"; "epoch" => self.epoch,
+                "hosts" => silent_hosts.remaining_ms.len());
+            let (shared, mailbox) = (self.shared.clone(), self.mailbox.clone());
+            self.background_tasks.retain(|task| !task.is_finished());
+            self.background_tasks.push(tokio::spawn(silent_hosts::write(
+                shared,
+                mailbox,
+                self.fence,
+                silent_hosts,
+            )));
+        }
+    }
+
     /// Removes the registrations of hosts that have been disconnected for too long, so that no
     /// later owner waits for them. A running companion registers again.
     fn remove_silent_hosts(&mut self, now: Time) {
@@ -429,6 +494,7 @@
         task.abort();
         self.scheduler.disconnect(name);
         self.order_senders.remove(name);
+        self.held_sessions.remove(name);
         self.disconnected_since.remove(name);
         self.addresses
             .lock()
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -43,6 +43,10 @@
     CommitRejected(Vec<(Id, Revision)>),
     /// The records of expired jobs were removed.
     JobsRemoved(Vec<Id>),
+    /// The silent hosts were recorded at this revision.
+    SilenceRecorded(Revision),
+    /// The silent hosts were not recorded. Contains the revision of the present record.
+    SilenceRejected(Revision),
     /// Another owner has taken over.
     Superseded,
 }
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -5,13 +5,18 @@
 use futures_util::{StreamExt, TryStreamExt, stream};
 use slog::{info, warn};
 use tokio::time::{Duration, Instant, sleep};
-use toucanquay_control::scheduler::{RestoredJob, Scheduler, Settings};
+use toucanquay_control::{
+    scheduler::{RestoredJob, Scheduler, Settings},
+    silence::Tracker,
+};
 use toucanquay_model::{
     Epoch, Error, ErrorKind, Revision,
     graph::{AcceptedJob, Id},
 };
 
-use super::{Registration, Shared, odd_entries::OddEntries};
+use super::{
+    Registration, Shared, odd_entries::OddEntries, predecessor::Predecessor, silent_hosts,
+};
 use crate::{
     key,
     store::{Item, List, PAGE_TIMEOUT},
@@ -31,6 +36,8 @@
 pub(super) struct LoadedState {
     pub(super) scheduler: Scheduler,
     pub(super) hosts: Vec<(String, Registration)>,
+    /// Hosts in the record of silent hosts.
+    pub(super) silences: Tracker,
     /// Jobs that must not run because their progress can't be read.
     pub(super) withheld_jobs: HashSet<Id>,
     /// Revision after which to watch accepted jobs and cancellations.
@@ -40,10 +47,15 @@
 }
 
 /// Loads the state, retrying until it succeeds.
-pub(super) async fn load(shared: &Shared, epoch: Epoch, fence: Revision) -> LoadedState {
+pub(super) async fn load(
+    shared: &Shared,
+    epoch: Epoch,
+    fence: Revision,
+    predecessor: &Predecessor,
+) -> LoadedState {
     let mut odd_entries = OddEntries::new(shared.log.clone());
     loop {
-        match try_load(shared, epoch, fence, &mut odd_entries).await {
+        match try_load(shared, epoch, fence, predecessor, &mut odd_entries).await {
             Ok(loaded) => return loaded,
             Err(error) => {
                 warn!(shared.log, "takeover_delayed"; "epoch" => epoch, "error" => %error);
@@ -57,9 +69,11 @@
     shared: &Shared,
     epoch: Epoch,
     fence: Revision,
+    predecessor: &Predecessor,
     odd_entries: &mut OddEntries,
 ) -> Result<LoadedState, Error> {
     let store = &shared.store;
+    let (record_revision, silent_hosts) = silent_hosts::read(shared, fence).await?;
     let host_list = store.list(key::HOSTS).await?;
     let intake = store.list(key::INTAKE).await?;
     let progress_list = store.list(key::PROGRESS).await?;
@@ -69,6 +83,12 @@
     let names = host_names(&host_list, odd_entries);
     let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
+    scheduler.end_orders_by(predecessor.acted_until);
+    let recorded_at = predecessor.sightings.seen_at(record_revision);
+    for (host, remaining_ms) in &silent_hosts {
+        let lease_end = recorded_at.unwrap_or(now).plus_millis(*remaining_ms);
+        scheduler.end_leases_by(host, lease_end);
+    }
     let mut progress = progress_by_job(&progress_list);
     if progress_list.unreadable.iter().any(String::is_empty) {
         odd_entries.skip(key::PROGRESS, 0);
@@ -102,10 +122,12 @@
         }
     }
     info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active_jobs(),
-        "hosts" => hosts.len(), "revision" => intake.revision);
+        "hosts" => hosts.len(), "silent_hosts" => silent_hosts.len(),
+        "revision" => intake.revision);
     Ok(LoadedState {
         scheduler,
         hosts,
+        silences: Tracker::new(record_revision, silent_hosts.into_keys()),
         withheld_jobs,
         intake_revision: intake.revision,
         hosts_revision: host_list.revision,
--- a/crates/node/src/key.rs
+++ b/crates/node/src/key.rs
@@ -17,6 +17,9 @@
 /// Prefix of the registrations of companions.
 pub const HOSTS: &str = "tq/host/";
 
+/// Key of the hosts that the owner doesn't hear, written only by the owner.
+pub const SILENT_HOSTS: &str = "tq/silent";
+
 /// Prefix of the registrations of entries.
 pub const ENTRIES: &str = "tq/entry/";
 
--- a/crates/node/tests/support/entry.rs
+++ b/crates/node/tests/support/entry.rs
@@ -17,8 +17,18 @@
 
 /// Starts an entry that listens at this address.
 pub async fn start_entry_at(listen: SocketAddr, memory: &Memory, lines: &Lines) -> Entry {
+    start_named_entry("front-1", listen, memory, lines).await
+}
+
+/// Starts an entry with a name.
+pub async fn start_named_entry(
+    name: &str,
+    listen: SocketAddr,
+    memory: &Memory,
+    lines: &Lines,
+) -> Entry {
     let settings = entry::Settings {
-        name: "front-1".to_owned(),
+        name: name.to_owned(),
         process: 1,
         listen,
         capacity: 1,
--- a/crates/node/tests/support/host.rs
+++ b/crates/node/tests/support/host.rs
@@ -107,7 +107,8 @@
     sessions[1].fetch_sub(1, Ordering::Relaxed);
 }
 
-fn update(name: &str, epoch: u64, number: u64) -> Update {
+/// Returns an update of a companion without a worker.
+pub fn update(name: &str, epoch: u64, number: u64) -> Update {
     Update {
         host: name.to_owned(),
         process: 1,
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -33,6 +33,8 @@
     /// Lists of this prefix hide the keys of the entries that can't be read.
     hidden_prefix: Option<String>,
     commits: Vec<Transaction>,
+    /// Key whose writes are slow, and the time that they take.
+    slow_key: Option<(String, Duration)>,
 }
 
 impl Memory {
@@ -93,6 +95,11 @@
         self.lock().items.get(key).cloned()
     }
 
+    /// Lets writes of a key take some time.
+    pub fn slow_down_writes(&self, key: &str, delay: Duration) {
+        self.lock().slow_key = Some((key.to_owned(), delay));
+    }
+
     /// Returns the number of committed transactions that write a key.
     pub fn writes(&self, key: &str) -> usize {
         let state = self.lock();
@@ -111,7 +118,11 @@
                 }
                 sleep(POLL_INTERVAL).await;
             },
-            Call::Commit(transaction) => self.lock().commit(transaction).map(Reply::Commit),
+            Call::Commit(transaction) => {
+                let delay = self.lock().write_delay(&transaction);
+                sleep(delay).await;
+                self.lock().commit(transaction).map(Reply::Commit)
+            }
         }
     }
 
@@ -128,6 +139,12 @@
         Ok(self.items.get(key).cloned())
     }
 
+    fn write_delay(&self, transaction: &Transaction) -> Duration {
+        let slow = self.slow_key.as_ref();
+        let slow = slow.filter(|(key, _)| transaction.puts.iter().any(|put| put.0 == *key));
+        slow.map_or(Duration::ZERO, |(_, delay)| *delay)
+    }
+
     fn page(&self, prefix: &str, after: &str) -> Page {
         let matches = |item: &&Item| item.key.starts_with(prefix) && item.key.as_str() > after;
         let matching = self.items.values().filter(matches).cloned();
