companion: an unheard companion checks its registration every 3 s

Cause: the owner uses only hosts with a registration. A companion checked its own every 15 s, whether or not an owner used it. When the registration was removed while the companion couldn't be reached (the owner does so after 20 s), or was lost with the store's history or by another writer, a worker with room stayed unseen for up to 15 s of calm. The users' rule allows 7 s until its tasks run. Class: a belief that outlives its evidence.

Evidence: host_whose_registration_is_lost_is_in_use_again_soon (both cases) and host_whose_registration_was_removed_is_in_use_soon_after_its_return failed before: no second session within 5 s (["session_opened epoch=1 host=h1"]), and no session.

Fix: while no owner gives orders, the companion checks every 3 s, after which it is seen at once. 3 s exceed the time without an owner at a takeover, so that the companions don't all read the store then. Companions in use read it as rarely as before (registration_of_a_host_in_use_is_read_and_written_once). Failed checks are repeated with a growing delay of up to 2 s.

--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -16,29 +16,62 @@
 /// Timeout of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Delay before a failed call is retried.
+/// Minimum delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum delay before a failed check is repeated. In an outage, all companions repeat theirs.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(2_000);
+
 /// Time after which a stopping companion gives up the removal of its registration. It leaves the
 /// rest of the grace period to the last call.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Interval at which the registration is checked and, if missing, restored.
-const CHECK_INTERVAL: Duration = Duration::from_secs(15);
+const CHECK_INTERVAL_MS: u64 = 15_000;
+
+/// The same while no owner gives orders, which may be because the registration is missing. It exceeds
+/// the time without an owner at a takeover, after which all companions would read the store.
+const UNHEARD_CHECK_INTERVAL_MS: u64 = 3_000;
+
+/// Interval at which it is determined whether a check is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs until the companion stops.
 pub(super) async fn run(shared: Arc<Shared>) {
+    // No owner uses the host before the first registration.
+    let mut retry_delay_max = RETRY_DELAY;
+    let mut retry_delay = RETRY_DELAY;
     loop {
         match register(&shared).await {
-            Ok(()) => sleep(CHECK_INTERVAL).await,
+            Ok(()) => {
+                retry_delay = RETRY_DELAY;
+                retry_delay_max = RETRY_DELAY_MAX;
+                next_check(&shared).await;
+            }
             Err(error) => {
                 debug!(shared.log, "registration_failed"; "error" => %error);
-                sleep(RETRY_DELAY).await;
+                sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(retry_delay_max);
             }
         }
     }
 }
 
+/// Waits until the registration is to be checked again.
+async fn next_check(shared: &Shared) {
+    let checked_at = shared.clock.now();
+    let due_at = checked_at.plus_millis(CHECK_INTERVAL_MS);
+    loop {
+        sleep(TICK_INTERVAL).await;
+        let now = shared.clock.now();
+        let unheard_since = checked_at.max(shared.owner_heard_at());
+        let unheard_due_at = unheard_since.plus_millis(UNHEARD_CHECK_INTERVAL_MS);
+        if now >= due_at.min(unheard_due_at) {
+            return;
+        }
+    }
+}
+
 /// Removes the registration, so that no later owner waits for attempts that may run on this host.
 /// Retries until it is removed or [`REMOVAL_TIMEOUT`] has passed.
 pub(super) async fn deregister(shared: &Shared) {
--- a/crates/node/src/companion/session.rs
+++ b/crates/node/src/companion/session.rs
@@ -79,6 +79,7 @@
                 };
                 orders.restore_payloads();
                 idle_deadline = Instant::now() + IDLE_TIMEOUT;
+                shared.record_owner();
                 if apply_orders(shared, token, &orders) {
                     shared.update_needed.notify_one();
                 }
--- a/crates/node/src/companion/shared.rs
+++ b/crates/node/src/companion/shared.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use toucanquay_control::{runner, runner::Runner, scheduler};
+use toucanquay_model::Time;
 
 use super::Settings;
 use crate::{Clock, Store, Worker};
@@ -25,6 +26,8 @@
     pub(super) list_needed: Notify,
     /// Cancels the current session when another one begins.
     pub(super) session: Mutex<CancellationToken>,
+    /// When an owner last gave orders.
+    owner_heard_at: Mutex<Time>,
     runner: Mutex<Runner>,
 }
 
@@ -46,6 +49,7 @@
             update_needed: Notify::new(),
             list_needed: Notify::new(),
             session: Mutex::new(CancellationToken::new()),
+            owner_heard_at: Mutex::new(Time::ZERO),
         }
     }
 
@@ -55,6 +59,22 @@
             .expect("the lock is never poisoned: no code panics while holding it")
     }
 
+    /// Records that an owner gives orders.
+    pub(super) fn record_owner(&self) {
+        *self.lock_owner_heard_at() = self.clock.now();
+    }
+
+    /// Returns when an owner last gave orders; zero if none has.
+    pub(super) fn owner_heard_at(&self) -> Time {
+        *self.lock_owner_heard_at()
+    }
+
+    fn lock_owner_heard_at(&self) -> MutexGuard<'_, Time> {
+        self.owner_heard_at
+            .lock()
+            .expect("the lock is never poisoned: no code panics while holding it")
+    }
+
     pub(super) fn spawn(self: &Arc<Self>, future: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
         tokio::spawn(async move { stop.run_until_cancelled(future).await });
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -33,6 +33,8 @@
     /// Lists of this prefix hide the keys of the entries that can't be read.
     hidden_prefix: Option<String>,
     commits: Vec<Transaction>,
+    /// Keys that were read, one by one.
+    reads: Vec<String>,
     /// Key whose writes are slow, and the time that they take.
     slow_key: Option<(String, Duration)>,
 }
@@ -83,6 +85,13 @@
         self.lock().keyless_prefix = Some(prefix.to_owned());
     }
 
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.remove(key);
+    }
+
     /// Removes a key, and forgets the history.
     pub fn remove_and_compact(&self, key: &str) {
         let mut state = self.lock();
@@ -100,6 +109,12 @@
         self.lock().slow_key = Some((key.to_owned(), delay));
     }
 
+    /// Returns how often a key was read by itself.
+    pub fn reads(&self, key: &str) -> usize {
+        let state = self.lock();
+        state.reads.iter().filter(|read| *read == key).count()
+    }
+
     /// Returns the number of committed transactions that write a key.
     pub fn writes(&self, key: &str) -> usize {
         let state = self.lock();
@@ -110,7 +125,11 @@
 
     async fn execute(&self, call: Call, deadline: Instant) -> Result<Reply, Error> {
         match call {
-            Call::Get { key } => self.lock().get(&key).map(Reply::Item),
+            Call::Get { key } => {
+                let mut state = self.lock();
+                state.reads.push(key.clone());
+                state.get(&key).map(Reply::Item)
+            }
             Call::Page { prefix, after } => Ok(Reply::Page(self.lock().page(&prefix, &after))),
             Call::Watch { prefix, after } => loop {
                 if let Some(watch) = self.lock().watch(&prefix, after, deadline) {
