--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -33,6 +33,10 @@
     /// Lists of this prefix hide the keys of the entries that can't be read.
     hidden_prefix: Option<String>,
     commits: Vec<Transaction>,
+    /// Keys that were read, one by one.
+    reads: Vec<String>,
+    /// Key whose writes are slow, and the time that they take.
+    slow_key: Option<(String, Duration)>,
 }
 
 impl Memory {
@@ -81,6 +85,13 @@
         self.lock().keyless_prefix = Some(prefix.to_owned());
     }
 
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.remove(key);
+    }
+
     /// Removes a key, and forgets the history.
     pub fn remove_and_compact(&self, key: &str) {
         let mut state = self.lock();
@@ -93,6 +104,17 @@
         self.lock().items.get(key).cloned()
     }
 
+    /// Lets writes of a key take some time.
+    pub fn slow_down_writes(&self, key: &str, delay: Duration) {
+        self.lock().slow_key = Some((key.to_owned(), delay));
+    }
+
+    /// Returns how often a key was read by itself.
+    pub fn reads(&self, key: &str) -> usize {
+        let state = self.lock();
+        state.reads.iter().filter(|read| *read == key).count()
+    }
+
     /// Returns the number of committed transactions that write a key.
     pub fn writes(&self, key: &str) -> usize {
         let state = self.lock();
@@ -103,7 +125,11 @@
 
     async fn execute(&self, call: Call, deadline: Instant) -> Result<Reply, Error> {
         match call {
-            Call::Get { key } => self.lock().get(&key).map(Reply::Item),
+            Call::Get { key } => {
+                let mut state = self.lock();
+                state.reads.push(key.clone());
+                state.get(&key).map(Reply::Item)
+            }
             Call::Page { prefix, after } => Ok(Reply::Page(self.lock().page(&prefix, &after))),
             Call::Watch { prefix, after } => loop {
                 if let Some(watch) = self.lock().watch(&prefix, after, deadline) {
@@ -111,7 +137,11 @@
                 }
                 sleep(POLL_INTERVAL).await;
             },
-            Call::Commit(transaction) => self.lock().commit(transaction).map(Reply::Commit),
+            Call::Commit(transaction) => {
+                let delay = self.lock().write_delay(&transaction);
+                sleep(delay).await;
+                self.lock().commit(transaction).map(Reply::Commit)
+            }
         }
     }
 
@@ -128,6 +158,12 @@
         Ok(self.items.get(key).cloned())
     }
 
+    fn write_delay(&self, transaction: &Transaction) -> Duration {
+        let slow = self.slow_key.as_ref();
+        let slow = slow.filter(|(key, _)| transaction.puts.iter().any(|put| put.0 == *key));
+        slow.map_or(Duration::ZERO, |(_, delay)| *delay)
+    }
+
     fn page(&self, prefix: &str, after: &str) -> Page {
         let matches = |item: &&Item| item.key.starts_with(prefix) && item.key.as_str() > after;
         let matching = self.items.values().filter(matches).cloned();
