node: each update of a session without orders is processed

Cause: a session to a host that the record of silent hosts may still name gets no orders, and only its last update was kept. Updates are differences: each contains only the ends that the earlier ones don't, so that the ends in the first one were lost, and the attempts that it didn't list any more counted as never started. Class: a part of a message taken for the whole.

Now all updates of such a session are kept and processed in their order. The session is held for a write to the store; an owner that can't write loses its role within 1.6 s, which bounds their number.

--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod event;
+mod held_session;
 
 use std::sync::Arc;
 
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -18,11 +18,11 @@
 use toucanquay_model::{
     Epoch, Revision, Time,
     graph::{AcceptedJob, Id, Task},
-    session::{Orders, Update},
+    session::Orders,
 };
 use toucanquay_wire::graph::{Query, Reply};
 
-use super::Event;
+use super::{Event, held_session::HeldSession};
 use crate::{
     entry::{
         Registration, Shared, record, session, silent_hosts,
@@ -64,8 +64,8 @@
     disconnected_since: HashMap<String, Time>,
     /// Hosts that the record of silent hosts may name.
     silences: Tracker,
-    /// Sessions to such hosts, which get no orders, with the last update.
-    held_sessions: HashMap<String, (mpsc::Sender<Orders>, Option<Box<Update>>)>,
+    /// Sessions to such hosts, which get no orders.
+    held_sessions: HashMap<String, HeldSession>,
     /// Removals of the registrations of silent hosts.
     removals: HashMap<String, JoinHandle<()>>,
     background_tasks: Vec<JoinHandle<()>>,
@@ -154,7 +154,7 @@
                 if let Some(removal) = self.removals.remove(&name) {
                     removal.abort();
                 }
-                self.held_sessions.insert(name, (orders, None));
+                self.held_sessions.insert(name, HeldSession::new(orders));
                 self.connect_held_sessions(now);
             }
             Event::Disconnected(name) => {
@@ -166,7 +166,7 @@
                 self.disconnected_since.entry(name).or_insert(now);
             }
             Event::Update(update) => match self.held_sessions.get_mut(&update.host) {
-                Some((_, last_update)) => *last_update = Some(update),
+                Some(session) => session.updates.push(*update),
                 None => self.scheduler.update(&update, now),
             },
             Event::Query(query, reply) => self.answer_query(query, reply, now),
@@ -256,10 +256,10 @@
         let is_free = |name: &String| !silences.may_name(name);
         let freed = self.held_sessions.extract_if(|name, _| is_free(name));
         let freed: Vec<_> = freed.collect();
-        for (name, (orders, last_update)) in freed {
+        for (name, session) in freed {
             self.scheduler.connect(&name);
-            self.order_senders.insert(name, orders);
-            if let Some(update) = last_update {
+            self.order_senders.insert(name, session.orders);
+            for update in session.updates {
                 self.scheduler.update(&update, now);
             }
         }
