control: a list from before a suspension shows no outlived start

What callers saw: nothing; found by looking at what a process that wakes takes for true. A task that crashes its workers could go uncounted once, and crash one more of them.

Cause: an attempt counts as having outlived its start when a list shows it 250 ms after the worker began it, and the time was that at which the list is processed. A companion that is suspended after the worker has written the list processes it seconds later, when the worker may long have crashed under the task.

Evidence: list_from_before_a_suspension_shows_no_outlived_start, case before_a_suspension, on the code before: has_survived_start true instead of false for a list that was requested 10 ms after the start. The other three cases are guards and passed.

If more time than the long poll takes lies between the request and the processing of a list, the time of the request counts. A suspension of less than 0.6 s is not noticed by this: counting each list from its request would leave attempts suspect for up to 0.5 s more, and thus more tasks to be probed after each crash.

--- a/crates/control/src/runner/attempt_state.rs
+++ b/crates/control/src/runner/attempt_state.rs
@@ -128,10 +128,11 @@
         }
     }
 
-    /// Records whether the worker, which lives at `now`, has outlived the start by `risk_micros`.
-    pub(super) fn outlive_start(&mut self, risk_micros: u64, now: Time) {
+    /// Records whether the worker, which lives at `alive_at`, has outlived the start by
+    /// `risk_micros`.
+    pub(super) fn outlive_start(&mut self, risk_micros: u64, alive_at: Time) {
         let risk_end = self.begun_at.map(|at| at.plus_micros(risk_micros));
-        let is_over = risk_end.is_some_and(|end| now >= end);
+        let is_over = risk_end.is_some_and(|end| alive_at >= end);
         self.has_survived_start |= self.is_listed && is_over;
     }
 
--- a/crates/control/src/runner/listing.rs
+++ b/crates/control/src/runner/listing.rs
@@ -51,8 +51,11 @@
         for end in list.finished {
             self.record_end(end, now);
         }
+        let is_delayed = now > called_at.plus_micros(self.settings.list_micros_max);
+        // The worker may have written it as soon as it was requested, and may have crashed since.
+        let alive_at = if is_delayed { called_at } else { now };
         for state in self.runs.values_mut() {
-            state.outlive_start(self.settings.start_risk_micros, now);
+            state.outlive_start(self.settings.start_risk_micros, alive_at);
         }
         let sample_valid_at = self.samples_invalidated_at.plus_micros(SAMPLE_DELAY_MICROS);
         let is_sample = is_renewed && now >= sample_valid_at;
--- a/crates/control/src/runner/settings.rs
+++ b/crates/control/src/runner/settings.rs
@@ -15,6 +15,9 @@
     /// When this process started. Before that, a former one may have renewed the worker's lease.
     /// [`Time::NEVER`] if unknown.
     pub started_at: Time,
+    /// Time from a request for a list within which its response is processed, in microseconds. It
+    /// covers the long poll. After that, this process may have been suspended in between.
+    pub list_micros_max: u64,
     /// Time since the last list after which a worker that leaves requests for it unanswered is
     /// silent, in microseconds.
     pub silence_micros: u64,
@@ -54,6 +57,7 @@
             process,
             lease_micros,
             started_at: Time::NEVER,
+            list_micros_max: 600_000,
             silence_micros: 1_500_000,
             start_lease_micros_min: 1_000_000,
             start_outcome_micros: 1_200_000,
@@ -66,6 +70,7 @@
             stop_confirmation_micros: 2_000_000,
         }
     }
+
     /// Sets when this process started.
     #[must_use]
     pub const fn started_at(mut self, now: Time) -> Self {
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1235,3 +1235,25 @@
 
     assert!(update.runs.is_empty());
 }
+
+/// Guards against a task that crashes its workers and isn't a suspect, because its companion was
+/// suspended and processes a list from before the crash.
+#[rstest]
+#[case::at_once(20, 280, true)]
+#[case::long_poll(20, 520, true)]
+#[case::before_a_suspension(20, 3_000, false)]
+#[case::after_a_suspension(2_990, 3_000, true)]
+fn list_from_before_a_suspension_shows_no_outlived_start(
+    #[case] called_ms: u64,
+    #[case] received_ms: u64,
+    #[case] has_survived: bool,
+) {
+    let mut runner = runner(1);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    runner.record_start_outcome(task(1, 0, 0), 1, CallOutcome::Done, at(10));
+    runner.apply_list(list_of_one(at(called_ms)), at(received_ms));
+
+    let update = runner.next_update(at(received_ms));
+
+    assert_eq!(update.runs[0].has_survived_start, has_survived);
+}
