control, companion: starts and stops are checked again when they are sent

What callers saw: nothing; by reading. A companion that is suspended between an order and the call that carries it out could start an attempt on a later life of its worker, which runs it although the owner has started the task elsewhere, or stop an attempt that a new owner had taken over as running, under the epoch of the new one, which the worker obeys.

Cause: the runner decided when the order arrived, and the task that sends the call read epoch and worker when it ran, without asking whether the decision still held. The lease was checked then already, and the worker checks it, too.

Evidence: the window lies between two polls of the process and can't be hit by a test with processes, so it was not reproduced. The tests start_is_sent_only_if_it_is_due_when_the_process_wakes and stop_is_sent_only_if_it_is_due_when_the_process_wakes use functions that are new.

begin_start and begin_stop (runner/calls.rs) now decide under the lock that also yields epoch and worker: a start is sent while it is starting on the same life, which is neither silent nor announced to be over; a stop while the attempt is to be stopped. A new owner that finds a start in the first update of its session takes it over, so that it is sent under the new epoch, as before.

--- a/crates/control/src/runner/calls.rs
+++ b/crates/control/src/runner/calls.rs
@@ -1,7 +1,7 @@
 //! Outcomes of starts and stops, and the calls that are due.
 
 use toucanquay_model::{
-    Time,
+    Epoch, Time,
     graph::Task,
     session::{Phase, Rejection, Stop},
 };
@@ -9,6 +9,31 @@
 use super::{Action, CallOutcome, Runner};
 
 impl Runner {
+    /// Returns the epoch and the identifier of the worker for the call of a start that is about to
+    /// be sent, or `None` if the worker must not be called: its life has changed since the start was
+    /// ordered, or may have, or the attempt was stopped.
+    pub fn begin_start(&mut self, task: Task, attempt: u64) -> Option<(Epoch, String)> {
+        let is_same_life = self.worker.is_some() && self.announced_at.is_none();
+        let is_accepting = is_same_life && !self.is_worker_silent;
+        let state = self.runs.get_mut(&(task, attempt))?;
+        if state.phase != Phase::Starting {
+            return None;
+        }
+        if !is_accepting {
+            state.phase = Phase::Rejected(Rejection::Refused);
+            return None;
+        }
+        Some((self.epoch, self.worker_id.clone()))
+    }
+
+    /// Returns the epoch for the call of a stop that is about to be sent, or `None` if the attempt
+    /// is no longer to be stopped: it has ended, or a new owner has taken over since.
+    #[must_use]
+    pub fn begin_stop(&self, task: Task, attempt: u64) -> Option<Epoch> {
+        let state = self.runs.get(&(task, attempt))?;
+        (state.phase == Phase::Stopping).then_some(self.epoch)
+    }
+
     /// Processes the outcome of a start call. Returns the paces to set.
     pub fn record_start_outcome(
         &mut self,
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1257,3 +1257,89 @@
 
     assert_eq!(update.runs[0].has_survived_start, has_survived);
 }
+
+/// What happens between the order of a call and its sending.
+#[derive(Debug, Clone, Copy)]
+enum Meanwhile {
+    Nothing,
+    LaterLife,
+    AnnouncedLife,
+    Stop,
+    Silence,
+    NextOwner,
+}
+
+/// Lets it happen after the order of a start at `at(1)`.
+fn pass(runner: &mut Runner, meanwhile: Meanwhile) {
+    let mut later = heartbeat(1);
+    later.worker.incarnation += 5;
+    match meanwhile {
+        Meanwhile::Nothing => {}
+        Meanwhile::LaterLife => {
+            let mut list = empty_list(at(3_000));
+            list.incarnation += 5;
+            runner.record_heartbeat(later, at(2_999));
+            runner.apply_list(list, at(3_001));
+        }
+        Meanwhile::AnnouncedLife => {
+            runner.record_heartbeat(later, at(2_999));
+        }
+        Meanwhile::Stop => {
+            let mut orders = empty_orders(1, 2, at(20));
+            orders.stops.push(Stop {
+                task: task(1, 0, 0),
+                attempt: 1,
+            });
+            runner.apply_orders(&orders, at(2_999));
+        }
+        Meanwhile::Silence => {
+            runner.record_failed_list(at(1_500));
+            runner.record_failed_list(at(2_999));
+        }
+        Meanwhile::NextOwner => {
+            runner.begin_session(2);
+        }
+    }
+}
+
+/// Guards against a start that is sent after a suspension and reaches a life of the worker that it
+/// wasn't ordered for, or follows its own stop.
+#[rstest]
+#[case::nothing(Meanwhile::Nothing, Some(1))]
+#[case::later_life(Meanwhile::LaterLife, None)]
+#[case::announced_life(Meanwhile::AnnouncedLife, None)]
+#[case::stop(Meanwhile::Stop, None)]
+#[case::silence(Meanwhile::Silence, None)]
+#[case::next_owner(Meanwhile::NextOwner, Some(2))]
+fn start_is_sent_only_if_it_is_due_when_the_process_wakes(
+    #[case] meanwhile: Meanwhile,
+    #[case] epoch: Option<u64>,
+) {
+    let mut runner = runner(1);
+    runner.apply_orders(&starts(1, 1, at(0), vec![start(task(1, 0, 0), 1)]), at(1));
+    pass(&mut runner, meanwhile);
+
+    let begun = runner.begin_start(task(1, 0, 0), 1);
+
+    assert_eq!(begun, epoch.map(|epoch| (epoch, "w".to_owned())));
+}
+
+/// Guards against a stop of a former owner that is sent after a suspension with the epoch of the
+/// next one, which keeps the attempt.
+#[rstest]
+#[case::nothing(Meanwhile::Nothing, Some(1))]
+#[case::later_life(Meanwhile::LaterLife, None)]
+#[case::next_owner(Meanwhile::NextOwner, None)]
+fn stop_is_sent_only_if_it_is_due_when_the_process_wakes(
+    #[case] meanwhile: Meanwhile,
+    #[case] epoch: Option<u64>,
+) {
+    let mut runner = runner(1);
+    runner.apply_list(list_of_one(at(5)), at(6));
+    pass(&mut runner, Meanwhile::Stop);
+    pass(&mut runner, meanwhile);
+
+    let begun = runner.begin_stop(task(1, 0, 0), 1);
+
+    assert_eq!(begun, epoch);
+}
--- a/crates/node/src/companion/executor.rs
+++ b/crates/node/src/companion/executor.rs
@@ -41,9 +41,12 @@
 
 async fn do_start(shared: &Arc<Shared>, start: Start, lease_until: Time) {
     let (task, attempt) = (start.task, start.attempt);
-    let (epoch, worker) = {
-        let runner = shared.runner();
-        (runner.epoch(), runner.worker_id().to_owned())
+    // Much may have changed since the order, if this process was suspended.
+    let begun = shared.runner().begin_start(task, attempt);
+    let Some((epoch, worker)) = begun else {
+        info!(shared.log, "task_start_dropped"; "task" => %task, "attempt" => attempt);
+        shared.update_needed.notify_one();
+        return;
     };
     let call = Call::Start {
         epoch,
@@ -68,7 +71,11 @@
 }
 
 async fn do_stop(shared: &Shared, stop: Stop) {
-    let epoch = shared.runner().epoch();
+    let begun = shared.runner().begin_stop(stop.task, stop.attempt);
+    let Some(epoch) = begun else {
+        info!(shared.log, "task_stop_dropped"; "task" => %stop.task, "attempt" => stop.attempt);
+        return;
+    };
     let call = Call::Stop { epoch, stop };
     let outcome = call_outcome(
         &shared
