companion: a host that an owner has forgotten is registered again within a second or two

A host that was cut off from the owner, or suspended, for longer than 20 s loses its registration. When it is back, its companion writes it again only at its next check, up to 15 s later, and until then no task runs there.

Cause: the check had one interval, whether or not the owner may have removed the registration. And it was waited for by the clock that stands still during a suspension.

A companion that has had no orders for 18 s, by the clock that counts suspensions, checks each second; others as before each 15 s. An owner removes the registration after 20 s, so that an election or a short partition costs no more calls. While no owner gives orders for longer, each companion reads its key once a second.

What it may cost: a host that reaches the store and no entry is registered for a larger part of the time, and a new owner waits for it (6.4 s) as for any other.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -63,6 +63,8 @@
     epoch: Epoch,
     last_applied: u64,
     last_update: u64,
+    /// When the last orders arrived, or this process started.
+    ordered_at: Time,
     lease_until: Time,
     /// Highest epoch of a call that this incarnation of the worker has answered with a list of all
     /// attempts and ends. It ignores calls of lower epochs.
@@ -115,6 +117,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         Self {
+            ordered_at: settings.started_at,
             settings,
             epoch: 0,
             last_applied: 0,
@@ -274,6 +277,7 @@
             return actions;
         }
         self.last_applied = orders.number;
+        self.ordered_at = now;
         let lease_until = orders.stamp.plus_micros(self.settings.lease_micros);
         self.lease_until = self.lease_until.max(lease_until);
         self.acknowledge(orders);
@@ -341,6 +345,12 @@
         self.lease_until
     }
 
+    /// Returns when the last orders arrived, or when this process started.
+    #[must_use]
+    pub const fn ordered_at(&self) -> Time {
+        self.ordered_at
+    }
+
     /// Returns the number of the last end that the owner has acknowledged as durable.
     #[must_use]
     pub const fn acknowledged(&self) -> u64 {
--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -24,13 +24,21 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Interval at which the registration is checked and, if missing, restored.
-const CHECK_INTERVAL: Duration = Duration::from_secs(15);
+const CHECK_INTERVAL_MICROS: u64 = 15_000_000;
+
+/// Time without orders after which the owner may have removed the registration, in microseconds. It
+/// removes that of a host which has had no session for 20 s.
+const FORGOTTEN_MICROS: u64 = 18_000_000;
+
+/// Interval at which the registration is checked while the owner may have removed it. The host isn't
+/// used until it is restored.
+const FORGOTTEN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs until the companion stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
         match register(&shared).await {
-            Ok(()) => sleep(CHECK_INTERVAL).await,
+            Ok(()) => wait_for_check(&shared).await,
             Err(error) => {
                 debug!(shared.log, "registration_failed"; "error" => %error);
                 sleep(RETRY_DELAY).await;
@@ -39,6 +47,19 @@
     }
 }
 
+/// Waits until the registration is to be checked again. The times count suspensions.
+async fn wait_for_check(shared: &Shared) {
+    let check_at = shared.clock.now().plus_micros(CHECK_INTERVAL_MICROS);
+    loop {
+        sleep(FORGOTTEN_CHECK_INTERVAL).await;
+        let ordered_at = shared.runner().ordered_at();
+        let forgotten_at = ordered_at.plus_micros(FORGOTTEN_MICROS);
+        if shared.clock.now() >= check_at.min(forgotten_at) {
+            return;
+        }
+    }
+}
+
 /// Removes the registration, so that no later owner waits for attempts that may run on this host.
 /// Retries until it is removed or [`REMOVAL_TIMEOUT`] has passed.
 pub(super) async fn deregister(shared: &Shared) {
