--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -10,12 +10,15 @@
 mod exit;
 mod gauge_estimator;
 mod heartbeat;
+mod heartbeats;
+mod incarnations;
 mod listed_attempt;
 mod listing;
 mod pacer;
 mod refusals;
 mod settings;
 mod sharing;
+mod starting;
 
 use std::collections::BTreeMap;
 
@@ -23,10 +26,7 @@
 use toucanquay_model::{
     Epoch, Incarnation, Resources, Time,
     graph::Task,
-    session::{
-        AttemptStatus, Crash, End, Orders, Phase, Profile, Rejection, Start, Stop, Suspect, Update,
-        Worker,
-    },
+    session::{AttemptStatus, Crash, End, Orders, Phase, Profile, Update, Worker},
 };
 use toucanquay_policy::image_interference::{Estimate, InterferenceModel};
 
@@ -47,9 +47,6 @@
 /// processors in use cover the same time.
 const SAMPLE_DELAY_MICROS: u64 = 300_000;
 
-/// Maximum number of crashes that are kept for the owner. Older ones are dropped.
-const CRASHES_MAX: usize = 8;
-
 /// Task and number of an attempt.
 type AttemptKey = (Task, u64);
 
@@ -151,104 +148,6 @@
         }
     }
 
-    /// Processes a heartbeat of the worker. Returns whether it changed the known state or announced
-    /// another incarnation.
-    ///
-    /// Heartbeats of a former incarnation and those that arrive out of order are ignored. One of a
-    /// later incarnation may come from another writer, so that it takes effect only when a list of
-    /// the worker confirms it: until then, the known incarnation holds.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
-        if heartbeat.worker.incarnation < self.incarnation {
-            return false;
-        }
-        if heartbeat.worker.incarnation > self.incarnation {
-            return self.announce_incarnation(heartbeat, now);
-        }
-        let is_known = self.worker.is_some();
-        let is_other = heartbeat.id != self.worker_id || heartbeat.sequence <= self.last_heartbeat;
-        if is_known && is_other {
-            return false;
-        }
-        self.last_heartbeat = heartbeat.sequence;
-        self.worker_id = heartbeat.id;
-        let mut worker = heartbeat.worker;
-        // An incarnation that has begun to drain doesn't return to service.
-        worker.is_draining |= self
-            .worker
-            .as_ref()
-            .is_some_and(|former| former.is_draining);
-        let is_changed = self.worker.as_ref() != Some(&worker);
-        self.worker = Some(worker);
-        is_changed
-    }
-
-    /// Keeps a heartbeat of a later incarnation. Returns whether it is the first one.
-    fn announce_incarnation(&mut self, heartbeat: Heartbeat, now: Time) -> bool {
-        let incarnation = heartbeat.worker.incarnation;
-        let former = self.unconfirmed_heartbeat.replace(heartbeat);
-        let is_first = former.is_none_or(|former| former.worker.incarnation != incarnation);
-        if is_first {
-            self.announced_at = Some(now);
-        }
-        is_first
-    }
-
-    /// Processes the deregistration of the worker, which exits. One of another incarnation is
-    /// ignored. Returns whether the worker has exited.
-    pub fn deregister_worker(&mut self, id: &str, incarnation: Option<Incarnation>) -> bool {
-        let is_current = incarnation.is_none_or(|incarnation| incarnation == self.incarnation);
-        if self.worker_id != id || !is_current {
-            return false;
-        }
-        self.end_incarnation();
-        true
-    }
-
-    /// Processes a refused connection to the worker. Returns whether its process counts as exited
-    /// from now on.
-    pub fn record_refusal(&mut self, now: Time) -> bool {
-        if !self.refusals.record(now) {
-            return false;
-        }
-        if self.worker.is_some() || self.is_worker_unannounced() {
-            self.exit = Some(Exit {
-                incarnation: self.incarnation,
-                worker: self.worker.clone(),
-                recorded_at: now,
-            });
-            self.record_crash();
-        }
-        // Nothing runs on a worker that this process has not seen, either.
-        self.end_incarnation();
-        self.is_exit_confirmed = true;
-        true
-    }
-
-    /// Records that the worker has answered a call, so that its address doesn't refuse all
-    /// connections.
-    pub fn record_answer(&mut self) {
-        self.refusals = Refusals::default();
-    }
-
-    /// Records that the worker's process has exited, because its address refuses connections. It has
-    /// crashed unless it was draining.
-    pub fn mark_worker_exited(&mut self) {
-        self.record_crash();
-        self.end_incarnation();
-        self.is_exit_confirmed = true;
-    }
-
-    fn end_incarnation(&mut self) {
-        self.worker = None;
-        self.has_worker_exited = true;
-        self.runs.clear();
-        self.unlisted_profiles.clear();
-        self.ends.clear();
-        // Later messages of the same incarnation are delayed ones and must be ignored.
-        self.incarnation = self.incarnation.saturating_add(1);
-        self.reset_incarnation();
-    }
-
     /// Begins a session with the owner of `epoch`. Returns `false` if a later owner is known.
     ///
     /// Stops of a former owner that the worker hasn't carried out are withdrawn if the attempt is
@@ -469,76 +368,6 @@
         lease_until.plus_micros(LEASE_MARGIN_MICROS)
     }
 
-    /// Records a crash of the worker, with the attempts that may have caused it.
-    fn record_crash(&mut self) {
-        if self
-            .worker
-            .as_ref()
-            .is_some_and(|worker| worker.is_draining)
-        {
-            return;
-        }
-        let suspects = self.runs.iter().filter(|(_, state)| state.is_suspect());
-        let suspects: Vec<Suspect> = suspects
-            .map(|((task, attempt), state)| Suspect {
-                task: *task,
-                attempt: *attempt,
-                is_started: state.begun_at.is_some(),
-            })
-            .collect();
-        if suspects.is_empty() {
-            return;
-        }
-        if self.crashes.len() == CRASHES_MAX {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(Crash {
-            worker: self.incarnation,
-            suspects,
-        });
-    }
-
-    /// Takes a worker back into use whose exit is refuted by a list, which shows what it runs. The
-    /// owner has given up its attempts, and stops those that it doesn't know.
-    fn refute_exit(&mut self, exit: Exit) {
-        self.incarnation = exit.incarnation;
-        self.worker = exit.worker;
-        self.has_worker_exited = false;
-        self.is_exit_confirmed = false;
-        self.reset_incarnation();
-    }
-
-    fn begin_incarnation(&mut self, incarnation: Incarnation, now: Time) {
-        self.record_crash();
-        self.incarnation = incarnation;
-        self.exit = None;
-        self.worker = None;
-        self.has_worker_exited = false;
-        self.is_exit_confirmed = false;
-        self.runs.clear();
-        self.unlisted_profiles.clear();
-        self.ends.clear();
-        self.reset_incarnation();
-        let confirmed = self
-            .unconfirmed_heartbeat
-            .take_if(|heartbeat| heartbeat.worker.incarnation <= incarnation);
-        if let Some(heartbeat) = confirmed {
-            self.record_heartbeat(heartbeat, now);
-        }
-    }
-
-    const fn reset_incarnation(&mut self) {
-        self.last_heartbeat = 0;
-        self.last_listed_end = 0;
-        self.acknowledged = 0;
-        self.listed_at = None;
-        self.announced_at = None;
-        self.failed_lists = 0;
-        self.is_worker_silent = false;
-        self.has_complete_list = false;
-        self.fenced_epoch = 0;
-    }
-
     fn acknowledge(&mut self, orders: &Orders) {
         self.crashes
             .retain(|crash| crash.worker > orders.crashes_acknowledged);
@@ -584,78 +413,4 @@
             self.pace_found(&paced, now);
         }
     }
-
-    fn stop(&mut self, stop: Stop, actions: &mut Vec<Action>) {
-        let key = (stop.task, stop.attempt);
-        if self.ends.iter().any(|end| (end.task, end.attempt) == key) {
-            return;
-        }
-        let state = self
-            .runs
-            .entry(key)
-            .or_insert_with(AttemptState::discovered);
-        match state.phase {
-            Phase::Starting | Phase::Running => {
-                state.phase = Phase::Stopping;
-                state.stop_at = Time::NEVER;
-                actions.push(Action::Stop(stop));
-            }
-            Phase::Stopping | Phase::Rejected(_) => {}
-        }
-    }
-
-    fn start(
-        &mut self,
-        start: &Start,
-        is_other_incarnation: bool,
-        lease_until: Time,
-        now: Time,
-        actions: &mut Vec<Action>,
-    ) {
-        let key = (start.task, start.attempt);
-        if self.runs.contains_key(&key) {
-            return;
-        }
-        let mut state = AttemptState::starting(start.profile, start.is_probe);
-        let rejection = if is_other_incarnation {
-            Some(Rejection::OtherLife)
-        } else {
-            self.rejection(start, lease_until, now)
-        };
-        match rejection {
-            Some(reason) => state.phase = Phase::Rejected(reason),
-            None => actions.push(Action::Start {
-                start: start.clone(),
-                lease_until,
-            }),
-        }
-        self.runs.insert(key, state);
-    }
-
-    fn rejection(&self, start: &Start, lease_until: Time, now: Time) -> Option<Rejection> {
-        let Some(worker) = &self.worker else {
-            return Some(Rejection::Draining);
-        };
-        if worker.is_draining {
-            return Some(Rejection::Draining);
-        }
-        // A start that reaches a later incarnation would run there unknown to the owner.
-        if self.is_worker_silent || self.announced_at.is_some() {
-            return Some(Rejection::Refused);
-        }
-        if lease_until < now.plus_micros(self.settings.start_lease_micros_min) {
-            return Some(Rejection::LeaseOver);
-        }
-        let mut others = self.runs.iter();
-        if others.any(|((task, _), state)| *task == start.task && state.is_on_worker()) {
-            return Some(Rejection::SameTask);
-        }
-        let mut states = self.runs.values();
-        if states.any(|state| state.is_on_worker() && state.profile.is_none()) {
-            // The owner has yet to describe what was found on the worker.
-            return Some(Rejection::NoRoom);
-        }
-        let occupied = self.occupied().plus(&start.profile.occupied);
-        (!occupied.fits(&worker.capacity)).then_some(Rejection::NoRoom)
-    }
 }
