--- a/crates/node/src/companion/registration.rs
+++ b/crates/node/src/companion/registration.rs
@@ -33,6 +33,14 @@
 /// the time without an owner at a takeover, after which all companions would read the store.
 const UNHEARD_CHECK_INTERVAL_MS: u64 = 3_000;
 
+/// The same once the owner may have removed the registration. The host isn't used until it is
+/// restored.
+const FORGOTTEN_CHECK_INTERVAL_MS: u64 = 1_000;
+
+/// Time without orders after which the owner may have removed the registration, in milliseconds. It
+/// removes that of a host which has had no session for 20 s.
+const FORGOTTEN_MS: u64 = 18_000;
+
 /// Interval at which it is determined whether a check is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -57,16 +65,19 @@
     }
 }
 
-/// Waits until the registration is to be checked again.
+/// Waits until the registration is to be checked again. The times count suspensions.
 async fn next_check(shared: &Shared) {
     let checked_at = shared.clock.now();
     let due_at = checked_at.plus_millis(CHECK_INTERVAL_MS);
     loop {
         sleep(TICK_INTERVAL).await;
-        let now = shared.clock.now();
-        let unheard_since = checked_at.max(shared.owner_heard_at());
+        let ordered_at = shared.runner().ordered_at();
+        let unheard_since = checked_at.max(ordered_at);
         let unheard_due_at = unheard_since.plus_millis(UNHEARD_CHECK_INTERVAL_MS);
-        if now >= due_at.min(unheard_due_at) {
+        let forgotten_due_at = ordered_at
+            .plus_millis(FORGOTTEN_MS)
+            .max(checked_at.plus_millis(FORGOTTEN_CHECK_INTERVAL_MS));
+        if shared.clock.now() >= due_at.min(unheard_due_at).min(forgotten_due_at) {
             return;
         }
     }
