control: the crash of a worker counts although its exit was refuted before

What callers would see: a task that kills its workers is not stopped after two of them.

Cause: an exit that is inferred from refused connections is reported as a crash of that incarnation. When a list refutes the exit, the incarnation is used again, but the owner still believes that it has crashed: it skips each crash whose incarnation is not above the last one, and acknowledges it at once, so that the companion drops it. The next crash of that process, which is a real one, has no suspects.

Evidence: crash_after_a_refuted_exit_is_counted, before the fix, in both cases `left: Some(Queued), right: Some(Failed)`: the task is not given up after it was alone under its second crash. refuted_exit_is_not_reported_as_a_crash: the runner still reports `Crash { worker: 1000, .. }` after the list. With the fix but without one of its parts (the last crash, the acknowledgement, the crashes to be acknowledged) one or both cases of the first test fail.

Now the runner drops the crash together with the exit, and the owner forgets it as soon as an update contains the worker, whose list is newer than the exit. Suspects that were counted stay until a worker has outlived a start of theirs, as before, and an attempt is never counted twice.

--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -490,6 +490,7 @@
     /// owner has given up its attempts, and stops those that it doesn't know.
     fn refute_exit(&mut self, exit: Exit) {
         self.incarnation = exit.incarnation;
+        self.crashes.retain(|crash| crash.worker < exit.incarnation);
         self.worker = exit.worker;
         self.has_worker_exited = false;
         self.is_exit_confirmed = false;
--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -179,6 +179,15 @@
         }
     }
 
+    /// Forgets that a worker counts as crashed which lives, so that its crash will count.
+    pub(super) fn refute_crash(&mut self, worker: Incarnation) {
+        let former = worker.saturating_sub(1);
+        self.last_crash = self.last_crash.min(former);
+        self.crashes_acknowledged = self.crashes_acknowledged.min(former);
+        self.unacknowledged_crashes
+            .retain(|record| record.worker < worker);
+    }
+
     pub(super) fn has_orders(&self) -> bool {
         !self.starts.is_empty()
             || !self.stops.is_empty()
--- a/crates/control/src/scheduler/updates.rs
+++ b/crates/control/src/scheduler/updates.rs
@@ -105,6 +105,7 @@
             }
             return false;
         };
+        host.refute_crash(worker.incarnation);
         if host.worker_incarnation != worker.incarnation {
             if host.worker_incarnation != 0 {
                 self.apply_unreported_crash(key, now);
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -397,3 +397,46 @@
     assert!(early.is_empty());
     assert_eq!(tasks, [first.task]);
 }
+
+/// Guards against a crash that isn't counted because an exit of the same process was refuted before.
+#[rstest]
+#[case::recorded_before(true)]
+#[case::recorded_after(false)]
+fn crash_after_a_refuted_exit_is_counted(#[case] is_recorded_before: bool) {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(0));
+    let first = orders(&mut scheduler, "h1", at(1)).starts.remove(0);
+    scheduler.update(&crashed("h1", 2, WORKER_INCARNATION, &[&first]), at(100));
+    if is_recorded_before {
+        commit_changes(&mut scheduler, 20, at(200));
+    }
+    scheduler.update(&update("h1", 3), at(250));
+    commit_changes(&mut scheduler, 21, at(300));
+    let second = orders(&mut scheduler, "h1", at(350));
+    let probe = &second.starts[0];
+    scheduler.update(&crashed("h1", 4, WORKER_INCARNATION, &[probe]), at(400));
+    commit_changes(&mut scheduler, 22, at(500));
+
+    let state = scheduler.job_state(Id::new(1));
+
+    assert_eq!(state, Some(State::Failed));
+    assert!(second.crashes_acknowledged < WORKER_INCARNATION);
+}
+
+/// Guards against a crash of a process that the owner takes for the exit that was refuted.
+#[test]
+fn refuted_exit_is_not_reported_as_a_crash() {
+    let mut runner = runner_with_start();
+    for millis in [10, 310, 620] {
+        runner.record_refusal(at(millis));
+    }
+    let before = reported_crashes(&mut runner).len();
+    let mut list = empty_list(at(700));
+    list.running.push(listed(task(1, 0, 0), 7));
+    runner.apply_list(list, at(710));
+
+    let after = reported_crashes(&mut runner);
+
+    assert_eq!(before, 1);
+    assert_eq!(after, []);
+}
