control: the hosts that probes keep free are counted by pool

What callers saw: a lasting task that is a suspect waits with the reason `probe` beside an idle host of its pool, while suspects of another pool are probed.

Cause: a third of all live hosts may be kept for probes, but at least one, whatever pool they belong to. Hosts of one pool are of no use for suspects of another, and these take the places in the order of the jobs. If their probes don't begin, because their hosts always have an unproven start, the other pool's suspects never start.

Evidence: suspect_does_not_wait_for_the_probes_of_another_pool, before the fix `left: ["h1"], right: ["h1", "h2"]`.

Now the limit and the probes that count for it are those of the suspect's pool, and the number of tasks of a probe follows from the pool whose probes take most rounds.

--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -1,10 +1,12 @@
 //! Placement of suspect tasks as probes.
 
+use std::collections::BTreeMap;
+
 use smallvec::SmallVec;
 use toucanquay_model::{Time, graph::Place};
 
 use super::{
-    Host, Probe, Scheduler,
+    Host, Job, Probe, Scheduler,
     crashes::CRASHES_ALONE_MAX,
     key::{HostKey, JobKey, RunKey},
     stage_ref::StageRef,
@@ -18,7 +20,7 @@
 /// tasks that fit nowhere else wait for it, and for the probe.
 const RESERVATION_MICROS_MAX: u64 = 1_000_000;
 
-/// Hosts for each one that may be occupied by a probe.
+/// Hosts of a pool for each one that may be occupied by a probe.
 const HOSTS_PER_PROBE: usize = 3;
 
 /// Rounds of probes with one task each that suspects may wait for. If more wait, a probe has several
@@ -80,11 +82,15 @@
         let is_waiting = |task: &&Task| {
             task.is_suspect() && task.phase == Phase::Waiting && task.not_before <= now
         };
-        let suspect_jobs = self.suspect_jobs.iter().filter_map(|key| jobs.get(*key));
-        let tasks = suspect_jobs.flat_map(|job| job.tasks_by_place().map(|(_, task)| task));
-        let suspects = tasks.filter(is_waiting).count();
-        let probes_max = self.probes_max();
-        let rounds = suspects.div_ceil(probes_max);
+        let mut suspects: BTreeMap<&str, usize> = BTreeMap::new();
+        for job in self.suspect_jobs.iter().filter_map(|key| jobs.get(*key)) {
+            let tasks = job.tasks_by_place().map(|(_, task)| task);
+            *suspects.entry(self.pool(job)).or_default() += tasks.filter(is_waiting).count();
+        }
+        // Hosts of one pool shorten no other pool's rounds.
+        let rounds = suspects.into_iter();
+        let rounds = rounds.map(|(pool, suspects)| suspects.div_ceil(self.probes_max(pool)));
+        let rounds = rounds.max().unwrap_or(0);
         self.probe_tasks_max = if rounds <= PROBE_ROUNDS_MAX {
             1
         } else {
@@ -96,13 +102,24 @@
         };
     }
 
-    /// Returns the number of hosts that may be kept free for probes.
-    fn probes_max(&self) -> usize {
-        let hosts = self.hosts.values();
-        let live_hosts = hosts.filter(|host| host.schedulable_worker().is_some());
+    /// Returns the number of hosts of a pool that may be kept free for probes.
+    fn probes_max(&self, pool: &str) -> usize {
+        let live_hosts = self.hosts.values().filter(|host| is_in_pool(host, pool));
         (live_hosts.count() / HOSTS_PER_PROBE).max(1)
     }
 
+    /// Returns the number of hosts of a pool that are kept free for probes.
+    fn probes_in_pool(&self, pool: &str) -> usize {
+        let hosts = self.probes.keys().filter_map(|key| self.hosts.get(*key));
+        hosts.filter(|host| is_in_pool(host, pool)).count()
+    }
+
+    /// Returns the pool in which the tasks of a job run.
+    fn pool<'a>(&'a self, job: &'a Job) -> &'a str {
+        let queue = self.queues.get(&job.queue);
+        &queue.unwrap_or(&job.queue_at_acceptance).pool
+    }
+
     /// Returns whether a stage has a suspect task.
     pub(super) fn has_suspect(&self, stage: StageRef<'_>) -> bool {
         let stage = &self.jobs[stage.job].stages[stage.index];
@@ -140,7 +157,7 @@
         avoided_host: Option<HostKey>,
         now: Time,
     ) -> Option<HostKey> {
-        let can_begin = self.probes.len() < self.probes_max();
+        let can_begin = self.probes_in_pool(stage.pool) < self.probes_max(stage.pool);
         let is_free = |key: HostKey| match self.probes.get(&key) {
             Some(probe) => probe.is_reservation(),
             None => can_begin,
@@ -248,3 +265,9 @@
         probe.is_reservation() && !(is_awaited && is_live)
     }
 }
+
+/// Returns whether a host's worker accepts tasks and belongs to a pool.
+fn is_in_pool(host: &Host, pool: &str) -> bool {
+    let worker = host.schedulable_worker();
+    worker.is_some_and(|worker| worker.pool == pool)
+}
--- a/crates/control/tests/suspects.rs
+++ b/crates/control/tests/suspects.rs
@@ -220,6 +220,52 @@
     assert_eq!((probed, others), (1, 1));
 }
 
+/// Returns an update from a host whose worker belongs to another pool.
+fn update_from_other_pool(host: &str, number: u64, incarnation: u64) -> Update {
+    Update {
+        worker: Some(Worker {
+            incarnation,
+            pool: "other".to_owned(),
+            ..worker()
+        }),
+        ..update(host, number)
+    }
+}
+
+/// Guards against a suspect that waits beside an idle host of its pool for the probes of another pool.
+#[test]
+fn suspect_does_not_wait_for_the_probes_of_another_pool() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.connect("h2");
+    scheduler.update(&update_from_other_pool("h2", 1, WORKER_INCARNATION), at(0));
+    for job in 1..=3 {
+        scheduler.accept(Id::new(job), accepted_job(vec![step(1)]), at(0));
+    }
+    let mut other = accepted_job(vec![step(1)]);
+    other.policy.pool = "other".to_owned();
+    scheduler.accept(Id::new(9), other, at(0));
+    for (host, starts) in started(&mut scheduler, &["h1", "h2"], at(1)) {
+        let suspects: Vec<&Start> = starts.iter().collect();
+        scheduler.update(&crashed(&host, 2, WORKER_INCARNATION, &suspects), at(50));
+    }
+    commit_all(&mut scheduler, 20, 60);
+    let mut back = update("h1", 3);
+    back.worker = Some(Worker {
+        incarnation: WORKER_INCARNATION + 1,
+        ..worker()
+    });
+    scheduler.update(&back, at(3_000));
+    scheduler.update(
+        &update_from_other_pool("h2", 3, WORKER_INCARNATION + 1),
+        at(3_000),
+    );
+
+    let probes = started(&mut scheduler, &["h1", "h2"], at(3_001));
+
+    let hosts: Vec<&String> = probes.iter().map(|(host, _)| host).collect();
+    assert_eq!(hosts, ["h1", "h2"]);
+}
+
 /// Returns when each of the suspects of one crash was started again, in milliseconds after it.
 fn restart_times(hosts: usize, suspects: u64) -> Vec<u64> {
     let names: Vec<String> = (0..hosts).map(|number| format!("h{number:02}")).collect();
