control: the hosts that are kept for perpetual tasks are counted by pool

What callers see: a lasting task that needs more room than others is passed over on a full service, although its pool keeps no host for another one.

Cause: the same as of the limit of hosts for probes: a quarter of all live hosts, at least one, may be kept, whatever pool they belong to. A host that is kept in one pool takes the place of one in another, for as long as its task waits.

Evidence: each_pool_keeps_a_host_for_its_large_perpetual_task, before the fix `left: ["h1"], right: ["h1", "h2"]`.

Now the limit is that of the stage's pool, and so is what counts for it.

--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -141,6 +141,12 @@
         (self.is_connected && !self.is_first_update && !worker.is_draining).then_some(worker)
     }
 
+    /// Returns whether the worker accepts tasks and belongs to a pool.
+    pub(super) fn is_in_pool(&self, pool: &str) -> bool {
+        self.schedulable_worker()
+            .is_some_and(|worker| worker.pool == pool)
+    }
+
     /// Returns whether the worker is known and its agent is connected.
     pub(super) const fn is_heard(&self) -> bool {
         self.is_connected && self.worker.is_some()
--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -104,14 +104,14 @@
 
     /// Returns the number of hosts of a pool that may be kept free for probes.
     fn probes_max(&self, pool: &str) -> usize {
-        let live_hosts = self.hosts.values().filter(|host| is_in_pool(host, pool));
+        let live_hosts = self.hosts.values().filter(|host| host.is_in_pool(pool));
         (live_hosts.count() / HOSTS_PER_PROBE).max(1)
     }
 
     /// Returns the number of hosts of a pool that are kept free for probes.
     fn probes_in_pool(&self, pool: &str) -> usize {
         let hosts = self.probes.keys().filter_map(|key| self.hosts.get(*key));
-        hosts.filter(|host| is_in_pool(host, pool)).count()
+        hosts.filter(|host| host.is_in_pool(pool)).count()
     }
 
     /// Returns the pool in which the tasks of a job run.
@@ -265,9 +265,3 @@
         probe.is_reservation() && !(is_awaited && is_live)
     }
 }
-
-/// Returns whether a host's worker accepts tasks and belongs to a pool.
-fn is_in_pool(host: &Host, pool: &str) -> bool {
-    let worker = host.schedulable_worker();
-    worker.is_some_and(|worker| worker.pool == pool)
-}
--- a/crates/control/src/scheduler/reserving.rs
+++ b/crates/control/src/scheduler/reserving.rs
@@ -14,7 +14,7 @@
     stage_ref::StageRef,
 };
 
-/// Hosts for each one that may be kept for perpetual tasks.
+/// Hosts of a pool for each one that may be kept for perpetual tasks.
 const HOSTS_PER_RESERVATION: usize = 4;
 
 impl Scheduler {
@@ -37,7 +37,7 @@
             self.release_reservation(key);
         }
         // A task that fits on the host of a probe waits only for the end of that.
-        if self.reservations.len() >= self.reservations_max() || self.fits_anywhere(stage, now) {
+        if !self.can_reserve(stage.pool) || self.fits_anywhere(stage, now) {
             return;
         }
         let hosts = self.hosts.iter();
@@ -93,10 +93,12 @@
         self.reservations.contains_key(&host) && !stage.step.is_perpetual
     }
 
-    fn reservations_max(&self) -> usize {
-        let hosts = self.hosts.values();
-        let live_hosts = hosts.filter(|host| host.schedulable_worker().is_some());
-        (live_hosts.count() / HOSTS_PER_RESERVATION).max(1)
+    /// Returns whether one more host of a pool may be kept for perpetual tasks.
+    fn can_reserve(&self, pool: &str) -> bool {
+        let live_hosts = self.hosts.values().filter(|host| host.is_in_pool(pool));
+        let kept_hosts = self.reservations.keys().map(|key| &self.hosts[*key]);
+        let kept = kept_hosts.filter(|host| host.is_in_pool(pool)).count();
+        kept < (live_hosts.count() / HOSTS_PER_RESERVATION).max(1)
     }
 
     /// Returns whether a task of a stage fits on a host once the attempts there that end by
--- a/crates/control/tests/full_service.rs
+++ b/crates/control/tests/full_service.rs
@@ -7,13 +7,13 @@
 
 use graph::{
     WORKER_INCARNATION, accepted_job, at, attempt_status, commit_changes, cores, crashed, end,
-    orders, owner, step, update,
+    orders, owner, started, step, update,
 };
 use rstest::rstest;
 use toucanquay_control::scheduler::{Event, Scheduler};
 use toucanquay_model::{
     graph::{Id, Step},
-    session::{Ending, Phase, Start},
+    session::{Ending, Phase, Start, Worker},
 };
 
 /// Hosts of the service, with 16 processors each.
@@ -263,3 +263,36 @@
 
     assert_eq!((small_starts, large_starts), (0, vec![kept]));
 }
+
+/// Guards against a perpetual task that is passed over because a host of another pool is kept.
+#[test]
+fn each_pool_keeps_a_host_for_its_large_perpetual_task() {
+    let pools = ["desk", "other"];
+    let mut scheduler = owner(1, &HOSTS[..2]);
+    let mut other = update(HOSTS[1], 2);
+    other.worker = other.worker.map(|worker| Worker {
+        pool: pools[1].to_owned(),
+        ..worker
+    });
+    scheduler.update(&other, at(0));
+    for (number, pool) in (1..).zip(pools) {
+        let mut small = accepted_job(vec![step(400)]);
+        small.policy.pool = pool.to_owned();
+        scheduler.accept(Id::new(number), small, at(0));
+    }
+    started(&mut scheduler, &HOSTS[..2], at(1));
+    for (number, pool) in (3..).zip(pools) {
+        let mut large = accepted_job(vec![perpetual(8)]);
+        large.policy.pool = pool.to_owned();
+        scheduler.accept(Id::new(number), large, at(2));
+    }
+    started(&mut scheduler, &HOSTS[..2], at(3));
+
+    let events = scheduler.take_events().into_iter();
+
+    let kept = events.filter_map(|event| match event {
+        Event::Kept { host, .. } => Some(host),
+        _ => None,
+    });
+    assert_eq!(kept.collect::<Vec<_>>(), HOSTS[..2]);
+}
