--- a/crates/control/src/scheduler/host.rs
+++ b/crates/control/src/scheduler/host.rs
@@ -141,6 +141,12 @@
         (self.is_connected && !self.is_first_update && !worker.is_draining).then_some(worker)
     }
 
+    /// Returns whether the worker accepts tasks and belongs to a pool.
+    pub(super) fn is_in_pool(&self, pool: &str) -> bool {
+        self.schedulable_worker()
+            .is_some_and(|worker| worker.pool == pool)
+    }
+
     /// Returns whether the worker is known and its agent is connected.
     pub(super) const fn is_heard(&self) -> bool {
         self.is_connected && self.worker.is_some()
@@ -179,6 +185,15 @@
         }
     }
 
+    /// Forgets that a worker counts as crashed which lives, so that its crash will count.
+    pub(super) fn refute_crash(&mut self, worker: Incarnation) {
+        let former = worker.saturating_sub(1);
+        self.last_crash = self.last_crash.min(former);
+        self.crashes_acknowledged = self.crashes_acknowledged.min(former);
+        self.unacknowledged_crashes
+            .retain(|record| record.worker < worker);
+    }
+
     pub(super) fn has_orders(&self) -> bool {
         !self.starts.is_empty()
             || !self.stops.is_empty()
