--- a/crates/control/src/scheduler/probing.rs
+++ b/crates/control/src/scheduler/probing.rs
@@ -14,13 +14,15 @@
 /// Maximum duration of a probe, in microseconds.
 const PROBE_MICROS_MAX: u64 = 3_000_000;
 
+/// Maximum time for which a host is kept for a probe that has not begun, in microseconds. Perpetual
+/// tasks that fit nowhere else wait for it, and for the probe.
+const RESERVATION_MICROS_MAX: u64 = 1_000_000;
+
 /// Hosts for each one that may be occupied by a probe.
 const HOSTS_PER_PROBE: usize = 3;
 
-/// Maximum number of tasks that one probe starts if many suspects wait.
-const PROBE_TASKS_MAX: usize = 4;
-
-/// Rounds of probes with one task each that suspects may wait for.
+/// Rounds of probes with one task each that suspects may wait for. If more wait, a probe has several
+/// tasks.
 const PROBE_ROUNDS_MAX: usize = 6;
 
 /// Time after a crash for which a host is not preferred for probes, in microseconds. Its worker may
@@ -30,6 +32,7 @@
 impl Scheduler {
     /// Starts the suspect tasks of a stage for which there is a host without other suspects.
     pub(super) fn place_probes(&mut self, stage: StageRef<'_>, now: Time) {
+        let mut is_host_lacking = false;
         for index in 0..stage.step.tasks {
             let task = self.waiting_task(stage, index, now);
             let Some(task) = task.filter(|task| task.is_suspect()) else {
@@ -47,11 +50,14 @@
                 }
                 continue;
             }
+            if is_host_lacking {
+                continue;
+            }
             let Some(host) = self.probe_host(stage, place, avoided_host, now) else {
-                if !self.fits_anywhere(stage, now) {
-                    self.reserve_host(stage);
-                }
-                return;
+                self.reserve_host(stage, now);
+                // The other tasks may still join probes of other stages.
+                is_host_lacking = true;
+                continue;
             };
             let attempt = self.next_attempt();
             let run = self.start_task(stage, index, host, attempt, now);
@@ -64,13 +70,13 @@
     fn open_probe(&self, stage: StageRef<'_>, now: Time) -> Option<HostKey> {
         let mut probes = self.probes.iter();
         let (host, _) = probes.find(|(host, probe)| {
-            probe.is_open(self.placement_round) && self.fitting_score(**host, stage, now).is_some()
+            probe.is_open(self.placement_round) && self.can_probe(**host, stage, now)
         })?;
         Some(*host)
     }
 
-    /// Sets the number of tasks of a probe, so that a large number of suspects isn't delayed for
-    /// long.
+    /// Sets the number of tasks of a probe, so that the number of rounds for all waiting suspects
+    /// grows only with the square root of their number.
     pub(super) fn size_probes(&mut self, now: Time) {
         let jobs = &self.jobs;
         self.suspect_jobs.retain(|key| {
@@ -83,8 +89,17 @@
         let suspect_jobs = self.suspect_jobs.iter().filter_map(|key| jobs.get(*key));
         let tasks = suspect_jobs.flat_map(|job| job.tasks_by_place().map(|(_, task)| task));
         let suspects = tasks.filter(is_waiting).count();
-        let probes = PROBE_ROUNDS_MAX * self.probes_max();
-        self.probe_tasks_max = suspects.div_ceil(probes).clamp(1, PROBE_TASKS_MAX);
+        let probes_max = self.probes_max();
+        let rounds = suspects.div_ceil(probes_max);
+        self.probe_tasks_max = if rounds <= PROBE_ROUNDS_MAX {
+            1
+        } else {
+            // If a worker crashes, each of its suspects needs a probe of its own, so there are no
+            // more of them than probes that precede.
+            let tasks = rounds.div_ceil(PROBE_ROUNDS_MAX).min(rounds.isqrt());
+            // A number that fell with each round would make the rounds many again.
+            self.probe_tasks_max.max(tasks)
+        };
     }
 
     /// Returns the number of hosts that may be kept free for probes.
@@ -104,17 +119,20 @@
     /// be more than the hosts that may be kept free otherwise.
     pub(super) fn begin_gang_probe(&mut self, runs: &[RunKey], now: Time) {
         for key in runs {
-            if let Some(run) = self.runs.get(*key) {
-                let (host, task) = (run.host, (run.job, run.place));
-                match self
-                    .probes
-                    .get_mut(&host)
-                    .filter(|probe| !probe.is_reservation())
-                {
-                    Some(probe) => probe.runs.push(*key),
-                    None => self.begin_probe(host, task, Some(*key), 1, now),
-                }
-            }
+            self.join_probe(*key, now);
+        }
+    }
+
+    /// Adds an attempt to the probe on its host, or begins one with it.
+    pub(super) fn join_probe(&mut self, key: RunKey, now: Time) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        let (host, task) = (run.host, (run.job, run.place));
+        let probe = self.probes.get_mut(&host);
+        match probe.filter(|probe| !probe.is_reservation()) {
+            Some(probe) => probe.runs.push(key),
+            None => self.begin_probe(host, task, Some(key), 1, now),
         }
     }
 
@@ -145,8 +163,7 @@
             )
         };
         let hosts = self.hosts.iter();
-        let fitting = hosts
-            .filter(|(key, _)| is_free(*key) && self.fitting_score(*key, stage, now).is_some());
+        let fitting = hosts.filter(|(key, _)| is_free(*key) && self.can_probe(*key, stage, now));
         let (key, host) = fitting.min_by_key(rank)?;
         if self.has_outlived_starts(host) {
             return Some(key);
@@ -157,7 +174,13 @@
         None
     }
 
-    fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
+    /// Returns whether a probe of a task of a stage may take place on a host, if that is free.
+    fn can_probe(&self, host: HostKey, stage: StageRef<'_>, now: Time) -> bool {
+        !self.is_kept_from(host, stage) && self.fitting_score(host, stage, now).is_some()
+    }
+
+    /// Returns whether a task of a stage fits on a host, even if that is kept free for a probe.
+    pub(super) fn fits_anywhere(&self, stage: StageRef<'_>, now: Time) -> bool {
         let mut hosts = self.hosts.keys();
         hosts.any(|host| self.fitting_score(host, stage, now).is_some())
     }
@@ -169,7 +192,7 @@
     }
 
     /// Keeps a host free of other starts for a probe, which begins later if there is no attempt.
-    pub(super) fn begin_probe(
+    fn begin_probe(
         &mut self,
         host: HostKey,
         task: (JobKey, Place),
@@ -177,12 +200,16 @@
         tasks_max: usize,
         now: Time,
     ) {
+        let micros_max = match run {
+            Some(_) => PROBE_MICROS_MAX,
+            None => RESERVATION_MICROS_MAX,
+        };
         let probe = Probe {
             runs: run.into_iter().collect(),
             task,
             round: self.placement_round,
             tasks_max,
-            expires_at: now.plus_micros(PROBE_MICROS_MAX),
+            expires_at: now.plus_micros(micros_max),
         };
         self.probes.insert(host, probe);
     }
--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -28,6 +28,16 @@
 /// Timeout of a call to a worker, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 1_000;
 
+/// Time after which a refused request for a list is repeated, in milliseconds.
+const LIST_RETRY_MS: u64 = 150;
+
+/// Time for which the address of a worker that lives refuses connections, in milliseconds. Agents
+/// can't tell a longer one from an exit.
+const REFUSAL_MS_MAX: u64 = 590;
+
+/// Time for which a worker answers until its address refuses connections again, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 1_000;
+
 /// Time for which an owner may act after its last renewal, in milliseconds.
 const OWNERSHIP_MS: u64 = 1_600;
 
@@ -49,6 +59,12 @@
 /// Number of starts of a task after [`CRASHES_MAX`] workers have crashed under it.
 const STARTS_MAX: usize = 2;
 
+/// Maximum number of jobs with perpetual tasks, so that these fit even if a worker is away.
+const PERPETUAL_JOBS_MAX: usize = 4;
+
+/// Time without faults after which all perpetual tasks run, in milliseconds.
+const PERPETUAL_MS_MAX: u64 = 30_000;
+
 /// Probability that a busy worker turns a call away, in percent.
 const TURNED_AWAY_PERCENT: u32 = 60;
 
@@ -85,6 +101,10 @@
     busy_until: Time,
     /// Until then, the worker answers no call, and runs on. Calls take effect afterwards.
     silent_until: Time,
+    /// Until then, the worker's address refuses connections.
+    refuses_until: Time,
+    /// Until then, there is no worker process.
+    absent_until: Time,
     /// When a task that crashes the worker does so.
     crash_at: Time,
     next_heartbeat_at: Time,
@@ -111,6 +131,10 @@
     fault_rng: Option<StdRng>,
     /// Random numbers for silent workers; `None` if there are none.
     silence_rng: Option<StdRng>,
+    /// Random numbers for perpetual jobs; `None` if there are none.
+    lasting_rng: Option<StdRng>,
+    /// Random numbers for workers whose addresses refuse connections; `None` if there are none.
+    refusal_rng: Option<StdRng>,
     /// Interval at which workers announce themselves, in milliseconds.
     heartbeat_millis: u64,
     now_ms: u64,
@@ -140,6 +164,8 @@
     pub stops_turned_away: u64,
     /// Number of times that a worker fell silent.
     pub silences: u64,
+    /// Number of times that a worker's address began to refuse connections.
+    pub refusals: u64,
     /// Number of workers that deadly tasks crashed.
     pub deadly_crashes: u64,
 }
@@ -151,6 +177,8 @@
             rng: StdRng::seed_from_u64(seed),
             fault_rng: None,
             silence_rng: None,
+            lasting_rng: None,
+            refusal_rng: None,
             heartbeat_millis: 0,
             now_ms: 0,
             epoch: 0,
@@ -171,6 +199,7 @@
             starts: 0,
             stops_turned_away: 0,
             silences: 0,
+            refusals: 0,
             deadly_crashes: 0,
         };
         for number in 0..hosts {
@@ -195,6 +224,19 @@
         self
     }
 
+    /// Adds jobs with tasks that run until they are cancelled.
+    pub fn with_perpetual_jobs(mut self, seed: u64) -> Self {
+        self.lasting_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
+    /// Adds workers whose addresses refuse connections for some time, for a moment while they live or
+    /// because they have ended. Some end together with their agents.
+    pub fn with_refusing_workers(mut self, seed: u64) -> Self {
+        self.refusal_rng = Some(StdRng::seed_from_u64(!seed));
+        self
+    }
+
     /// Lets workers announce themselves at an interval, in milliseconds.
     pub const fn with_heartbeat_millis(mut self, millis: u64) -> Self {
         self.heartbeat_millis = millis;
@@ -221,12 +263,15 @@
             if self.rng.random_range(0..40) == 0 {
                 self.cancel_random_job();
             }
+            self.submit_perpetual_job();
             self.inject_fault();
             self.occupy_worker();
             self.silence_worker();
+            self.refuse_connections();
             self.advance();
         }
         self.is_fault_free = true;
+        self.await_perpetual_tasks();
         let end_by = self.now_ms + 60_000;
         while !self.all_jobs_ended() {
             assert!(
@@ -263,6 +308,8 @@
             partitioned_until: Time::ZERO,
             busy_until: Time::ZERO,
             silent_until: Time::ZERO,
+            refuses_until: Time::ZERO,
+            absent_until: Time::ZERO,
             crash_at: Time::NEVER,
             next_heartbeat_at: Time::ZERO,
             next_list_at: Time::ZERO,
@@ -270,6 +317,79 @@
         }
     }
 
+    /// Waits until all perpetual tasks run, and then cancels their jobs.
+    fn await_perpetual_tasks(&mut self) {
+        let run_by = self.now_ms + PERPETUAL_MS_MAX;
+        while let Some(task) = self.missing_perpetual_task() {
+            assert!(self.now_ms < run_by, "{task} doesn't run");
+            self.advance();
+        }
+        let is_perpetual = |(_, record): &(&Id, &JobRecord)| record.steps[0].is_perpetual;
+        let jobs = self.jobs.iter().filter(is_perpetual);
+        for id in jobs.map(|(id, _)| *id).collect::<Vec<Id>>() {
+            self.cancel_job(id);
+        }
+    }
+
+    /// Returns a task of a perpetual job that has no attempt on a worker.
+    fn missing_perpetual_task(&self) -> Option<Task> {
+        let running = self
+            .hosts
+            .iter()
+            .flat_map(|host| host.worker.running.keys());
+        let running: BTreeSet<Task> = running.map(|(task, _)| *task).collect();
+        let is_lasting = |record: &JobRecord| {
+            let is_over = record.is_cancelled || record.progress.state.is_over();
+            record.steps[0].is_perpetual && !is_over
+        };
+        let lasting = self.jobs.iter().filter(|(_, record)| is_lasting(record));
+        let mut tasks = lasting.flat_map(|(id, record)| {
+            (0..record.steps[0].tasks).map(|index| Task {
+                job: *id,
+                occurrence: 0,
+                step: 0,
+                index,
+            })
+        });
+        tasks.find(|task| !running.contains(task))
+    }
+
+    /// Submits a job with perpetual tasks from time to time, unless there are many already.
+    fn submit_perpetual_job(&mut self) {
+        let Some(rng) = &mut self.lasting_rng else {
+            return;
+        };
+        let active = self.jobs.values().filter(|record| {
+            let is_over = record.is_cancelled || record.progress.state.is_over();
+            record.steps[0].is_perpetual && !is_over
+        });
+        if rng.random_range(0..60) != 0 || active.count() >= PERPETUAL_JOBS_MAX {
+            return;
+        }
+        let id = Id::new(rng.random());
+        let perpetual = Step {
+            is_perpetual: true,
+            ..step(rng.random_range(1..4))
+        };
+        let is_deadly = rng.random_range(0..8) == 0;
+        let deadly_task = is_deadly.then_some(Task {
+            job: id,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        });
+        let record = JobRecord {
+            deadly_task,
+            steps: vec![perpetual.clone()],
+            ..JobRecord::default()
+        };
+        self.jobs.insert(id, record);
+        let now = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.accept(id, accepted_job(vec![perpetual]), now);
+        }
+    }
+
     fn submit_job(&mut self) {
         let id = Id::new(self.rng.random());
         let second = Step {
@@ -311,6 +431,10 @@
             return;
         }
         let id = active[self.rng.random_range(0..active.len())];
+        self.cancel_job(id);
+    }
+
+    fn cancel_job(&mut self, id: Id) {
         self.jobs.get_mut(&id).expect("the job exists").is_cancelled = true;
         let now = self.time();
         if let Some(owner) = &mut self.owner {
@@ -364,6 +488,44 @@
         self.silences += 1;
     }
 
+    /// Lets the address of a random worker refuse connections for some time.
+    fn refuse_connections(&mut self) {
+        let Some(rng) = &mut self.refusal_rng else {
+            return;
+        };
+        if rng.random_range(0..150) != 0 {
+            return;
+        }
+        let index = rng.random_range(0..self.hosts.len());
+        let is_alive = rng.random_bool(0.4);
+        let is_agent_restarted = rng.random_bool(0.4);
+        let millis = match is_alive {
+            true => rng.random_range(50..REFUSAL_MS_MAX),
+            false => rng.random_range(100..5_000),
+        };
+        if self.time()
+            < self.hosts[index]
+                .refuses_until
+                .plus_millis(REFUSAL_PAUSE_MS)
+        {
+            return;
+        }
+        self.refusals += 1;
+        let until = at(self.now_ms + millis);
+        if !is_alive {
+            self.replace_worker(index);
+            self.hosts[index].absent_until = until;
+        }
+        self.hosts[index].refuses_until = until;
+        if !is_alive && is_agent_restarted {
+            self.restart_agent(index);
+        }
+    }
+
+    fn is_refusing(&self, index: usize) -> bool {
+        self.time() < self.hosts[index].refuses_until
+    }
+
     fn is_silent(&self, index: usize) -> bool {
         !self.is_fault_free && self.time() < self.hosts[index].silent_until
     }
@@ -397,6 +559,8 @@
         let mut host = Host {
             busy_until: self.hosts[index].busy_until,
             silent_until: self.hosts[index].silent_until,
+            refuses_until: self.hosts[index].refuses_until,
+            absent_until: self.hosts[index].absent_until,
             crash_at: self.hosts[index].crash_at,
             next_heartbeat_at: at(self.now_ms + ANNOUNCEMENT_DELAY_MS),
             ..self.host(name, process, worker)
@@ -545,6 +709,14 @@
         let random = self.rng.random();
         let is_lost = !self.is_fault_free && self.rng.random_range(0..25) == 0;
         match call {
+            Call::Start(start, ..) if self.is_refusing(index) => {
+                let outcome = CallOutcome::Refused;
+                self.schedule_reply(index, Call::Started(start.task, start.attempt, outcome));
+            }
+            Call::Stop(stop, _) if self.is_refusing(index) => {
+                let outcome = CallOutcome::Refused;
+                self.schedule_reply(index, Call::Stopped(stop.task, stop.attempt, outcome));
+            }
             Call::Start(..) | Call::Stop(..) if self.is_silent(index) => {
                 self.postpone_call(index, call);
             }
@@ -615,7 +787,7 @@
         let host = &mut self.hosts[index];
         worker.incarnation = host.worker.incarnation;
         worker.capacity = cores(PROCESSORS);
-        if now >= host.next_heartbeat_at {
+        if now >= host.next_heartbeat_at.max(host.absent_until) {
             host.next_heartbeat_at = now.plus_millis(self.heartbeat_millis);
             let heartbeat = Heartbeat {
                 id: "w".to_owned(),
@@ -640,7 +812,14 @@
         }
         let now = self.time();
         let is_silent = self.is_silent(index);
+        let is_refusing = self.is_refusing(index);
         let host = &mut self.hosts[index];
+        if is_refusing {
+            host.next_list_at = now.plus_millis(LIST_RETRY_MS);
+            host.runner.record_failed_list(now);
+            host.runner.record_refusal(now);
+            return;
+        }
         if is_silent {
             host.next_list_at = now.plus_millis(CALL_TIMEOUT_MS);
             host.runner.record_failed_list(now);
@@ -657,6 +836,8 @@
         let epoch = self.hosts[index].runner.epoch();
         for action in actions {
             let is_late = !self.is_fault_free && self.rng.random_range(0..30) == 0;
+            // A call that no process accepts is executed by none.
+            let is_late = is_late && !self.is_refusing(index);
             let millis = if is_late {
                 self.rng.random_range(2_000..12_000)
             } else {
