--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod event;
+mod event_log;
 
 use std::sync::Arc;
 
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -5,21 +5,21 @@
     sync::Arc,
 };
 
-use slog::{info, o, warn};
+use slog::{info, warn};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinHandle,
     time::{Duration, Instant, sleep_until},
 };
-use toucanquay_control::scheduler::{Event as SchedulerEvent, Scheduler, Wait};
+use toucanquay_control::scheduler::Scheduler;
 use toucanquay_model::{
     Epoch, Revision, Time,
-    graph::{AcceptedJob, Id, Task},
+    graph::{AcceptedJob, Id},
     session::Orders,
 };
 use toucanquay_wire::graph::{Query, Reply};
 
-use super::Event;
+use super::{Event, event_log};
 use crate::{
     entry::{
         Registration, Shared, record, session,
@@ -199,7 +199,7 @@
             ));
         }
         for event in self.scheduler.take_events() {
-            self.log_event(event);
+            event_log::write(&self.shared.log, self.epoch, event);
         }
         if now >= self.gauges_due_at {
             self.gauges_due_at = now.plus_millis(GAUGE_INTERVAL_MS);
@@ -247,134 +247,6 @@
         }
     }
 
-    fn log_event(&self, event: SchedulerEvent) {
-        let (log, epoch) = (&self.shared.log, self.epoch);
-        match event {
-            SchedulerEvent::JobOver { job, state, reason } => {
-                info!(log, "job_over"; "job" => %job, "state" => ?state, "reason" => reason,
-                    "epoch" => epoch);
-            }
-            SchedulerEvent::Adopted {
-                task,
-                attempt,
-                host,
-            } => {
-                info!(log, "task_adopted"; "task" => %task, "attempt" => attempt, "host" => host,
-                    "epoch" => epoch);
-            }
-            SchedulerEvent::Failed {
-                task,
-                failures,
-                host,
-            } => {
-                info!(log, "task_failed"; "task" => %task, "failures" => failures, "host" => host,
-                    "epoch" => epoch);
-            }
-            SchedulerEvent::WorkerLost {
-                host,
-                reason,
-                attempts,
-            } => {
-                meters::count_worker_lost(reason);
-                warn!(log, "worker_lost"; "host" => host, "reason" => ?reason,
-                    "attempts" => attempts, "epoch" => epoch);
-            }
-            SchedulerEvent::Suspected {
-                task,
-                attempt,
-                host,
-                crashes,
-                suspects,
-            } => {
-                warn!(log, "task_suspected"; "task" => %task, "attempt" => attempt,
-                    "host" => host, "crashes" => crashes, "suspects" => suspects,
-                    "epoch" => epoch);
-            }
-            SchedulerEvent::Cleared { task } => {
-                info!(log, "task_cleared"; "task" => %task, "epoch" => epoch);
-            }
-            SchedulerEvent::Draining { host, moved } => {
-                info!(log, "worker_draining"; "host" => host, "moved" => moved, "epoch" => epoch);
-            }
-            SchedulerEvent::Moved {
-                task,
-                attempt,
-                host,
-            } => {
-                info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
-                    "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
-            }
-            SchedulerEvent::Kept { host, job } => {
-                info!(log, "host_kept"; "host" => host, "job" => %job, "epoch" => epoch);
-            }
-            SchedulerEvent::Released { host } => {
-                info!(log, "host_released"; "host" => host, "epoch" => epoch);
-            }
-            SchedulerEvent::Waiting {
-                task,
-                waited_ms,
-                wait,
-            } => self.log_wait(task, waited_ms, &wait),
-            SchedulerEvent::WaitsSuppressed { tasks } => {
-                warn!(log, "tasks_waiting"; "suppressed" => tasks, "epoch" => epoch);
-            }
-            SchedulerEvent::TakeoverWaiting {
-                waited_ms,
-                hosts,
-                names,
-                jobs,
-            } => {
-                info!(log, "takeover_waiting"; "waited_ms" => waited_ms, "hosts" => hosts,
-                    "names" => names.join(","), "jobs" => jobs, "epoch" => epoch);
-            }
-            SchedulerEvent::TakeoverCompleted {
-                waited_ms,
-                unreported,
-            } => {
-                let by = if unreported == 0 {
-                    "all hosts"
-                } else {
-                    "end of the lease"
-                };
-                info!(log, "takeover_completed"; "waited_ms" => waited_ms, "by" => by,
-                    "unreported" => unreported, "epoch" => epoch);
-            }
-        }
-    }
-
-    fn log_wait(&self, task: Task, waited_ms: u64, wait: &Wait) {
-        let log = self.shared.log.new(o!("epoch" => self.epoch));
-        let (reason, host) = (wait.label(), wait.host());
-        match wait {
-            Wait::Takeover { hosts, .. } => {
-                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "host" => host, "hosts" => hosts);
-            }
-            Wait::Backoff { remaining_ms } => {
-                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "remaining_ms" => remaining_ms);
-            }
-            Wait::NoRoom {
-                lack,
-                free_milli,
-                pool_free_milli,
-                demand_milli,
-            } => {
-                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "lack" => lack.label(), "free_milli" => free_milli,
-                    "pool_free_milli" => pool_free_milli, "demand_milli" => demand_milli);
-            }
-            Wait::Reserved { is_begun, .. } => {
-                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "host" => host, "is_begun" => is_begun);
-            }
-            _ => {
-                info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
-                    "reason" => reason, "host" => host);
-            }
-        }
-    }
-
     fn send_orders(&mut self, name: &str, now: Time) {
         let Some(sender) = self.order_senders.get(name) else {
             return;
--- /dev/null
+++ b/crates/node/src/entry/owner/event_log.rs
@@ -0,0 +1,135 @@
+//! Log lines of the scheduler's events.
+
+use slog::{Logger, info, o, warn};
+use toucanquay_control::scheduler::{Event as SchedulerEvent, Wait};
+use toucanquay_model::{Epoch, graph::Task};
+
+use crate::meters;
+
+/// Writes the line of an event of the scheduler of `epoch`.
+pub(super) fn write(log: &Logger, epoch: Epoch, event: SchedulerEvent) {
+    match event {
+        SchedulerEvent::JobOver { job, state, reason } => {
+            info!(log, "job_over"; "job" => %job, "state" => ?state, "reason" => reason,
+                "epoch" => epoch);
+        }
+        SchedulerEvent::Adopted {
+            task,
+            attempt,
+            host,
+        } => {
+            info!(log, "task_adopted"; "task" => %task, "attempt" => attempt, "host" => host,
+                "epoch" => epoch);
+        }
+        SchedulerEvent::Failed {
+            task,
+            failures,
+            host,
+        } => {
+            info!(log, "task_failed"; "task" => %task, "failures" => failures, "host" => host,
+                "epoch" => epoch);
+        }
+        SchedulerEvent::WorkerLost {
+            host,
+            reason,
+            attempts,
+        } => {
+            meters::count_worker_lost(reason);
+            warn!(log, "worker_lost"; "host" => host, "reason" => ?reason,
+                "attempts" => attempts, "epoch" => epoch);
+        }
+        SchedulerEvent::Suspected {
+            task,
+            attempt,
+            host,
+            crashes,
+            suspects,
+        } => {
+            warn!(log, "task_suspected"; "task" => %task, "attempt" => attempt,
+                "host" => host, "crashes" => crashes, "suspects" => suspects,
+                "epoch" => epoch);
+        }
+        SchedulerEvent::Cleared { task } => {
+            info!(log, "task_cleared"; "task" => %task, "epoch" => epoch);
+        }
+        SchedulerEvent::Draining { host, moved } => {
+            info!(log, "worker_draining"; "host" => host, "moved" => moved, "epoch" => epoch);
+        }
+        SchedulerEvent::Moved {
+            task,
+            attempt,
+            host,
+        } => {
+            info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
+                "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
+        }
+        SchedulerEvent::Kept { host, job } => {
+            info!(log, "host_kept"; "host" => host, "job" => %job, "epoch" => epoch);
+        }
+        SchedulerEvent::Released { host } => {
+            info!(log, "host_released"; "host" => host, "epoch" => epoch);
+        }
+        SchedulerEvent::Waiting {
+            task,
+            waited_ms,
+            wait,
+        } => write_wait(&log.new(o!("epoch" => epoch)), task, waited_ms, &wait),
+        SchedulerEvent::WaitsSuppressed { tasks } => {
+            warn!(log, "tasks_waiting"; "suppressed" => tasks, "epoch" => epoch);
+        }
+        SchedulerEvent::TakeoverWaiting {
+            waited_ms,
+            hosts,
+            names,
+            jobs,
+        } => {
+            info!(log, "takeover_waiting"; "waited_ms" => waited_ms, "hosts" => hosts,
+                "names" => names.join(","), "jobs" => jobs, "epoch" => epoch);
+        }
+        SchedulerEvent::TakeoverCompleted {
+            waited_ms,
+            unreported,
+        } => {
+            let by = if unreported == 0 {
+                "all hosts"
+            } else {
+                "end of the lease"
+            };
+            info!(log, "takeover_completed"; "waited_ms" => waited_ms, "by" => by,
+                "unreported" => unreported, "epoch" => epoch);
+        }
+    }
+}
+
+/// Writes why a task that lasts waits.
+fn write_wait(log: &Logger, task: Task, waited_ms: u64, wait: &Wait) {
+    let (reason, host) = (wait.label(), wait.host());
+    match wait {
+        Wait::Takeover { hosts, .. } => {
+            info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                "reason" => reason, "host" => host, "hosts" => hosts);
+        }
+        Wait::Backoff { remaining_ms } => {
+            info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                "reason" => reason, "remaining_ms" => remaining_ms);
+        }
+        Wait::NoRoom {
+            lack,
+            free_milli,
+            pool_free_milli,
+            demand_milli,
+        } => {
+            info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                "reason" => reason, "lack" => lack.label(), "free_milli" => free_milli,
+                "pool_free_milli" => pool_free_milli, "demand_milli" => demand_milli);
+        }
+        Wait::Reserved { is_begun, .. } => {
+            info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                "reason" => reason, "host" => host, "is_begun" => is_begun);
+        }
+        _ => {
+            info!(log, "task_waiting"; "task" => %task, "waited_ms" => waited_ms,
+                "reason" => reason, "host" => host);
+        }
+    }
+}
