store: tests that change the store behind a lost answer share one fixture

Four tests repeated the same write, lost answer and change; three tests of an outage repeated its start. The assertions are the same.

--- a/crates/store/tests/lost_answers.rs
+++ b/crates/store/tests/lost_answers.rs
@@ -7,22 +7,38 @@
 use rstest::rstest;
 use support::{ms, start, wait_for_write};
 use tokio::time::sleep;
-use toucanquay_model::ErrorKind;
+use toucanquay_model::{Error, ErrorKind};
 use toucanquay_standin::{Store, store::Call};
 use toucanquay_store::{Client, DeleteOutcome, Expected, PutOutcome};
 
+/// Writes "1" at `key` without the answer, runs `meanwhile` once the write has taken effect, and
+/// returns the outcome of the write.
+async fn put_with_lost_answer(
+    store: &Store,
+    client: &Client,
+    key: &str,
+    expected: Expected,
+    meanwhile: impl FnOnce(&Store),
+) -> Result<PutOutcome, Error> {
+    store.lose_responses(Call::Put, 1);
+    let put = client.put(key, "1", expected, None);
+    let other = async {
+        wait_for_write(store, 0).await;
+        meanwhile(store);
+    };
+    let (put, ()) = tokio::join!(put, other);
+    put
+}
+
 /// Guards against a write that took effect but is reported as having had no effect.
 #[tokio::test]
 async fn outage_after_a_lost_answer_leaves_the_outcome_unknown() {
     let (store, client) = start().await;
-    store.lose_responses(Call::Put, 1);
 
-    let put = client.put("a", "1", Expected::Absent, None);
-    let outage = async {
-        wait_for_write(&store, 0).await;
+    let put = put_with_lost_answer(&store, &client, "a", Expected::Absent, |store| {
         store.set_down(true);
-    };
-    let (put, ()) = tokio::join!(put, outage);
+    })
+    .await;
 
     assert_eq!(put.unwrap_err().kind(), ErrorKind::OutcomeUnknown);
     assert!(store.get("a").is_some());
@@ -56,14 +72,11 @@
 #[tokio::test]
 async fn lost_answer_is_resolved_after_another_write() {
     let (store, client) = start().await;
-    store.lose_responses(Call::Put, 1);
 
-    let put = client.put("a", "1", Expected::Absent, None);
-    let other = async {
-        wait_for_write(&store, 0).await;
+    let put = put_with_lost_answer(&store, &client, "a", Expected::Absent, |store| {
         store.write("a", "2");
-    };
-    let (put, ()) = tokio::join!(put, other);
+    })
+    .await;
 
     assert_eq!(put.unwrap(), PutOutcome::Stored(1));
     assert_eq!(store.get("a").unwrap().value, "2");
@@ -77,14 +90,11 @@
 #[tokio::test]
 async fn lost_answer_is_resolved_after_a_deletion(#[case] expected: Expected) {
     let (store, client) = start().await;
-    store.lose_responses(Call::Put, 1);
 
-    let put = client.put("claim/1", "1", expected, None);
-    let other = async {
-        wait_for_write(&store, 0).await;
+    let put = put_with_lost_answer(&store, &client, "claim/1", expected, |store| {
         store.remove("claim/1");
-    };
-    let (put, ()) = tokio::join!(put, other);
+    })
+    .await;
 
     assert_eq!(put.unwrap(), PutOutcome::Stored(1));
     assert_eq!(store.get("claim/1"), None);
@@ -124,15 +134,12 @@
 #[tokio::test]
 async fn lost_answer_with_forgotten_history_is_unknown() {
     let (store, client) = start().await;
-    store.lose_responses(Call::Put, 1);
 
-    let put = client.put("a", "1", Expected::Absent, None);
-    let other = async {
-        wait_for_write(&store, 0).await;
+    let put = put_with_lost_answer(&store, &client, "a", Expected::Absent, |store| {
         store.write("a", "2");
         store.compact();
-    };
-    let (put, ()) = tokio::join!(put, other);
+    })
+    .await;
 
     assert_eq!(put.unwrap_err().kind(), ErrorKind::OutcomeUnknown);
 }
--- a/crates/store/tests/stampede.rs
+++ b/crates/store/tests/stampede.rs
@@ -55,6 +55,15 @@
     callers
 }
 
+/// Returns a store that is down, its clients and the callers of these.
+async fn start_outage() -> (Store, Vec<Client>, JoinSet<()>) {
+    let store = Store::start().await.unwrap();
+    let clients = clients(&store);
+    store.set_down(true);
+    let callers = spawn_callers(&clients);
+    (store, clients, callers)
+}
+
 /// Clock of a test, which stands still while messages are on their way, however loaded the machine
 /// is. The calls and the time of their arrival follow this clock.
 #[derive(Debug)]
@@ -92,10 +101,7 @@
 #[tokio::test]
 async fn recovery_after_an_outage_stays_within_the_budget() {
     let clock = TestClock::start();
-    let store = Store::start().await.unwrap();
-    let clients = clients(&store);
-    store.set_down(true);
-    let _callers = spawn_callers(&clients);
+    let (store, clients, _callers) = start_outage().await;
     clock.run(Duration::from_millis(1_500)).await;
 
     let before = store.calls_total();
@@ -127,10 +133,7 @@
 /// Guards against clients on several threads that send more than their budget after an outage.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn recovery_on_several_threads_stays_within_the_budget() {
-    let store = Store::start().await.unwrap();
-    let clients = clients(&store);
-    store.set_down(true);
-    let _callers = spawn_callers(&clients);
+    let (store, clients, _callers) = start_outage().await;
     sleep(Duration::from_millis(1_500)).await;
     let before_outage = store.calls_total();
     sleep(Duration::from_secs(4)).await;
@@ -154,10 +157,7 @@
 #[tokio::test]
 async fn standstill_after_an_outage_adds_only_the_calls_that_it_held_up() {
     let clock = TestClock::start();
-    let store = Store::start().await.unwrap();
-    let clients = clients(&store);
-    store.set_down(true);
-    let _callers = spawn_callers(&clients);
+    let (store, _clients, _callers) = start_outage().await;
     clock.run(Duration::from_millis(1_500)).await;
     let recovered_at = Instant::now();
     store.set_down(false);
