policy: a service that has answered nothing gets no request with less time than one that ran in vain

Callers would see: a service answers nothing, and each waiting request is sent as soon as the one before has passed its deadline, with what little time it has left, runs in vain and ends as "unknown" instead of refused. It is the second half of the fault of refusals_of_an_impaired_cluster: as long as no response has come, the expected service time is 0, and nothing waiting is ever refused before its deadline.

Cause: only responses taught the service time. A request that ran for 2.5 s in vain shows as well that the service needs longer than that.

Now, until the first response, the service time is expected to be the longest run in vain. It decides only until when a request may be sent, not how many may wait, and from the first response on it has no effect. An idle service is tried with any request, as before, so it can't be shut out.

Evidence: without the fix waiting_request_with_less_time_than_one_that_ran_in_vain_is_refused_unsent printed [Send(Ticket(1v1), Key(1v1))], a request with 10 ms left.

--- a/crates/policy/src/route/balancer.rs
+++ b/crates/policy/src/route/balancer.rs
@@ -56,6 +56,8 @@
     retry_budget: Budget,
     in_flight: u32,
     latency_micros: f64,
+    /// Longest time that a request ran in vain.
+    failed_run_micros: u64,
     ejection_ends: BTreeSet<(Time, Key)>,
 }
 
@@ -73,6 +75,7 @@
             retry_budget: Budget::default(),
             in_flight: 0,
             latency_micros: 0.0,
+            failed_run_micros: 0,
             ejection_ends: BTreeSet::new(),
         }
     }
@@ -170,8 +173,10 @@
     /// Records the end of a request that was sent to `key` and took `latency_micros`.
     pub fn finish(&mut self, key: Key, outcome: Outcome, latency_micros: u64, now: Time) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if outcome == Outcome::Succeeded {
-            self.record_latency(latency_micros as f64);
+        match outcome {
+            Outcome::Succeeded => self.record_latency(latency_micros as f64),
+            Outcome::Failed => self.failed_run_micros = self.failed_run_micros.max(latency_micros),
+            _ => {}
         }
         self.router
             .finish(key, self.local_zone, outcome, latency_micros, now);
@@ -308,6 +313,15 @@
     fn update_queue_estimates(&mut self) {
         let release_interval_micros = self.latency_micros / f64::from(self.in_flight.max(1));
         self.queue
-            .set_estimates(release_interval_micros, self.latency_micros);
+            .set_estimates(release_interval_micros, self.service_time_micros());
+    }
+
+    /// Returns the expected service time: the usual latency, or the longest run in vain of a
+    /// service that has answered nothing so far.
+    const fn service_time_micros(&self) -> f64 {
+        if self.latency_micros > 0.0 {
+            return self.latency_micros;
+        }
+        self.failed_run_micros as f64
     }
 }
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -226,6 +226,30 @@
     assert_eq!(shed.reason, Reason::Deadline);
 }
 
+/// Guards against sending one request after the other in vain to a service that answers none.
+#[test]
+fn waiting_request_with_less_time_than_one_that_ran_in_vain_is_refused_unsent() {
+    let mut balancer = Balancer::new("a");
+    let key = balancer.insert_warm("a", 1, NOW);
+    let first = Request::new(NOW.plus_millis(2_500));
+    assert_eq!(sent(balancer.admit(&first, NOW, 1)), Some(key));
+    let second = Request::new(NOW.plus_millis(2_510));
+    let Decision::Wait(ticket) = balancer.admit(&second, NOW, 2) else {
+        panic!("the only slot is in use");
+    };
+
+    let failed_at = NOW.plus_millis(2_500);
+    balancer.finish(key, Outcome::Failed, 2_500_000, failed_at);
+    let releases = balancer.tick(failed_at, 3);
+
+    let [Release::Shed(refused, shed)] = releases[..] else {
+        panic!("{releases:?}");
+    };
+    assert_eq!((refused, shed.reason), (ticket, Reason::Deadline));
+    let idle = balancer.admit(&Request::new(failed_at.plus_millis(100)), failed_at, 4);
+    assert_eq!(sent(idle), Some(key), "an idle service is tried again");
+}
+
 /// Guards against an upstream that is never tried again after a slow response.
 #[test]
 fn slow_upstream_is_tried_again() {
