--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod event;
+mod event_log;
 mod held_session;
 
 use std::sync::Arc;
