control: a perpetual task makes way for one that fits nowhere

Cause: perpetual tasks stay where they are, so that the room that is left on several hosts never becomes one piece; the only host with a required label, or below the step's limit per worker, stays full of tasks that other hosts would fit. A host is kept for a waiting task only where tasks that end by themselves are in the way.

Now, if a perpetual task has waited for 4 s (longer than the restart of a worker) and no host will fit it by itself, the smallest perpetual task is moved whose host fits the waiting one without it, and which fits on another host now. Both hosts are closed for other tasks until the attempt has ended and a placement round has passed, for 8 s at most. So each move adds a running task, and the moves come to an end. One task is moved at a time, searches for a step are 1 s apart. `task_moved` names the reason, the new host and the job.

A task of a step with `unavailable_max` is moved only while fewer tasks of the step than that are away; whatever doesn't report to serve counts as away. No suspects, gangs, tasks that use idle processors, unproved starts, nor hosts of probes and kept hosts take part, and nothing during a takeover. The start waits for the confirmed end of the stopped attempt, as for drains.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -30,6 +30,8 @@
 mod probing;
 mod rank;
 mod record_queue;
+mod relocating;
+mod relocation;
 mod reserving;
 mod restored;
 mod run;
@@ -67,6 +69,7 @@
 pub use loss::Loss;
 use probe::Probe;
 use record_queue::RecordQueue;
+use relocation::Relocation;
 pub use restored::RestoredJob;
 use run::Run;
 pub(crate) use settings::LEASE_MARGIN_MICROS;
@@ -101,6 +104,8 @@
     probes: BTreeMap<HostKey, Probe>,
     /// Hosts that are kept for perpetual tasks, by the job and the index of the stage that waits.
     reservations: BTreeMap<HostKey, (JobKey, usize)>,
+    /// Move of a perpetual task that makes room for another one.
+    relocation: Option<Relocation>,
     /// Jobs that may have suspect tasks.
     suspect_jobs: BTreeSet<JobKey>,
     /// Number of tasks that one probe may start.
@@ -172,6 +177,7 @@
             waiting_jobs: BTreeSet::new(),
             probes: BTreeMap::new(),
             reservations: BTreeMap::new(),
+            relocation: None,
             suspect_jobs: BTreeSet::new(),
             probe_tasks_max: 1,
             unrecorded_suspects: Vec::new(),
--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -80,6 +80,20 @@
         /// Name of the host that the attempt leaves.
         host: String,
     },
+    /// An attempt of a perpetual task is stopped to continue elsewhere, so that another
+    /// perpetual task fits on its host.
+    MadeRoom {
+        /// Task that is moved.
+        task: Task,
+        /// Number of the attempt that is stopped.
+        attempt: u64,
+        /// Name of the host that the attempt leaves.
+        host: String,
+        /// Name of the host that has room for the task.
+        new_host: String,
+        /// Job of the task that waits for room.
+        job: Id,
+    },
     /// A perpetual task doesn't run.
     Waiting {
         /// Task that doesn't run.
--- a/crates/control/src/scheduler/placement.rs
+++ b/crates/control/src/scheduler/placement.rs
@@ -66,6 +66,7 @@
         for key in order {
             self.place_job(key, Part::Others, now);
         }
+        self.end_relocation(now);
         let jobs = &self.jobs;
         self.waiting_jobs
             .retain(|key| jobs.get(*key).is_some_and(super::Job::has_waiting));
@@ -136,6 +137,7 @@
             if !is_placed {
                 self.record_shortage(stage, now);
                 self.reserve_host(stage, now);
+                self.make_room(stage, now);
             } else if step.is_perpetual {
                 self.release_reservations();
             }
--- a/crates/control/src/scheduler/reserving.rs
+++ b/crates/control/src/scheduler/reserving.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns whether a host will fit a task of a stage.
-    fn can_wait_for(&self, key: HostKey, stage: StageRef<'_>) -> bool {
+    pub(super) fn can_wait_for(&self, key: HostKey, stage: StageRef<'_>) -> bool {
         self.will_fit(&self.hosts[key], stage) && self.is_below_worker_limit(key, stage)
     }
 
@@ -90,7 +90,11 @@
 
     /// Returns whether a host is kept for tasks of other stages.
     pub(super) fn is_kept_from(&self, host: HostKey, stage: StageRef<'_>) -> bool {
-        self.reservations.contains_key(&host) && !stage.step.is_perpetual
+        let is_reserved = self.reservations.contains_key(&host) && !stage.step.is_perpetual;
+        let relocation = self.relocation.as_ref();
+        is_reserved
+            || relocation
+                .is_some_and(|relocation| relocation.is_closed(host, (stage.job, stage.index)))
     }
 
     fn reservations_max(&self) -> usize {
--- a/crates/control/src/scheduler/stage.rs
+++ b/crates/control/src/scheduler/stage.rs
@@ -1,5 +1,7 @@
 //! Tasks of one step in one occurrence.
 
+use toucanquay_model::Time;
+
 use super::{
     shortage::Shortage,
     task::{Phase, Task},
@@ -14,6 +16,8 @@
     pub(super) is_open: bool,
     /// The last search for a host, if it found none.
     pub(super) shortage: Option<Shortage>,
+    /// When a task is next searched whose move makes room.
+    pub(super) move_search_at: Time,
 }
 
 impl Stage {
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -304,6 +304,17 @@
                 info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
                     "reason" => "neighbours allow hardly any speed", "epoch" => epoch);
             }
+            SchedulerEvent::MadeRoom {
+                task,
+                attempt,
+                host,
+                new_host,
+                job,
+            } => {
+                info!(log, "task_moved"; "task" => %task, "attempt" => attempt, "host" => host,
+                    "new_host" => new_host, "for_job" => %job, "epoch" => epoch,
+                    "reason" => "room for another perpetual task");
+            }
             SchedulerEvent::Kept { host, job } => {
                 info!(log, "host_kept"; "host" => host, "job" => %job, "epoch" => epoch);
             }
