control: randomised runs on a service full of perpetual tasks

A further mode fills the hosts with perpetual tasks of one to nine processors, some of which are moved to make room, and checks that none runs twice at a time and no worker exceeds its capacity. Perpetual tasks run until they are stopped in both modes, and have different sizes.

--- a/crates/control/tests/graph/simulation.rs
+++ b/crates/control/tests/graph/simulation.rs
@@ -49,8 +49,18 @@
 /// Number of starts of a task after [`CRASHES_MAX`] workers have crashed under it.
 const STARTS_MAX: usize = 2;
 
-/// Maximum number of jobs with perpetual tasks, so that these fit even if a worker is away.
-const PERPETUAL_JOBS_MAX: usize = 4;
+/// Longest time for which a fault or a late call lasts, in milliseconds.
+const LATE_MS_MAX: u64 = 15_000;
+
+/// Number of jobs with perpetual tasks that fit beside each other, if each task has
+/// [`FITTING_PROCESSORS`] at most.
+const FITTING_JOBS: usize = 4;
+
+/// See [`FITTING_JOBS`].
+const FITTING_PROCESSORS: u32 = 4;
+
+/// Number of jobs with perpetual tasks, if the tasks are larger.
+const CROWDED_JOBS: usize = 15;
 
 /// Time without faults after which all perpetual tasks run, in milliseconds.
 const PERPETUAL_MS_MAX: u64 = 30_000;
@@ -119,6 +129,8 @@
     silence_rng: Option<StdRng>,
     /// Random numbers for perpetual jobs; `None` if there are none.
     lasting_rng: Option<StdRng>,
+    /// Maximum number of processors of a perpetual task.
+    lasting_processors_max: u32,
     /// Interval at which workers announce themselves, in milliseconds.
     heartbeat_millis: u64,
     now_ms: u64,
@@ -150,6 +162,8 @@
     pub silences: u64,
     /// Number of workers that deadly tasks crashed.
     pub deadly_crashes: u64,
+    /// Number of perpetual tasks that were moved to make room.
+    pub moves: u64,
 }
 
 impl Simulation {
@@ -160,6 +174,7 @@
             fault_rng: None,
             silence_rng: None,
             lasting_rng: None,
+            lasting_processors_max: 0,
             heartbeat_millis: 0,
             now_ms: 0,
             epoch: 0,
@@ -181,6 +196,7 @@
             stops_turned_away: 0,
             silences: 0,
             deadly_crashes: 0,
+            moves: 0,
         };
         for number in 0..hosts {
             simulation.hosts.push(simulation.host(
@@ -204,9 +220,10 @@
         self
     }
 
-    /// Adds jobs with tasks that run until they are cancelled.
-    pub fn with_perpetual_jobs(mut self, seed: u64) -> Self {
+    /// Adds jobs with tasks that run until they are cancelled, with up to so many processors each.
+    pub fn with_perpetual_jobs(mut self, seed: u64, processors_max: u32) -> Self {
         self.lasting_rng = Some(StdRng::seed_from_u64(!seed));
+        self.lasting_processors_max = processors_max;
         self
     }
 
@@ -230,10 +247,12 @@
     /// Panics if an invariant is violated.
     pub fn run(&mut self, millis: u64) {
         while self.now_ms < millis {
-            if self.rng.random_range(0..20) == 0 {
+            // Otherwise, perpetual tasks are to be in the way of each other for long.
+            let has_batch_jobs = self.lasting_processors_max <= FITTING_PROCESSORS;
+            if has_batch_jobs && self.rng.random_range(0..20) == 0 {
                 self.submit_job();
             }
-            if self.rng.random_range(0..40) == 0 {
+            if has_batch_jobs && self.rng.random_range(0..40) == 0 {
                 self.cancel_random_job();
             }
             self.submit_perpetual_job();
@@ -287,11 +306,22 @@
         }
     }
 
-    /// Waits until all perpetual tasks run, and then cancels their jobs.
+    /// Waits until the last faults are over and all perpetual tasks run, if they fit, and then cancels their jobs.
     fn await_perpetual_tasks(&mut self) {
+        if self.lasting_rng.is_none() {
+            return;
+        }
+        let calm_at = self.now_ms + LATE_MS_MAX;
+        while self.now_ms < calm_at {
+            self.advance();
+        }
         let run_by = self.now_ms + PERPETUAL_MS_MAX;
+        let is_fitting = self.lasting_processors_max <= FITTING_PROCESSORS;
         while let Some(task) = self.missing_perpetual_task() {
-            assert!(self.now_ms < run_by, "{task} doesn't run");
+            if self.now_ms >= run_by {
+                assert!(!is_fitting, "{task} doesn't run");
+                break;
+            }
             self.advance();
         }
         let is_perpetual = |(_, record): &(&Id, &JobRecord)| record.steps[0].is_perpetual;
@@ -333,13 +363,19 @@
             let is_over = record.is_cancelled || record.progress.state.is_over();
             record.steps[0].is_perpetual && !is_over
         });
-        if rng.random_range(0..60) != 0 || active.count() >= PERPETUAL_JOBS_MAX {
+        let jobs_max = if self.lasting_processors_max <= FITTING_PROCESSORS {
+            FITTING_JOBS
+        } else {
+            CROWDED_JOBS
+        };
+        if rng.random_range(0..60) != 0 || active.count() >= jobs_max {
             return;
         }
         let id = Id::new(rng.random());
         let perpetual = Step {
             is_perpetual: true,
-            ..step(rng.random_range(1..4))
+            demand: cores(rng.random_range(1..=self.lasting_processors_max)),
+            ..step(rng.random_range(1..3))
         };
         let is_deadly = rng.random_range(0..8) == 0;
         let deadly_task = is_deadly.then_some(Task {
@@ -548,6 +584,15 @@
         }
     }
 
+    /// Lets an attempt of a perpetual task run until it is stopped.
+    fn prolong_perpetual_task(&mut self, index: usize, key: (Task, u64)) {
+        let is_perpetual = self.jobs[&key.0.job].steps[0].is_perpetual;
+        let running = &mut self.hosts[index].worker.running;
+        if let Some(attempt) = running.get_mut(&key).filter(|_| is_perpetual) {
+            attempt.done_at = Time::NEVER;
+        }
+    }
+
     /// Counts the start of a deadly task, which will crash the worker.
     fn start_deadly_task(&mut self, index: usize, task: Task) {
         if self.jobs[&task.job].deadly_task != Some(task) {
@@ -657,6 +702,7 @@
                 let worker = &mut self.hosts[index].worker;
                 let outcome = worker.start(key, epoch, lease_until, random, now);
                 if outcome == CallOutcome::Done {
+                    self.prolong_perpetual_task(index, key);
                     self.start_deadly_task(index, key.0);
                 }
                 let outcome = if is_lost {
@@ -848,6 +894,9 @@
         };
         owner.set_wall_clock(5_000_000 + self.now_ms, now);
         owner.tick(now);
+        let events = owner.take_events().into_iter();
+        let moves = events.filter(|event| matches!(event, scheduler::Event::MadeRoom { .. }));
+        self.moves += moves.count() as u64;
         for name in owner.due_hosts(now) {
             let host = self.hosts.iter_mut().find(|host| host.name == name);
             if let (Some(host), Some(orders)) = (host, owner.orders(&name, now)) {
@@ -893,10 +942,15 @@
                     self.now_ms
                 );
             }
-            let held = host.worker.running.len() as u32 * 2;
+            let tasks = host.worker.running.keys().map(|(task, _)| *task);
+            let milli = tasks.map(|task| {
+                let step = &self.jobs[&task.job].steps[usize::from(task.step)];
+                step.demand.processors_milli
+            });
+            let held = milli.sum::<u32>();
             assert!(
-                held <= PROCESSORS,
-                "{} runs attempts with {held} processors in total",
+                held <= PROCESSORS * 1_000,
+                "{} runs attempts with {held} thousandths of a processor in total",
                 host.name
             );
         }
--- a/crates/control/tests/graphs.rs
+++ b/crates/control/tests/graphs.rs
@@ -125,7 +125,7 @@
         println!("TOUCANQUAY_GRAPH_SEED={seed}");
         let mut simulation = Simulation::new(seed, 3 + seed % 4)
             .with_busy_workers_and_deadly_tasks(seed)
-            .with_perpetual_jobs(seed);
+            .with_perpetual_jobs(seed, 4);
         simulation.run(FAULTS_MS);
         simulation
     });
@@ -136,3 +136,25 @@
     println!("{crashes} crashes");
     assert!(crashes > 0 || is_replay, "deadly tasks crash their workers");
 }
+
+/// Guards against tasks that run twice, and workers beyond their capacity, on a service that is full
+/// of perpetual tasks, some of which are moved to make room.
+#[test]
+fn perpetual_tasks_on_a_full_service_run_once() {
+    let (seeds, _) = seeds();
+
+    let simulations = seeds.map(|seed| {
+        println!("TOUCANQUAY_GRAPH_SEED={seed}");
+        let mut simulation = Simulation::new(seed, 6)
+            .with_silent_workers(seed)
+            .with_perpetual_jobs(seed, 9);
+        simulation.run(FAULTS_MS);
+        simulation
+    });
+    let (starts, moves) = simulations.fold((0, 0), |(starts, moves), simulation| {
+        (starts + simulation.starts, moves + simulation.moves)
+    });
+
+    println!("{starts} starts, {moves} moves");
+    assert!(starts > 0, "tasks start");
+}
