control: the record of silent hosts is bounded

Callers have not seen this; it was found in a review of the record. While a record that names a host is being written, the host gets no orders. A record beyond the size that the store takes would be written again and again, and none of its hosts would be used any more. At 22,000 hosts it would come near 1 MB.

--- a/crates/control/src/silence/tracker.rs
+++ b/crates/control/src/silence/tracker.rs
@@ -19,6 +19,10 @@
 /// The same if most hosts are unreached: sessions to them are probably being opened.
 const MOSTLY_SILENT_MICROS: u64 = 1_000_000;
 
+/// Maximum number of hosts in a record. It keeps the record far below the size that a store takes;
+/// no host gets orders while a record that names it can't be written.
+const HOSTS_MAX: usize = 1_000;
+
 /// Tracks which hosts the stored record may name.
 #[derive(Debug, Default)]
 pub struct Tracker {
@@ -103,9 +107,10 @@
         let recorded = unreached
             .iter()
             .filter(|host| is_silent(host, micros) || is_kept(host));
-        recorded
+        let recorded: BTreeMap<String, Time> = recorded
             .map(|host| (host.host.clone(), host.lease_end))
-            .collect()
+            .collect();
+        recorded.into_iter().take(HOSTS_MAX).collect()
     }
 
     /// Processes that the last record was written at a revision.
--- a/crates/control/tests/silence.rs
+++ b/crates/control/tests/silence.rs
@@ -96,6 +96,23 @@
     assert_eq!(record.is_some(), is_due);
 }
 
+/// Guards against a record that outgrows what the store takes, so that none of its hosts ever gets
+/// orders again.
+#[test]
+fn record_names_a_bounded_number_of_hosts() {
+    let names: Vec<String> = (0..3_000).map(|number| format!("h{number}")).collect();
+    let hosts: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), at(6_400)))
+        .collect();
+    let mut tracker = Tracker::default();
+
+    let record = tracker.next_record(&unreached(&hosts), 10_000, at(250));
+
+    assert_eq!(record.expect("a record").remaining_ms.len(), 1_000);
+    assert!(!tracker.may_name("h999"));
+}
+
 /// Guards against a new owner that forgets which hosts the former one has recorded, because it has
 /// itself not tried for long to reach them.
 #[test]
