review: case 8, a worker that starts again at an earlier time of day isn't used any more

Cause: the companion takes a life of the worker with a lower start time for a former one, and ignores its heartbeats and its lists. The time of day may jump.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod cancel;
+mod clock;
 mod heartbeat;
 mod schedule;
 
@@ -14,6 +15,7 @@
     Some(match name {
         "schedule" => schedule::run,
         "cancel" => cancel::run,
+        "clock" => clock::run,
         "heartbeat" => heartbeat::run,
         _ => return None,
     })
