review: case 10, a lasting task waits for 7.8 s after losses in a row

A host that is lost shortly before its owner, and an owner that lives for 0.15 s, leave no record of the silent host, so that the next owner waits for the longest lease.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod cancel;
 mod clock;
 mod heartbeat;
+mod removals;
 mod schedule;
 
 use crate::{Outcome, record::Record};
@@ -17,6 +18,7 @@
         "cancel" => cancel::run,
         "clock" => clock::run,
         "heartbeat" => heartbeat::run,
+        "removals" => removals::run,
         _ => return None,
     })
 }
