--- a/review/standin-2/src/cluster.rs
+++ b/review/standin-2/src/cluster.rs
@@ -312,6 +312,9 @@
     timeout: Duration,
 ) -> (u16, Value) {
     let deadline_ms = timeout.as_millis().to_string();
+    if !body.is_empty() {
+        record.write(format!("client sends {method} {path} at {entry}: {body}"));
+    }
     let headers = [("Host", HOST), ("X-Deadline-Ms", &deadline_ms)];
     let answer = http::call(entry, method, path, &headers, body, timeout);
     let (status, body) = answer.unwrap_or_default();
