--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -245,6 +245,7 @@
             Some(key) => self.cancel_job(*key, now),
             None => {
                 self.early_cancellations.insert(id);
+                self.events.push(Event::CancelledEarly { job: id });
             }
         }
     }
--- a/crates/control/src/scheduler/event.rs
+++ b/crates/control/src/scheduler/event.rs
@@ -17,6 +17,11 @@
         /// Reason of the failure, if it failed.
         reason: Option<String>,
     },
+    /// A job was cancelled that the owner doesn't know yet.
+    CancelledEarly {
+        /// Identifier that the client chose for the job.
+        job: Id,
+    },
     /// The owner has adopted an attempt that a former owner started.
     Adopted {
         /// Task of the adopted attempt.
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -62,10 +62,14 @@
     ///
     /// Returns the store's error.
     pub async fn cancel(&self, queue: &str, id: Id, deadline: Instant) -> Result<bool, Error> {
+        let shared = &self.shared;
         if self.state(id, deadline).await?.is_none() {
+            if let Some(suppressed) = shared.take_line(shared.clock.now()) {
+                info!(shared.log, "cancellation_without_job"; "job" => %id, "queue" => queue,
+                    "suppressed" => suppressed);
+            }
             return Ok(false);
         }
-        let shared = &self.shared;
         create::create_key(shared, &key::cancel(id), &[], deadline).await?;
         info!(shared.log, "job_cancelled"; "job" => %id, "queue" => queue);
         notify_owner(shared.clone(), Query::Cancelled(id));
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -40,6 +40,10 @@
 /// host should be usable at once.
 const SILENT_HOST_TIMEOUT_MS: u64 = 20_000;
 
+/// Time from a submission to its arrival at the owner from which on a line is logged, in
+/// milliseconds.
+const LATE_ARRIVAL_MS: u64 = 1_000;
+
 /// Interval between updates of the gauges, in milliseconds.
 const GAUGE_INTERVAL_MS: u64 = 1_000;
 
@@ -169,6 +173,7 @@
             Event::Accepted(id, accepted_job) => {
                 self.scheduler
                     .set_wall_clock(self.shared.clock.unix_ms(), now);
+                self.log_late_arrival(id, &accepted_job);
                 self.accept(id, *accepted_job, now);
             }
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
@@ -194,6 +199,16 @@
         }
     }
 
+    /// Logs a job whose submission took effect late, unless the owner knows it already.
+    fn log_late_arrival(&self, id: Id, accepted_job: &AcceptedJob) {
+        let unix_ms = self.shared.clock.unix_ms();
+        let late_ms = unix_ms.saturating_sub(accepted_job.unix_ms);
+        if late_ms >= LATE_ARRIVAL_MS && self.scheduler.job_state(id).is_none() {
+            info!(self.shared.log, "job_arrived_late"; "job" => %id, "late_ms" => late_ms,
+                "epoch" => self.epoch);
+        }
+    }
+
     /// Advances the scheduler to the current time and starts the resulting commits and orders.
     fn advance(&mut self) {
         let now = self.shared.clock.now();
--- a/crates/node/src/entry/owner/event_log.rs
+++ b/crates/node/src/entry/owner/event_log.rs
@@ -13,6 +13,9 @@
             info!(log, "job_over"; "job" => %job, "state" => ?state, "reason" => reason,
                 "epoch" => epoch);
         }
+        SchedulerEvent::CancelledEarly { job } => {
+            info!(log, "job_cancelled_early"; "job" => %job, "epoch" => epoch);
+        }
         SchedulerEvent::Adopted {
             task,
             attempt,
