node: a cancelling of an identifier without a job withdraws it, so that no late submission takes effect

What callers saw: a client whose submission had no answer cancels it and gets 410.

Cause: Entry::cancel read the job and, finding none, answered 410 and wrote nothing. The store may carry the write of the submission out seconds later, and the owner runs it like any other.

Evidence: cancellation_without_job, then job_arrived_late (late_ms about 6,000) for the same job and one owner; no job_cancelled_early (docs/incidents/late-submission.md). A kept cancellation, as the reviewer proposed, would stay in the store as an orphan, would depend on the owner's memory where a list is read before it, and would cancel a later job of that identifier without a word.

Change: a DELETE without a job writes a withdrawal under the job's own key if that doesn't exist. Submissions have the same condition, so the store lets one of the two take effect, without any process that remembers. A withdrawn identifier is refused (503, Retry-After 60 s) and shown as unknown; the owner removes withdrawals after 60 s, by their revisions.

--- a/crates/model/src/error/kind.rs
+++ b/crates/model/src/error/kind.rs
@@ -26,6 +26,8 @@
     UnknownJob,
     /// the job id exists with other content
     JobConflict,
+    /// the job id was cancelled before the job arrived
+    JobWithdrawn,
     /// the section was changed since the revision that the edit is based on
     RevisionConflict,
     /// the idempotency key was used with another request
@@ -68,7 +70,7 @@
 
 impl ErrorKind {
     /// All kinds, in declaration order.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::InvalidField,
         Self::MalformedBody,
         Self::BodyTooLarge,
@@ -77,6 +79,7 @@
         Self::UnknownTeam,
         Self::UnknownJob,
         Self::JobConflict,
+        Self::JobWithdrawn,
         Self::RevisionConflict,
         Self::KeyConflict,
         Self::KeyInUse,
@@ -140,6 +143,13 @@
             ),
             Self::UnknownJob => (404, 3, Execution::NotRun, false, "check the id of the job"),
             Self::JobConflict => (409, 4, Execution::NotRun, false, "choose another job id"),
+            Self::JobWithdrawn => (
+                503,
+                6,
+                Execution::NotRun,
+                false,
+                "choose another job id, or retry after the time given",
+            ),
             Self::RevisionConflict => (
                 409,
                 4,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -2,8 +2,8 @@
 
 mod candidate;
 mod candidates;
+mod change;
 mod configuration;
-mod create;
 mod election;
 mod jobs;
 mod line_budget;
@@ -25,6 +25,8 @@
 mod target;
 mod term;
 mod watch;
+mod withdrawal;
+mod withdrawals;
 
 use std::sync::Arc;
 
@@ -37,6 +39,7 @@
 pub use settings::Settings;
 use shared::Shared;
 pub use target::Target;
+use withdrawals::Withdrawals;
 
 use crate::{Store, configuration::Source};
 
@@ -63,12 +66,15 @@
     ) -> Result<Self, Error> {
         let log = log.new(o!("entry" => settings.name.clone()));
         let server = Server::bind(settings.listen, log.clone()).await?;
-        let shared = Arc::new(Shared::new(settings, store, source, log));
+        let (withdrawals, withdrawal_requests) = Withdrawals::new();
+        let shared = Shared::new(settings, store, source, withdrawals, log);
+        let shared = Arc::new(shared);
         info!(shared.log, "entry_started"; "process" => shared.settings.process,
             "peers" => %server.address());
         let peer_shared = shared.clone();
         let stop = shared.stop.clone();
         tokio::spawn(server.run(stop, move |stream| peer::serve(peer_shared.clone(), stream)));
+        shared.spawn(withdrawals::run(shared.clone(), withdrawal_requests));
         shared.spawn(configuration::run(shared.clone()));
         shared.spawn(configuration::peers::run(shared.clone()));
         shared.spawn(candidates::run(shared.clone()));
--- a/crates/node/src/entry/jobs.rs
+++ b/crates/node/src/entry/jobs.rs
@@ -9,10 +9,10 @@
 };
 use toucanquay_wire::{
     Frame,
-    graph::{Query, Reply},
+    graph::{Change, Outcome, Query, Reply},
 };
 
-use super::{Entry, Shared, Target, create, peer, takeover};
+use super::{Entry, Shared, Target, change, peer, takeover};
 use crate::key;
 
 /// Timeout of one query to the owner.
@@ -30,6 +30,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::StoreUnavailable`] if the job wasn't accepted and will never run,
+    /// [`ErrorKind::JobWithdrawn`] if it wasn't since its identifier was cancelled,
     /// [`ErrorKind::OutcomeUnknown`] if that isn't known by the deadline.
     pub async fn submit(
         &self,
@@ -47,30 +48,40 @@
         };
         let record = serde_json::to_vec(&accepted_job)
             .map_err(|cause| Error::new(ErrorKind::Protocol).context(cause))?;
-        create::create_key(shared, &key::job(id), &record, deadline).await?;
+        let record = Bytes::from(record);
+        let change = Change::Submit {
+            id,
+            record: record.clone(),
+        };
+        if change::apply(shared, &change, deadline).await? != Outcome::Accepted {
+            info!(shared.log, "job_refused"; "job" => %id, "queue" => &target.queue,
+                "reason" => "its identifier was cancelled");
+            return Err(Error::new(ErrorKind::JobWithdrawn).field("id").value(id));
+        }
         info!(shared.log, "job_accepted"; "job" => %id, "queue" => &target.queue,
             "steps" => accepted_job.job.steps.len(),
             "chain_ms" => accepted_job.job.critical_path_ms());
-        let record = Bytes::from(record);
         notify_owner(shared.clone(), Query::Accepted { id, record });
         Ok(())
     }
 
-    /// Durably cancels a job. Returns `false` if the job doesn't exist.
+    /// Durably cancels a job. Returns `false` if no job is stored under the identifier. Nothing runs
+    /// under it then either, even if a submission is still on its way to the store.
     ///
     /// # Errors
     ///
-    /// Returns the store's error.
+    /// [`ErrorKind::StoreUnavailable`] if the job wasn't cancelled, [`ErrorKind::OutcomeUnknown`] if
+    /// that isn't known by the deadline, [`ErrorKind::Overloaded`] if too many cancellations of
+    /// identifiers without a job are waiting.
     pub async fn cancel(&self, queue: &str, id: Id, deadline: Instant) -> Result<bool, Error> {
         let shared = &self.shared;
-        if self.state(id, deadline).await?.is_none() {
+        if change::apply(shared, &Change::Cancel(id), deadline).await? != Outcome::Cancelled {
             if let Some(suppressed) = shared.take_line(shared.clock.now()) {
                 info!(shared.log, "cancellation_without_job"; "job" => %id, "queue" => queue,
                     "suppressed" => suppressed);
             }
             return Ok(false);
         }
-        create::create_key(shared, &key::cancel(id), &[], deadline).await?;
         info!(shared.log, "job_cancelled"; "job" => %id, "queue" => queue);
         notify_owner(shared.clone(), Query::Cancelled(id));
         Ok(true)
--- a/crates/node/src/entry/owner.rs
+++ b/crates/node/src/entry/owner.rs
@@ -4,6 +4,7 @@
 mod event;
 mod event_log;
 mod held_session;
+mod withdrawn;
 
 use std::sync::Arc;
 
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -22,7 +22,7 @@
 };
 use toucanquay_wire::graph::{Query, Reply};
 
-use super::{Event, event_log, held_session::HeldSession};
+use super::{Event, event_log, held_session::HeldSession, withdrawn::Withdrawn};
 use crate::{
     entry::{
         Registration, Shared, record, session, silent_hosts,
@@ -55,6 +55,9 @@
     scheduler: Scheduler,
     /// Jobs that must not run because their progress can't be read.
     withheld_jobs: HashSet<Id>,
+    withdrawn: Withdrawn,
+    /// Removal of withdrawals whose retention has ended.
+    withdrawal_removal: Option<JoinHandle<()>>,
     epoch: Epoch,
     fence: Revision,
     order_senders: HashMap<String, mpsc::Sender<Orders>>,
@@ -101,6 +104,8 @@
             mailbox,
             scheduler,
             withheld_jobs: loaded.withheld_jobs,
+            withdrawn: Withdrawn::default(),
+            withdrawal_removal: None,
             epoch,
             fence,
             order_senders: HashMap::new(),
@@ -114,6 +119,9 @@
             gauges_due_at: Time::ZERO,
         };
         driver.apply_configuration();
+        for (id, revision) in loaded.withdrawn {
+            driver.keep_withdrawal(id, revision);
+        }
         for (name, registration) in loaded.hosts {
             driver.connect_host(name, registration);
         }
@@ -176,6 +184,7 @@
                 self.log_late_arrival(id, &accepted_job);
                 self.accept(id, *accepted_job, now);
             }
+            Event::Withdrawn(id, revision) => self.keep_withdrawal(id, revision),
             Event::Cancelled(id) => self.scheduler.cancel(id, now),
             Event::HostRegistration(name, registration) => self.connect_host(name, registration),
             Event::HostRemoved(name) => self.forget_host(&name),
@@ -252,7 +261,9 @@
                 "waiting_reserving" => load.waiting_reserving,
                 "waiting_idle" => load.waiting_idle, "waiting_lasting" => waiting_lasting,
                 "hosts_scored" => load.hosts_scored);
+            meters::set_withdrawn_jobs(self.withdrawn.len());
             self.remove_silent_hosts(now);
+            self.remove_expired_withdrawals(now);
         }
         self.record_silent_hosts(now);
         for name in self.scheduler.due_hosts(now) {
@@ -321,6 +332,29 @@
         }
     }
 
+    /// Keeps a withdrawal until its retention ends, counted from now on.
+    fn keep_withdrawal(&mut self, id: Id, revision: Revision) {
+        let retention = self.shared.settings.withdrawal_retention;
+        let retention_micros = u64::try_from(retention.as_micros()).unwrap_or(u64::MAX);
+        let expires_at = self.shared.clock.now().plus_micros(retention_micros);
+        self.withdrawn.insert(id, revision, expires_at);
+    }
+
+    fn remove_expired_withdrawals(&mut self, now: Time) {
+        let removal = self.withdrawal_removal.as_ref();
+        if removal.is_some_and(|removal| !removal.is_finished()) {
+            return;
+        }
+        let expired = self.withdrawn.take_expired(now);
+        if !expired.is_empty() {
+            info!(self.shared.log, "withdrawals_expired"; "jobs" => expired.len(),
+                "epoch" => self.epoch);
+            let (shared, fence) = (self.shared.clone(), self.fence);
+            let removal = record::remove_withdrawals(shared, fence, expired);
+            self.withdrawal_removal = Some(tokio::spawn(removal));
+        }
+    }
+
     fn send_orders(&mut self, name: &str, now: Time) {
         let Some(sender) = self.order_senders.get(name) else {
             return;
@@ -361,7 +395,7 @@
                 Reply::Noted
             }
             // The peer handler of this process answers these itself and never forwards them.
-            Query::Create { .. } | Query::IsReady | Query::Configuration { .. } => Reply::Noted,
+            Query::Change { .. } | Query::IsReady | Query::Configuration { .. } => Reply::Noted,
         };
         if let Some(reply) = reply {
             // Sending fails if the caller has timed out.
@@ -427,7 +461,8 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        for task in self.background_tasks.iter().chain(self.removals.values()) {
+        let removals = self.removals.values().chain(&self.withdrawal_removal);
+        for task in self.background_tasks.iter().chain(removals) {
             task.abort();
         }
         for (_, task) in self.sessions.values() {
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -29,6 +29,8 @@
     Query(Query, Option<oneshot::Sender<Reply>>),
     /// A job was durably accepted.
     Accepted(Id, Box<AcceptedJob>),
+    /// An identifier without a job was withdrawn at this revision.
+    Withdrawn(Id, Revision),
     /// A job was durably cancelled.
     Cancelled(Id),
     /// A companion was registered, or its registration has changed.
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -12,7 +12,7 @@
     graph::{Query, Reply},
 };
 
-use super::{Shared, create, owner::Event};
+use super::{Shared, change, owner::Event};
 
 /// Serves one stream.
 pub(super) async fn serve(shared: Arc<Shared>, mut stream: Stream) {
@@ -20,14 +20,10 @@
         return;
     };
     let reply = match query {
-        Query::Create {
-            key,
-            value,
-            within_ms,
-        } => {
+        Query::Change { change, within_ms } => {
             let deadline = Instant::now() + Duration::from_millis(within_ms);
-            let created = create::create_in_store(&shared, &key, &value, deadline).await;
-            created.map(|()| Reply::Created)
+            let changed = change::apply_in_store(&shared, &change, deadline).await;
+            changed.map(Reply::Changed)
         }
         Query::IsReady => Ok(Reply::Ready(shared.is_ready())),
         Query::Configuration { known_version } => configuration(&shared, known_version),
--- a/crates/node/src/entry/settings.rs
+++ b/crates/node/src/entry/settings.rs
@@ -19,4 +19,7 @@
     pub capacity: u32,
     /// Time within which a change of the configuration must be in force.
     pub configuration_bound: Duration,
+    /// Time for which a cancelled identifier under which nothing is stored can't be used. It must
+    /// exceed the time by which a submission may be late.
+    pub withdrawal_retention: Duration,
 }
--- a/crates/node/src/entry/shared.rs
+++ b/crates/node/src/entry/shared.rs
@@ -17,7 +17,7 @@
 
 use super::{
     Settings, candidate::Candidate, line_budget::LineBudget, owner::Event, snapshot::Snapshot,
-    term::Term,
+    term::Term, withdrawals::Withdrawals,
 };
 use crate::{Clock, Configuration, Store, configuration::Source, meters};
 
@@ -34,6 +34,7 @@
     pub(super) clock: Clock,
     pub(super) log: Logger,
     pub(super) pool: Pool,
+    pub(super) withdrawals: Withdrawals,
     /// Stops the server and the tasks of the entry, except the election, which ends with
     /// [`drain`](Self::drain).
     pub(super) stop: CancellationToken,
@@ -68,7 +69,13 @@
 }
 
 impl Shared {
-    pub(super) fn new(settings: Settings, store: Store, source: Source, log: Logger) -> Self {
+    pub(super) fn new(
+        settings: Settings,
+        store: Store,
+        source: Source,
+        withdrawals: Withdrawals,
+        log: Logger,
+    ) -> Self {
         Self {
             settings,
             store,
@@ -76,6 +83,7 @@
             clock: Clock,
             log,
             pool: Pool::new(),
+            withdrawals,
             stop: CancellationToken::new(),
             drain: CancellationToken::new(),
             answer_by: OnceLock::new(),
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -16,6 +16,7 @@
 
 use super::{
     Registration, Shared, odd_entries::OddEntries, predecessor::Predecessor, silent_hosts,
+    withdrawal::Withdrawal,
 };
 use crate::{
     key,
@@ -40,6 +41,8 @@
     pub(super) silences: Tracker,
     /// Jobs that must not run because their progress can't be read.
     pub(super) withheld_jobs: HashSet<Id>,
+    /// Withdrawn identifiers, with the revisions that withdrew them.
+    pub(super) withdrawn: Vec<(Id, Revision)>,
     /// Revision after which to watch accepted jobs and cancellations.
     pub(super) intake_revision: Revision,
     /// Revision after which to watch the registrations of companions.
@@ -95,7 +98,12 @@
         read_missing_progress(shared, &intake, fence, &mut progress).await?;
     }
     let mut withheld_jobs = HashSet::new();
+    let mut withdrawn = Vec::new();
     for item in &intake.items {
+        if let Some(id) = parse_withdrawal(item) {
+            withdrawn.push((id, item.revision));
+            continue;
+        }
         if let Some(id) = parse_id(item, key::CANCELS) {
             scheduler.cancel(id, now);
         }
@@ -122,13 +130,14 @@
         }
     }
     info!(shared.log, "state_loaded"; "epoch" => epoch, "jobs" => scheduler.active_jobs(),
-        "hosts" => hosts.len(), "silent_hosts" => silent_hosts.len(),
+        "withdrawn" => withdrawn.len(), "hosts" => hosts.len(), "silent_hosts" => silent_hosts.len(),
         "revision" => intake.revision);
     Ok(LoadedState {
         scheduler,
         hosts,
         silences: Tracker::new(record_revision, silent_hosts.into_keys()),
         withheld_jobs,
+        withdrawn,
         intake_revision: intake.revision,
         hosts_revision: host_list.revision,
     })
@@ -162,7 +171,8 @@
     fence: Revision,
     progress: &mut RecordedProgress,
 ) -> Result<(), Error> {
-    let earlier = intake.items.iter().filter(|item| item.revision < fence);
+    let is_earlier = |item: &&Item| item.revision < fence && !Withdrawal::is_in(&item.value);
+    let earlier = intake.items.iter().filter(is_earlier);
     let ids = earlier.filter_map(|item| parse_id(item, key::JOBS));
     let missing: Vec<Id> = ids.filter(|id| !progress.contains_key(id)).collect();
     let reads = missing.into_iter().map(|id| async move {
@@ -208,6 +218,12 @@
     item.key.strip_prefix(prefix)?.parse().ok()
 }
 
+/// Parses the withdrawn identifier if the item is a [`Withdrawal`].
+pub(super) fn parse_withdrawal(item: &Item) -> Option<Id> {
+    let id = parse_id(item, key::JOBS)?;
+    Withdrawal::is_in(&item.value).then_some(id)
+}
+
 /// Parses an accepted job. Returns `None` for one that no entry accepts, for example with too many
 /// tasks.
 pub(super) fn parse_accepted_job(item: &Item) -> Option<(Id, AcceptedJob)> {
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -31,6 +31,9 @@
         if let Some(id) = takeover::parse_id(item, key::CANCELS) {
             return Some(Event::Cancelled(id));
         }
+        if let Some(id) = takeover::parse_withdrawal(item) {
+            return Some(Event::Withdrawn(id, item.revision));
+        }
         let (id, accepted_job) = takeover::parse_accepted_job(item)?;
         Some(Event::Accepted(id, Box::new(accepted_job)))
     };
--- a/crates/node/src/meters.rs
+++ b/crates/node/src/meters.rs
@@ -76,6 +76,16 @@
     gauge!("toucanquay_jobs_unrecorded").set(unrecorded as f64);
 }
 
+/// Counts identifiers that were withdrawn.
+pub fn count_jobs_withdrawn(jobs: usize) {
+    counter!("toucanquay_jobs_withdrawn_total").increment(jobs as u64);
+}
+
+/// Sets the owner's number of withdrawals in the store.
+pub fn set_withdrawn_jobs(jobs: usize) {
+    gauge!("toucanquay_jobs_withdrawn").set(jobs as f64);
+}
+
 /// Sets the owner's number of perpetual tasks that have not run for 2 s.
 pub fn set_lasting_tasks_waiting(tasks: usize) {
     gauge!("toucanquay_lasting_tasks_waiting").set(tasks as f64);
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -107,6 +107,7 @@
         listen,
         capacity: 1,
         configuration_bound: Duration::from_millis(2_000),
+        withdrawal_retention: Duration::from_secs(60),
     }
 }
 
--- a/crates/node/tests/support/entry.rs
+++ b/crates/node/tests/support/entry.rs
@@ -27,13 +27,23 @@
     memory: &Memory,
     lines: &Lines,
 ) -> Entry {
-    let settings = entry::Settings {
+    start_entry_with(settings(name, listen), memory, lines).await
+}
+
+/// Returns the settings of an entry.
+pub fn settings(name: &str, listen: SocketAddr) -> entry::Settings {
+    entry::Settings {
         name: name.to_owned(),
         process: 1,
         listen,
         capacity: 1,
         configuration_bound: Duration::from_millis(2_000),
-    };
+        withdrawal_retention: Duration::from_secs(60),
+    }
+}
+
+/// Starts an entry with these settings.
+pub async fn start_entry_with(settings: entry::Settings, memory: &Memory, lines: &Lines) -> Entry {
     let source = Source {
         key: "configuration".to_owned(),
         decode: Arc::new(|_bytes| Ok(Configuration::default())),
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_util::FutureExt;
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 use toucanquay_model::{Error, ErrorKind};
 use toucanquay_node::{
     Store,
@@ -37,6 +37,10 @@
     reads: Vec<String>,
     /// Key whose writes are slow, and the time that they take.
     slow_key: Option<(String, Duration)>,
+    /// Keys whose next write is late, and its delay.
+    late_keys: BTreeMap<String, Duration>,
+    /// Number of transactions that were received.
+    transactions: usize,
 }
 
 impl Memory {
@@ -109,6 +113,17 @@
         self.lock().slow_key = Some((key.to_owned(), delay));
     }
 
+    /// Carries the next write of a key out after a delay, if its conditions hold then, and doesn't
+    /// answer it.
+    pub fn delay_next_write(&self, key: &str, delay: Duration) {
+        self.lock().late_keys.insert(key.to_owned(), delay);
+    }
+
+    /// Returns the number of transactions that were received, including those with a conflict.
+    pub fn transactions(&self) -> usize {
+        self.lock().transactions
+    }
+
     /// Returns how often a key was read by itself.
     pub fn reads(&self, key: &str) -> usize {
         let state = self.lock();
@@ -138,13 +153,24 @@
                 sleep(POLL_INTERVAL).await;
             },
             Call::Commit(transaction) => {
-                let delay = self.lock().write_delay(&transaction);
+                let (delay, late_by) = self.lock().receive(&transaction);
+                if let Some(late_by) = late_by {
+                    tokio::spawn(self.clone().commit_late(transaction, late_by));
+                    sleep_until(deadline).await;
+                    return Err(Error::new(ErrorKind::OutcomeUnknown));
+                }
                 sleep(delay).await;
                 self.lock().commit(transaction).map(Reply::Commit)
             }
         }
     }
 
+    async fn commit_late(self, transaction: Transaction, delay: Duration) {
+        sleep(delay).await;
+        // Nobody waits for the outcome.
+        let _ = self.lock().commit(transaction);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().expect("no holder panics")
     }
@@ -158,10 +184,16 @@
         Ok(self.items.get(key).cloned())
     }
 
-    fn write_delay(&self, transaction: &Transaction) -> Duration {
+    /// Returns the time that a transaction takes, and the delay after which it is carried out if it
+    /// is late.
+    fn receive(&mut self, transaction: &Transaction) -> (Duration, Option<Duration>) {
+        self.transactions += 1;
+        let keys = || transaction.puts.iter().map(|put| &put.0);
         let slow = self.slow_key.as_ref();
-        let slow = slow.filter(|(key, _)| transaction.puts.iter().any(|put| put.0 == *key));
-        slow.map_or(Duration::ZERO, |(_, delay)| *delay)
+        let slow = slow.filter(|(slow_key, _)| keys().any(|key| key == slow_key));
+        let late_key = keys().find(|key| self.late_keys.contains_key(*key));
+        let late_by = late_key.and_then(|key| self.late_keys.remove(key));
+        (slow.map_or(Duration::ZERO, |(_, delay)| *delay), late_by)
     }
 
     fn page(&self, prefix: &str, after: &str) -> Page {
--- a/crates/wire/src/graph/query.rs
+++ b/crates/wire/src/graph/query.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use toucanquay_model::graph::Id;
 
+use super::Change;
+
 /// A query or notification. Notifications only reduce latency: the owner also reads the same
 /// information from the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,12 +23,10 @@
     },
     /// Notifies the owner that the cancellation of a job has been written durably.
     Cancelled(Id),
-    /// Creates a key in the store on behalf of an entry that cannot reach the store.
-    Create {
-        /// Full key to create.
-        key: String,
-        /// Value of the key.
-        value: Bytes,
+    /// Changes the stored jobs on behalf of an entry that cannot reach the store.
+    Change {
+        /// Change that a client of that entry asks for.
+        change: Change,
         /// Time left for the operation, in milliseconds.
         within_ms: u64,
     },
--- a/crates/wire/src/graph/reply.rs
+++ b/crates/wire/src/graph/reply.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use toucanquay_model::graph::State;
 
+use super::Outcome;
+
 /// Reply to a [`Query`](super::Query).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
@@ -13,8 +15,8 @@
     Pending(u64),
     /// The notification was received.
     Noted,
-    /// The key exists.
-    Created,
+    /// Outcome of the change.
+    Changed(Outcome),
     /// Whether the entry is ready to become the owner.
     Ready(bool),
     /// Configuration of the entry.
