node: a cancellation depends on its job, so that a late one leaves nothing behind

What callers would see: a job that is submitted under an identifier used before is cancelled without a word.

Cause: the write of a cancellation depended on nothing but its own absence. The owner removes a job together with its cancellation; carried out after that, the write left an orphan tq/in/cancel/ID for good, which each next owner reads as a cancelling that precedes its job.

Evidence: cancellation_after_the_removal_of_its_job_leaves_nothing failed on (the key was there, at revision 7).

Change: the write depends on the revision of the stored job. If that is gone, the cancelling begins anew and finds out what stands there. A conflict counts as an earlier cancelling only if that can be read; before, any conflict was taken for one.

Result: the test passes, with the others of late_submissions.rs.

--- a/crates/node/src/entry/change.rs
+++ b/crates/node/src/entry/change.rs
@@ -2,7 +2,7 @@
 
 use slog::info;
 use tokio::time::{Duration, Instant, sleep};
-use toucanquay_model::{Error, ErrorKind, graph::Id};
+use toucanquay_model::{Error, ErrorKind, Revision, graph::Id};
 use toucanquay_wire::{
     Frame,
     graph::{Change, Outcome, Query, Reply},
@@ -151,22 +151,34 @@
         if Withdrawal::is_in(&item.value) || takeover::parse_accepted_job(&item).is_none() {
             return Ok(Outcome::Withdrawn);
         }
-        if create_cancellation(shared, id, deadline).await? {
+        if create_cancellation(shared, id, item.revision, deadline).await? {
             return Ok(Outcome::Cancelled);
         }
+        // The job was removed meanwhile.
     }
     Err(Error::new(ErrorKind::OutcomeUnknown).context("no outcome by the deadline"))
 }
 
-/// Writes the cancellation of a stored job.
-async fn create_cancellation(shared: &Shared, id: Id, deadline: Instant) -> Result<bool, Error> {
+/// Writes the cancellation of the job that was stored at a revision. Returns `false` if it isn't
+/// stored any more, so that a delayed cancellation doesn't outlast its job.
+async fn create_cancellation(
+    shared: &Shared,
+    id: Id,
+    job_revision: Revision,
+    deadline: Instant,
+) -> Result<bool, Error> {
+    let key = key::cancel(id);
     let transaction = Transaction::default()
-        .expect_revision(key::cancel(id), 0)
-        .put(key::cancel(id), []);
+        .expect_revision(key::job(id), job_revision)
+        .expect_revision(key.clone(), 0)
+        .put(key.clone(), []);
     let deadline = call_deadline(deadline);
     match shared.store.commit(transaction, deadline).await? {
-        // A conflict means that the job was cancelled before.
-        Commit::Done(_) | Commit::Conflict { .. } => Ok(true),
+        Commit::Done(_) => Ok(true),
+        Commit::Conflict { unreadable, .. } if unreadable.contains(&key) => {
+            Err(Error::new(ErrorKind::Protocol).context("the cancellation can't be read"))
+        }
+        Commit::Conflict { items, .. } => Ok(items.iter().any(|item| item.key == key)),
     }
 }
 
--- a/crates/node/tests/late_submissions.rs
+++ b/crates/node/tests/late_submissions.rs
@@ -150,6 +150,22 @@
     assert_eq!(pending(&entry).await, Some(1));
 }
 
+/// Guards against a cancellation that is carried out after its job was removed, and would cancel a
+/// later job of that identifier without a word to its client.
+#[tokio::test]
+async fn cancellation_after_the_removal_of_its_job_leaves_nothing() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let entry = start_entry(&memory, &lines).await;
+    assert_eq!(submit(&entry, ID, answer_deadline()).await, Ok(()));
+    memory.delay_next_write(&key::cancel(ID), LATE_BY);
+    let _ = entry.cancel("plans", ID, Instant::now() + PATIENCE).await;
+
+    memory.remove(&key::job(ID));
+    sleep(LATE_BY + READ_MARGIN).await;
+
+    assert_eq!(memory.get(&key::cancel(ID)), None);
+}
+
 /// Guards against a repeated submission that is acknowledged after its cancelling, although the
 /// state of the job shows that there is none.
 #[tokio::test]
