control: a cancelling whose job never arrives is dropped after a time

What callers would see: a job is cancelled without a word, since an earlier cancelling of its identifier had found no job.

Cause: Scheduler::early_cancellations kept each cancelling of an unknown job for good, without a bound.

Evidence: cancellation_without_its_job_spares_one_submitted_long_after failed (Cancelled for Queued, 190 s after the cancelling).

Since each cancellation in the store depends on a stored job, only those can be early whose jobs the owner hasn't read yet.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -93,8 +93,8 @@
     queues: BTreeMap<String, Queue>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<Id, JobKey>,
-    /// Cancellations that arrived before their jobs.
-    early_cancellations: BTreeSet<Id>,
+    /// Cancellations that arrived before their jobs, and when they are dropped.
+    early_cancellations: BTreeMap<Id, Time>,
     hosts: SlotMap<HostKey, Host>,
     host_keys: HashMap<String, HostKey>,
     runs: SlotMap<RunKey, Run>,
@@ -172,7 +172,7 @@
             queues: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
-            early_cancellations: BTreeSet::new(),
+            early_cancellations: BTreeMap::new(),
             hosts: SlotMap::with_key(),
             host_keys: HashMap::new(),
             runs: SlotMap::with_key(),
@@ -239,12 +239,13 @@
     }
 
     /// Applies a persisted cancellation. If the job is unknown, the cancellation is kept until the
-    /// job arrives.
+    /// job arrives, but no longer than ended jobs are.
     pub fn cancel(&mut self, id: Id, now: Time) {
         match self.job_keys.get(&id) {
             Some(key) => self.cancel_job(*key, now),
             None => {
-                self.early_cancellations.insert(id);
+                let drop_at = now.plus_micros(self.settings.retention_micros);
+                self.early_cancellations.insert(id, drop_at);
                 self.events.push(Event::CancelledEarly { job: id });
             }
         }
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -35,7 +35,7 @@
         if has_suspects {
             self.suspect_jobs.insert(key);
         }
-        if self.early_cancellations.remove(&id) {
+        if self.early_cancellations.remove(&id).is_some() {
             self.cancel_job(key, now);
         }
         self.schedule_job(key, now);
@@ -166,8 +166,10 @@
     }
 
     /// Collects the jobs whose retention has passed. [`Self::take_expired_jobs`] returns them, so
-    /// that the caller can delete their records.
+    /// that the caller can delete their records. Drops early cancellations whose jobs haven't
+    /// arrived.
     pub(super) fn sweep(&mut self, now: Time) {
+        self.early_cancellations.retain(|_, drop_at| now < *drop_at);
         let retention = self.settings.retention_micros;
         let is_expired = |job: &Job| {
             let is_recorded = job.recorded_version == job.version;
--- a/crates/control/tests/scheduler.rs
+++ b/crates/control/tests/scheduler.rs
@@ -518,6 +518,22 @@
     assert!(orders.starts.is_empty());
 }
 
+/// Guards against a cancelling of a job that never arrived and that cancels a job submitted long
+/// after, without a word to its client.
+#[test]
+fn cancellation_without_its_job_spares_one_submitted_long_after() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.cancel(Id::new(1), at(0));
+    let later_ms = Settings::default().retention_micros / 1_000 + 10_000;
+    scheduler.extend_ownership(at(2 * later_ms));
+    scheduler.tick(at(later_ms));
+
+    scheduler.accept(Id::new(1), accepted_job(vec![step(1)]), at(later_ms));
+    let state = scheduler.job_state(Id::new(1));
+
+    assert_eq!(state, Some(State::Queued));
+}
+
 /// Guards against placing tasks on a draining worker, and against leaving perpetual tasks on it
 /// until it ends.
 #[test]
