node: ended jobs are removed by their revisions, so that a late removal spares a later job

What callers would see: a job that was accepted under an identifier used before disappears (LOST).

Cause: the owner removes a job 180 s after its end by a write that depended on the owner's epoch only. One that is carried out late, after the next attempt has succeeded, took away a job that was accepted meanwhile.

Change: a removal depends on the revision that wrote the job, which the owner takes from its lists and watches. How long ended jobs are kept is a setting of the entry, 180 s as before.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,6 +14,7 @@
 mod predecessor;
 mod record;
 mod registration;
+mod removal;
 mod routing;
 mod session;
 mod settings;
--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -25,7 +25,7 @@
 use super::{Event, event_log, held_session::HeldSession, withdrawn::Withdrawn};
 use crate::{
     entry::{
-        Registration, Shared, record, session, silent_hosts,
+        Registration, Shared, record, removal, session, silent_hosts,
         takeover::{self, LoadedState},
         watch,
     },
@@ -55,6 +55,9 @@
     scheduler: Scheduler,
     /// Jobs that must not run because their progress can't be read.
     withheld_jobs: HashSet<Id>,
+    /// Revisions that wrote the stored jobs. That of a job which an entry has announced is missing
+    /// until the job is read from the store.
+    job_revisions: HashMap<Id, Revision>,
     withdrawn: Withdrawn,
     /// Removal of withdrawals whose retention has ended.
     withdrawal_removal: Option<JoinHandle<()>>,
@@ -104,6 +107,7 @@
             mailbox,
             scheduler,
             withheld_jobs: loaded.withheld_jobs,
+            job_revisions: loaded.job_revisions,
             withdrawn: Withdrawn::default(),
             withdrawal_removal: None,
             epoch,
@@ -178,7 +182,8 @@
                 None => self.scheduler.update(&update, now),
             },
             Event::Query(query, reply) => self.answer_query(query, reply, now),
-            Event::Accepted(id, accepted_job) => {
+            Event::Accepted(id, accepted_job, revision) => {
+                self.job_revisions.insert(id, revision);
                 self.scheduler
                     .set_wall_clock(self.shared.clock.unix_ms(), now);
                 self.log_late_arrival(id, &accepted_job);
@@ -196,7 +201,7 @@
                 self.connect_held_sessions(now);
             }
             Event::SilenceRejected(revision) => self.silences.record_rejected(revision),
-            Event::JobsRemoved(ids) => self.scheduler.forget_jobs(&ids),
+            Event::JobsRemoved(jobs) => self.forget_jobs(&jobs),
             Event::Superseded => self.is_superseded = true,
         }
     }
@@ -208,6 +213,17 @@
         }
     }
 
+    /// Forgets removed jobs, unless the identifier is in use again.
+    fn forget_jobs(&mut self, removed: &[(Id, Revision)]) {
+        let is_current =
+            |(id, revision): &&(Id, Revision)| self.job_revisions.get(id) == Some(revision);
+        let ids: Vec<Id> = removed.iter().filter(is_current).map(|job| job.0).collect();
+        for id in &ids {
+            self.job_revisions.remove(id);
+        }
+        self.scheduler.forget_jobs(&ids);
+    }
+
     /// Logs a job whose submission took effect late, unless the owner knows it already.
     fn log_late_arrival(&self, id: Id, accepted_job: &AcceptedJob) {
         let unix_ms = self.shared.clock.unix_ms();
@@ -232,8 +248,10 @@
             )));
         }
         let expired = self.scheduler.take_expired_jobs();
+        let with_revision = |id| Some((id, *self.job_revisions.get(&id)?));
+        let expired: Vec<_> = expired.into_iter().filter_map(with_revision).collect();
         if !expired.is_empty() {
-            tokio::spawn(record::remove_jobs(
+            tokio::spawn(removal::remove_jobs(
                 self.shared.clone(),
                 self.mailbox.clone(),
                 self.fence,
@@ -350,7 +368,7 @@
             info!(self.shared.log, "withdrawals_expired"; "jobs" => expired.len(),
                 "epoch" => self.epoch);
             let (shared, fence) = (self.shared.clone(), self.fence);
-            let removal = record::remove_withdrawals(shared, fence, expired);
+            let removal = removal::remove_withdrawals(shared, fence, expired);
             self.withdrawal_removal = Some(tokio::spawn(removal));
         }
     }
--- a/crates/node/src/entry/owner/event.rs
+++ b/crates/node/src/entry/owner/event.rs
@@ -27,8 +27,8 @@
     Update(Box<Update>),
     /// A query or notification from an entry.
     Query(Query, Option<oneshot::Sender<Reply>>),
-    /// A job was durably accepted.
-    Accepted(Id, Box<AcceptedJob>),
+    /// A job was durably accepted at this revision.
+    Accepted(Id, Box<AcceptedJob>, Revision),
     /// An identifier without a job was withdrawn at this revision.
     Withdrawn(Id, Revision),
     /// A job was durably cancelled.
@@ -43,8 +43,8 @@
     CommitSucceeded(Revision),
     /// A commit of job records was rejected. Contains the current revisions of the records.
     CommitRejected(Vec<(Id, Revision)>),
-    /// The records of expired jobs were removed.
-    JobsRemoved(Vec<Id>),
+    /// The jobs that were stored at these revisions were removed.
+    JobsRemoved(Vec<(Id, Revision)>),
     /// The silent hosts were recorded at this revision.
     SilenceRecorded(Revision),
     /// The silent hosts were not recorded. Contains the revision of the present record.
--- a/crates/node/src/entry/record.rs
+++ b/crates/node/src/entry/record.rs
@@ -1,4 +1,4 @@
-//! Writes and removes the owner's records in the store.
+//! Writes the progress of jobs, and removes the registrations of silent hosts.
 
 use std::sync::Arc;
 
@@ -26,17 +26,6 @@
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(25);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(250);
 
-/// Maximum number of jobs removed in one transaction: three keys each and the condition on the
-/// fence stay within [`Transaction::OPERATIONS_MAX`].
-const JOBS_PER_REMOVAL_MAX: usize = 10;
-
-/// Maximum number of withdrawals removed in one transaction: a condition and a removal each, and the
-/// condition on the fence.
-const WITHDRAWALS_PER_REMOVAL_MAX: usize = (Transaction::OPERATIONS_MAX - 1) / 2;
-
-/// Minimum time between removals of withdrawals, which leaves the store to more urgent calls.
-const REMOVAL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Retries one commit until its outcome is known, and reports the outcome to the owner.
 pub(super) async fn run(
     shared: Arc<Shared>,
@@ -146,86 +135,6 @@
     Event::CommitRejected(ids.collect())
 }
 
-/// Removes the keys of expired jobs, and reports the removals that succeeded to the owner.
-pub(super) async fn remove_jobs(
-    shared: Arc<Shared>,
-    mailbox: mpsc::Sender<Event>,
-    fence: Revision,
-    ids: Vec<Id>,
-) {
-    for ids in ids.chunks(JOBS_PER_REMOVAL_MAX) {
-        let mut transaction = Transaction::default().expect_revision(key::FENCE, fence);
-        for id in ids {
-            let keys = [key::job(*id), key::cancel(*id), key::progress(*id)];
-            transaction = keys.into_iter().fold(transaction, Transaction::remove);
-        }
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        match shared.store.commit(transaction, deadline).await {
-            Ok(Commit::Done(_)) => {
-                // Sending fails only if the owner has stopped.
-                let _ = mailbox.send(Event::JobsRemoved(ids.to_vec())).await;
-            }
-            // Another owner has taken over and removes the jobs.
-            Ok(Commit::Conflict { .. }) => return,
-            // The owner removes the jobs again after its next sweep.
-            Err(error) => debug!(shared.log, "removal_failed"; "error" => %error),
-        }
-    }
-}
-
-/// Removes withdrawals by their revisions, so that a delayed removal can't affect a job that is
-/// stored later. Retries until they are removed, unless another owner takes over.
-pub(super) async fn remove_withdrawals(
-    shared: Arc<Shared>,
-    fence: Revision,
-    mut withdrawals: Vec<(Id, Revision)>,
-) {
-    while !withdrawals.is_empty() {
-        let batch_len = withdrawals.len().min(WITHDRAWALS_PER_REMOVAL_MAX);
-        let batch = &withdrawals[..batch_len];
-        match try_remove_withdrawals(&shared, fence, batch).await {
-            Ok(Commit::Done(_)) => drop(withdrawals.drain(..batch_len)),
-            Ok(Commit::Conflict { items, .. }) => {
-                let find = |key: &str| items.iter().find(|item| item.key == key);
-                if find(key::FENCE).is_none_or(|item| item.revision != fence) {
-                    return;
-                }
-                // The others were removed before, or can't be read.
-                let is_present = |(id, revision): &(Id, Revision)| {
-                    find(&key::job(*id)).is_some_and(|item| item.revision == *revision)
-                };
-                let present: Vec<_> = batch.iter().copied().filter(is_present).collect();
-                withdrawals.drain(..batch_len);
-                if present.len() < batch_len {
-                    withdrawals.extend(present);
-                }
-            }
-            Err(error) => {
-                debug!(shared.log, "removal_failed"; "error" => %error);
-                sleep(RETRY_DELAY_MAX).await;
-            }
-        }
-        sleep(REMOVAL_INTERVAL).await;
-    }
-}
-
-async fn try_remove_withdrawals(
-    shared: &Shared,
-    fence: Revision,
-    withdrawals: &[(Id, Revision)],
-) -> Result<Commit, Error> {
-    let remove = |transaction: Transaction, (id, revision): &(Id, Revision)| {
-        let key = key::job(*id);
-        transaction
-            .expect_revision(key.clone(), *revision)
-            .remove(key)
-    };
-    let transaction = Transaction::default().expect_revision(key::FENCE, fence);
-    let transaction = withdrawals.iter().fold(transaction, remove);
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    shared.store.commit(transaction, deadline).await
-}
-
 /// Removes the registration of a host. Retries until it is removed, unless the host registers anew,
 /// the registration can't be read or another owner takes over.
 pub(super) async fn remove_host(shared: Arc<Shared>, fence: Revision, host: String) {
--- a/crates/node/src/entry/settings.rs
+++ b/crates/node/src/entry/settings.rs
@@ -22,4 +22,6 @@
     /// Time for which a cancelled identifier under which nothing is stored can't be used. It must
     /// exceed the time by which a submission may be late.
     pub withdrawal_retention: Duration,
+    /// Time for which the state of an ended job is shown.
+    pub job_retention: Duration,
 }
--- a/crates/node/src/entry/takeover.rs
+++ b/crates/node/src/entry/takeover.rs
@@ -41,6 +41,8 @@
     pub(super) silences: Tracker,
     /// Jobs that must not run because their progress can't be read.
     pub(super) withheld_jobs: HashSet<Id>,
+    /// Revisions that wrote the stored jobs.
+    pub(super) job_revisions: HashMap<Id, Revision>,
     /// Withdrawn identifiers, with the revisions that withdrew them.
     pub(super) withdrawn: Vec<(Id, Revision)>,
     /// Revision after which to watch accepted jobs and cancellations.
@@ -84,7 +86,12 @@
     let hosts: Vec<(String, Registration)> = hosts.collect();
     let now = shared.clock.now();
     let names = host_names(&host_list, odd_entries);
-    let mut scheduler = Scheduler::new(Settings::default(), epoch, names, now);
+    let retention = shared.settings.job_retention;
+    let settings = Settings {
+        retention_micros: u64::try_from(retention.as_micros()).unwrap_or(u64::MAX),
+        ..Settings::default()
+    };
+    let mut scheduler = Scheduler::new(settings, epoch, names, now);
     scheduler.set_wall_clock(shared.clock.unix_ms(), now);
     scheduler.end_orders_by(predecessor.acted_until);
     let recorded_at = predecessor.sightings.seen_at(record_revision);
@@ -99,6 +106,7 @@
     }
     let mut withheld_jobs = HashSet::new();
     let mut withdrawn = Vec::new();
+    let mut job_revisions = HashMap::new();
     for item in &intake.items {
         if let Some(id) = parse_withdrawal(item) {
             withdrawn.push((id, item.revision));
@@ -113,6 +121,7 @@
             }
             continue;
         };
+        job_revisions.insert(id, item.revision);
         if item.revision >= fence {
             scheduler.accept(id, accepted_job, now);
             continue;
@@ -137,6 +146,7 @@
         hosts,
         silences: Tracker::new(record_revision, silent_hosts.into_keys()),
         withheld_jobs,
+        job_revisions,
         withdrawn,
         intake_revision: intake.revision,
         hosts_revision: host_list.revision,
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -35,7 +35,7 @@
             return Some(Event::Withdrawn(id, item.revision));
         }
         let (id, accepted_job) = takeover::parse_accepted_job(item)?;
-        Some(Event::Accepted(id, Box::new(accepted_job)))
+        Some(Event::Accepted(id, Box::new(accepted_job), item.revision))
     };
     let ignore = |_key: &str| None;
     let ignore_list = |_list: &List| None;
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -108,6 +108,7 @@
         capacity: 1,
         configuration_bound: Duration::from_millis(2_000),
         withdrawal_retention: Duration::from_secs(60),
+        job_retention: Duration::from_secs(180),
     }
 }
 
--- a/crates/node/tests/late_submissions.rs
+++ b/crates/node/tests/late_submissions.rs
@@ -166,6 +166,47 @@
     assert_eq!(memory.get(&key::cancel(ID)), None);
 }
 
+/// Returns an entry that removes ended jobs at its next search for them.
+async fn start_entry_that_forgets(memory: &Memory, lines: &Lines) -> Entry {
+    let settings = entry::Settings {
+        job_retention: Duration::ZERO,
+        ..settings("front-1", free_address())
+    };
+    start_entry_with(settings, memory, lines).await
+}
+
+/// Submits a job and cancels it, and waits until its removal is on the way.
+async fn end_job(memory: &Memory, entry: &Entry) {
+    assert_eq!(submit(entry, ID, answer_deadline()).await, Ok(()));
+    memory.delay_next_write(&key::job(ID), LATE_BY);
+    let cancelled = entry.cancel("plans", ID, answer_deadline()).await;
+    assert_eq!(cancelled.ok(), Some(true));
+    let deadline = Instant::now() + OWNER_TIMEOUT;
+    while memory.has_late_write(&key::job(ID)) {
+        assert!(Instant::now() < deadline, "the job isn't removed");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against the removal of an ended job that is carried out late and takes away a job that was
+/// accepted meanwhile under the same identifier.
+#[tokio::test]
+async fn removal_that_takes_effect_late_spares_a_job_accepted_before() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let entry = start_entry_that_forgets(&memory, &lines).await;
+    end_job(&memory, &entry).await;
+
+    // Another attempt of the removal has succeeded.
+    for key in [key::cancel(ID), key::progress(ID), key::job(ID)] {
+        memory.remove(&key);
+    }
+    let submitted = submit(&entry, ID, answer_deadline()).await;
+    sleep(LATE_BY + READ_MARGIN).await;
+
+    assert_eq!(submitted, Ok(()));
+    assert!(memory.get(&key::job(ID)).is_some(), "the job is lost");
+}
+
 /// Guards against a repeated submission that is acknowledged after its cancelling, although the
 /// state of the job shows that there is none.
 #[tokio::test]
--- a/crates/node/tests/support/memory.rs
+++ b/crates/node/tests/support/memory.rs
@@ -37,7 +37,7 @@
     reads: Vec<String>,
     /// Key whose writes are slow, and the time that they take.
     slow_key: Option<(String, Duration)>,
-    /// Keys whose next write is late, and its delay.
+    /// Keys whose next write or removal is late, and its delay.
     late_keys: BTreeMap<String, Duration>,
     /// Number of transactions that were received.
     transactions: usize,
@@ -113,12 +113,17 @@
         self.lock().slow_key = Some((key.to_owned(), delay));
     }
 
-    /// Carries the next write of a key out after a delay, if its conditions hold then, and doesn't
-    /// answer it.
+    /// Carries the next write or removal of a key out after a delay, if its conditions hold then, and
+    /// doesn't answer it.
     pub fn delay_next_write(&self, key: &str, delay: Duration) {
         self.lock().late_keys.insert(key.to_owned(), delay);
     }
 
+    /// Returns whether a late write or removal of the key is still to come.
+    pub fn has_late_write(&self, key: &str) -> bool {
+        self.lock().late_keys.contains_key(key)
+    }
+
     /// Returns the number of transactions that were received, including those with a conflict.
     pub fn transactions(&self) -> usize {
         self.lock().transactions
@@ -188,10 +193,11 @@
     /// is late.
     fn receive(&mut self, transaction: &Transaction) -> (Duration, Option<Duration>) {
         self.transactions += 1;
-        let keys = || transaction.puts.iter().map(|put| &put.0);
+        let puts = || transaction.puts.iter().map(|put| &put.0);
         let slow = self.slow_key.as_ref();
-        let slow = slow.filter(|(slow_key, _)| keys().any(|key| key == slow_key));
-        let late_key = keys().find(|key| self.late_keys.contains_key(*key));
+        let slow = slow.filter(|(slow_key, _)| puts().any(|key| key == slow_key));
+        let mut keys = puts().chain(&transaction.removals);
+        let late_key = keys.find(|key| self.late_keys.contains_key(*key));
         let late_by = late_key.and_then(|key| self.late_keys.remove(key));
         (slow.map_or(Duration::ZERO, |(_, delay)| *delay), late_by)
     }
