node: a job accepted after an unanswered removal of an ended one is followed

What callers would see: an accepted job never runs (LOST).

Cause: the owner removes an ended job, and the store carries it out without an answer. Until another attempt is answered, 5 s later, the owner knows the ended job and takes a new one of that identifier for it.

Evidence: job_accepted_after_an_unanswered_removal_is_followed failed (0 pending, 1 expected).

Change: a job whose key was written at a later revision than that of the ended job replaces it.

--- a/crates/node/src/entry/owner/driver.rs
+++ b/crates/node/src/entry/owner/driver.rs
@@ -17,7 +17,7 @@
 };
 use toucanquay_model::{
     Epoch, Revision, Time,
-    graph::{AcceptedJob, Id},
+    graph::{AcceptedJob, Id, State},
     session::Orders,
 };
 use toucanquay_wire::graph::{Query, Reply};
@@ -183,7 +183,7 @@
             },
             Event::Query(query, reply) => self.answer_query(query, reply, now),
             Event::Accepted(id, accepted_job, revision) => {
-                self.job_revisions.insert(id, revision);
+                self.record_revision(id, revision);
                 self.scheduler
                     .set_wall_clock(self.shared.clock.unix_ms(), now);
                 self.log_late_arrival(id, &accepted_job);
@@ -213,6 +213,18 @@
         }
     }
 
+    /// Records the revision that wrote a job. An ended job of that identifier which was written before
+    /// was removed, although no removal was answered.
+    fn record_revision(&mut self, id: Id, revision: Revision) {
+        let former = self.job_revisions.insert(id, revision);
+        let is_over = self.scheduler.job_state(id).is_some_and(State::is_over);
+        if is_over && former.is_some_and(|former| former < revision) {
+            info!(self.shared.log, "job_replaced"; "job" => %id, "revision" => revision,
+                "epoch" => self.epoch);
+            self.scheduler.forget_jobs(&[id]);
+        }
+    }
+
     /// Forgets removed jobs, unless the identifier is in use again.
     fn forget_jobs(&mut self, removed: &[(Id, Revision)]) {
         let is_current =
--- a/crates/node/tests/late_submissions.rs
+++ b/crates/node/tests/late_submissions.rs
@@ -207,6 +207,22 @@
     assert!(memory.get(&key::job(ID)).is_some(), "the job is lost");
 }
 
+/// Guards against a job that the owner ignores since it still knows an ended one of the same
+/// identifier, whose removal took effect without an answer.
+#[tokio::test]
+async fn job_accepted_after_an_unanswered_removal_is_followed() {
+    let (memory, lines) = (Memory::default(), Lines::default());
+    let entry = start_entry_that_forgets(&memory, &lines).await;
+    end_job(&memory, &entry).await;
+    sleep(LATE_BY).await;
+
+    let submitted = submit(&entry, ID, answer_deadline()).await;
+    sleep(READ_MARGIN).await;
+
+    assert_eq!(submitted, Ok(()));
+    assert_eq!(pending(&entry).await, Some(1));
+}
+
 /// Guards against a repeated submission that is acknowledged after its cancelling, although the
 /// state of the job shows that there is none.
 #[tokio::test]
