control: a job with occurrences has one timer

An occurrence never runs if the wall clock jumps back before it is due.

Cause: a timer was set for each occurrence, and each one that fired walked all occurrences of its job, so that the first tick of a new owner took longer than its term. A timer that fired too early was dropped.

Change: one timer for each job, for the first occurrence that isn't open. It opens all that are due, and is set again.

--- a/crates/control/src/scheduler/job.rs
+++ b/crates/control/src/scheduler/job.rs
@@ -39,6 +39,8 @@
     /// in milliseconds. That of a job with several occurrences counts as whole.
     pub(super) remaining_path_ms: u64,
     pub(super) stages: Vec<Stage>,
+    /// Number of scheduled occurrences that were due so far.
+    pub(super) opened_occurrences: u32,
     pub(super) state: State,
     pub(super) reason: Option<String>,
     pub(super) over_at: Option<Time>,
@@ -72,6 +74,7 @@
             is_started: false,
             runs: 0,
             stages,
+            opened_occurrences: 0,
             state: State::Queued,
             reason: None,
             over_at: None,
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -41,7 +41,7 @@
         self.schedule_job(key, now);
     }
 
-    /// Opens the first stages of a job, or sets timers for its scheduled occurrences.
+    /// Opens the first stages of a job, or sets the timer of its first scheduled occurrence.
     fn schedule_job(&mut self, key: JobKey, now: Time) {
         let Some(job) = self.jobs.get(key) else {
             return;
@@ -52,10 +52,8 @@
         match job.spec.schedule {
             None => self.open_stages(key, 0, now),
             Some(schedule) => {
-                for occurrence in 0..job.spec.occurrences() {
-                    let due = self.time_of_unix_ms(schedule.due_unix_ms(occurrence));
-                    self.timers.insert((due, key));
-                }
+                let due = self.time_of_unix_ms(schedule.due_unix_ms(0));
+                self.timers.insert((due, key));
             }
         }
         // If the recorded progress leaves nothing to do, the former owner recorded the last task
@@ -72,6 +70,8 @@
         }
     }
 
+    /// Opens the occurrences that are due, and sets the timers of those that follow. A job has one
+    /// timer at a time. It is set again if the wall clock has jumped back meanwhile.
     pub(super) fn fire_timers(&mut self, now: Time) {
         while let Some((at, key)) = self.timers.first().copied() {
             if at > now {
@@ -84,6 +84,20 @@
         }
     }
 
+    /// Sets the timer of the first occurrence of a job that isn't open.
+    fn set_timer(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let Some(schedule) = job.spec.schedule else {
+            return;
+        };
+        if !job.state.is_over() && job.opened_occurrences < job.spec.occurrences() {
+            let due = self.time_of_unix_ms(schedule.due_unix_ms(job.opened_occurrences));
+            self.timers.insert((due, key));
+        }
+    }
+
     fn open_due_occurrences(&mut self, key: JobKey, now: Time) {
         let unix_ms = self.unix_ms(now);
         let Some(job) = self.jobs.get_mut(key) else {
@@ -92,11 +106,13 @@
         let Some(schedule) = job.spec.schedule else {
             return;
         };
-        for occurrence in 0..job.spec.occurrences() {
-            if schedule.due_unix_ms(occurrence) <= unix_ms {
-                job.open_stages(occurrence, now);
-            }
+        while job.opened_occurrences < job.spec.occurrences()
+            && schedule.due_unix_ms(job.opened_occurrences) <= unix_ms
+        {
+            job.open_stages(job.opened_occurrences, now);
+            job.opened_occurrences += 1;
         }
+        self.set_timer(key);
     }
 
     pub(super) fn cancel_job(&mut self, key: JobKey, now: Time) {
