control: occurrences are on time after the wall clock has jumped ahead

What callers would see: an occurrence starts late by as much as the wall clock has jumped ahead before.

Cause: the time of an occurrence is converted to the process's clock when its timer is set, and not again.

Evidence: occurrence_is_on_time_although_the_wall_clock_jumped_ahead failed (not started 0.5 s after it was due by the wall clock).

Change: a jump of 50 ms or more sets the timers of occurrences anew.

--- a/crates/control/src/scheduler.rs
+++ b/crates/control/src/scheduler.rs
@@ -76,6 +76,10 @@
 pub use settings::Settings;
 pub use wait::Wait;
 
+/// Change of the difference between the wall clock and the process's clock from which on timers are
+/// set anew. Smaller ones are rounding, or corrections that hardly matter.
+const CLOCK_JUMP_MICROS_MIN: u128 = 50_000;
+
 /// Size of the range of attempt numbers of an epoch. An attempt number is the epoch times this
 /// value plus a counter, so that a later owner's attempts have higher numbers. At 15,000 starts a
 /// second an epoch may last for three days.
@@ -214,7 +218,12 @@
 
     /// Sets the wall-clock time that corresponds to `now`.
     pub fn set_wall_clock(&mut self, unix_ms: u64, now: Time) {
-        self.unix_offset_micros = i128::from(unix_ms) * 1_000 - i128::from(now.as_micros());
+        let offset_micros = i128::from(unix_ms) * 1_000 - i128::from(now.as_micros());
+        let jump_micros = offset_micros.abs_diff(self.unix_offset_micros);
+        self.unix_offset_micros = offset_micros;
+        if jump_micros >= CLOCK_JUMP_MICROS_MIN {
+            self.reset_timers();
+        }
     }
 
     /// Adds or replaces the queues of a configuration. A queue that the configuration no longer
--- a/crates/control/src/scheduler/lifecycle.rs
+++ b/crates/control/src/scheduler/lifecycle.rs
@@ -1,5 +1,7 @@
 //! Acceptance, cancellation, occurrences and retention of jobs.
 
+use std::collections::BTreeSet;
+
 use toucanquay_model::{
     Time,
     graph::{AcceptedJob, Id, State},
@@ -84,6 +86,15 @@
         }
     }
 
+    /// Sets the timers of occurrences anew after the wall clock has jumped. The former ones have no
+    /// effect if they fire too early.
+    pub(super) fn reset_timers(&mut self) {
+        let jobs: BTreeSet<JobKey> = self.timers.iter().map(|(_, key)| *key).collect();
+        for key in jobs {
+            self.set_timer(key);
+        }
+    }
+
     /// Sets the timer of the first occurrence of a job that isn't open.
     fn set_timer(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
--- a/crates/control/tests/occurrences.rs
+++ b/crates/control/tests/occurrences.rs
@@ -83,3 +83,18 @@
 
     assert_eq!((too_early, first, second), (vec![], vec![0], vec![1]));
 }
+
+/// Guards against an occurrence that runs late because the wall clock jumped ahead.
+#[test]
+fn occurrence_is_on_time_although_the_wall_clock_jumped_ahead() {
+    let mut scheduler = owner(1, &["h1"]);
+    scheduler.set_wall_clock(START_UNIX_MS, at(0));
+    let job = scheduled(step(1), 1, START_UNIX_MS + 3_000, 1_000);
+    scheduler.accept(Id::new(1), job, at(0));
+
+    // From here on, the wall clock is 2 s ahead.
+    scheduler.set_wall_clock(START_UNIX_MS + 2_500, at(500));
+    let started = started(&mut scheduler, "h1", 1_010);
+
+    assert_eq!(started, [0]);
+}
