--- a/review/standin-3/src/scenarios.rs
+++ b/review/standin-3/src/scenarios.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod mix;
 mod schedules;
+mod serve;
 
 use std::path::Path;
 
@@ -21,6 +22,7 @@
         "crashes" => crashes::play(folder, record, has_trouble),
         "schedules" => schedules::play(folder, record, has_trouble),
         "leaving" => leaving::play(folder, record, has_trouble),
+        "serve" => serve::play(folder, record),
         "mix" => mix::play(folder, record, has_trouble),
         _ => None,
     }
--- a/review/standin-3/src/scenarios/mix.rs
+++ b/review/standin-3/src/scenarios/mix.rs
@@ -15,13 +15,12 @@
     record::Record,
     store::Trouble,
     system::{Client, System, configuration},
-    worker::{Program, Started, Workers, stage_of},
+    worker::{Program, Started, Workers, labels, stage_of},
 };
 
 const WORKERS: usize = 11;
 const BUSY: Duration = Duration::from_secs(40);
 const CALM: Duration = Duration::from_secs(24);
-const CLIENTS: u64 = 3;
 const JOB_INTERVAL: Duration = Duration::from_millis(1_200);
 const INTERVAL_MS: u64 = 1_500;
 const TIMES: u64 = 5;
@@ -43,6 +42,8 @@
     count: u64,
     after: Option<u64>,
     anti_affinity: u64,
+    /// Label that the worker must have; empty if none.
+    requires: String,
     is_speculative: bool,
     is_gang: bool,
     is_perpetual: bool,
@@ -67,7 +68,11 @@
     system.workers.lock().random = random ^ 0x5555_5555;
     let begun_at = Instant::now();
     let jobs: Arc<Mutex<Vec<Job>>> = Arc::default();
-    for number in 0..CLIENTS {
+    // `CLIENTS` sets the load.
+    let clients = std::env::var("CLIENTS")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    for number in 0..clients.unwrap_or(3_u64) {
         let (client, workers, jobs) = (system.client(), system.workers.clone(), jobs.clone());
         let random = random.rotate_left(7 + number as u32) ^ 0x1234_5678;
         thread::spawn(move || hand_in(&client, &workers, &jobs, number, random));
@@ -290,6 +295,18 @@
             ));
         }
     }
+    let worker = start
+        .worker
+        .rsplit('-')
+        .next()
+        .and_then(|text| text.parse().ok());
+    let has_label = worker.is_some_and(|index| labels(index).contains(&step.requires));
+    if !step.requires.is_empty() && !has_label {
+        findings.push(format!(
+            "ROUTE {} at {at:.3} on {}",
+            start.task, start.worker
+        ));
+    }
     if let Some(cancelled_at) = job.cancelled_at
         && start.at > cancelled_at + Duration::from_millis(3_000)
         && !start.is_late
@@ -483,7 +500,12 @@
     let steps_count = if is_perpetual { 1 } else { 1 + draw(random, 3) };
     let (mut steps, mut bodies) = (Vec::new(), Vec::new());
     for number in 0..steps_count {
-        let count = 1 + draw(random, 5);
+        let requires = match draw(random, 8) {
+            0 => labels(draw(random, WORKERS as u64) as usize)[draw(random, 2) as usize].clone(),
+            _ => String::new(),
+        };
+        // A rack has two or three workers.
+        let count = 1 + draw(random, if requires.is_empty() { 5 } else { 2 });
         let is_gang = !is_perpetual && draw(random, 3) == 0;
         // Case 13 shows gangs that save their progress.
         let has_checkpoints = draw(random, 2) == 0 && !is_perpetual && !is_gang;
@@ -502,7 +524,7 @@
         let cpu = if is_perpetual {
             500
         } else {
-            500 + draw(random, 6_000)
+            500 + draw(random, if is_gang { 20_000 } else { 6_000 })
         };
         let mut body = vec![
             ("count".to_owned(), count.into()),
@@ -521,6 +543,16 @@
                 body.push((name.to_owned(), true.into()));
             }
         }
+        if !requires.is_empty() {
+            body.push(("requires".to_owned(), requires.as_str().into()));
+        }
+        if draw(random, 6) == 0 {
+            let rack = labels(draw(random, WORKERS as u64) as usize)[1].clone();
+            body.push(("affinity".to_owned(), rack.as_str().into()));
+        }
+        if is_gang && draw(random, 3) == 0 {
+            body.push(("sameRack".to_owned(), true.into()));
+        }
         if anti_affinity > 0 {
             body.push(("antiAffinity".to_owned(), anti_affinity.into()));
         }
@@ -540,6 +572,7 @@
             count,
             after,
             anti_affinity,
+            requires,
             is_speculative,
             is_gang,
             is_perpetual,
@@ -554,6 +587,7 @@
         fields.push(("startAtMs".to_owned(), start_at_ms.into()));
         fields.push(("intervalMs".to_owned(), INTERVAL_MS.into()));
     }
+    client.record.write(&body.print());
     let is_accepted = client.submit(id, &body);
     is_accepted.then(|| Job {
         id: id.to_owned(),
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -219,6 +219,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -340,7 +340,7 @@
             ),
             (
                 "labels".to_owned(),
-                Json::List(vec!["a".into(), format!("r1-{}", index / 3).into()]),
+                Json::List(labels(index).into_iter().map(Json::from).collect()),
             ),
             ("clockMs".to_owned(), worker.clock_ms().into()),
             ("born".to_owned(), worker.born.into()),
@@ -826,6 +826,12 @@
     }
 }
 
+/// Returns the labels of a worker: its kind and its rack.
+pub fn labels(index: usize) -> [String; 2] {
+    let kind = if index.is_multiple_of(2) { "a" } else { "b" };
+    [kind.to_owned(), format!("r1-{}", index / 3)]
+}
+
 /// Returns the part of a task's name before its index.
 pub fn stage_of(task: &str) -> String {
     task.rsplit_once('.')
