review: case 11, a job whose record is longer than a value of the store

The progress of a job is one value of the store. With over some 12,000 tasks that have a checkpoint the store refuses it, the commit is repeated for good, and the owner makes no other one: no end of any job is taken note of, and no step that waits for one begins.

--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -1,6 +1,7 @@
 //! Small HTTP/1.1 server and client over loopback.
 
 use std::{
+    collections::BTreeMap,
     io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -46,7 +47,7 @@
 pub struct Server {
     pub address: SocketAddr,
     is_closed: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
 }
 
 impl Server {
@@ -56,20 +57,26 @@
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let is_closed = Arc::new(AtomicBool::new(false));
-        let open = Arc::new(Mutex::new(Vec::new()));
+        let open = Arc::new(Mutex::new(BTreeMap::new()));
         let (closed, connections) = (is_closed.clone(), open.clone());
         thread::spawn(move || {
+            let mut number = 0;
             while !closed.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
                         let _ = stream.set_nodelay(true);
+                        number += 1;
                         if let Ok(copy) = stream.try_clone() {
                             let mut connections = connections.lock().expect("no panic");
-                            connections.push(copy);
+                            connections.insert(number, copy);
                         }
                         let (handler, closed) = (handler.clone(), closed.clone());
-                        thread::spawn(move || serve(stream, &*handler, &closed));
+                        let (connections, own) = (connections.clone(), number);
+                        thread::spawn(move || {
+                            serve(stream, &*handler, &closed);
+                            connections.lock().expect("no panic").remove(&own);
+                        });
                     }
                     Err(_) => thread::sleep(Duration::from_millis(2)),
                 }
@@ -85,7 +92,7 @@
     /// Closes the listener and all connections, as the end of a process does.
     pub fn close(&self) {
         self.is_closed.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().expect("no panic").drain(..) {
+        for stream in self.open.lock().expect("no panic").values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
--- a/review/standin-3/src/scenarios.rs
+++ b/review/standin-3/src/scenarios.rs
@@ -4,6 +4,7 @@
 mod gang;
 mod leaving;
 mod mix;
+mod records;
 mod schedules;
 mod serve;
 
@@ -22,6 +23,7 @@
         "crashes" => crashes::play(folder, record, has_trouble),
         "schedules" => schedules::play(folder, record, has_trouble),
         "leaving" => leaving::play(folder, record, has_trouble),
+        "records" => records::play(folder, record, has_trouble),
         "serve" => serve::play(folder, record),
         "mix" => mix::play(folder, record, has_trouble),
         _ => None,
--- a/review/standin-3/src/scenarios/mix.rs
+++ b/review/standin-3/src/scenarios/mix.rs
@@ -15,7 +15,7 @@
     record::Record,
     store::Trouble,
     system::{Client, System, configuration},
-    worker::{Program, Started, Workers, labels, stage_of},
+    worker::{Program, Started, Workers, has_made, labels, stage_of},
 };
 
 const WORKERS: usize = 11;
@@ -103,7 +103,6 @@
     keep_logs(&system, folder);
     let jobs = jobs.lock().expect("no panic").clone();
     let started = system.workers.lock().started.clone();
-    let makers = system.workers.lock().makers.clone();
     let is_calm = |from: Instant, to: Instant| {
         !troubles
             .iter()
@@ -112,7 +111,7 @@
     let mut findings: Vec<String> = Vec::new();
     check_pairs(&started, &jobs, record, &mut findings);
     for start in &started {
-        check_start(start, &started, &jobs, &makers, record, &mut findings);
+        check_start(start, &started, &jobs, record, &mut findings);
         let ended_at = start.ended_at.unwrap_or_else(Instant::now);
         let job = find(&jobs, &start.task);
         let is_cancelled = job.is_none_or(|job| job.cancelled_at.is_some());
@@ -219,7 +218,6 @@
     start: &Started,
     started: &[Started],
     jobs: &[Job],
-    makers: &BTreeMap<String, String>,
     record: &Record,
     findings: &mut Vec<String>,
 ) {
@@ -241,14 +239,16 @@
         findings.push(format!("UNASKED {} with spec {:?}", start.task, start.spec));
     }
     if !start.checkpoint.is_empty() {
-        let maker = makers.get(&start.checkpoint);
-        let is_own = maker.is_some_and(|maker| {
-            *maker == start.task || (step.is_gang && stage_of(maker) == stage_of(&start.task))
-        });
+        let mut makers = vec![start.task.clone()];
+        if step.is_gang {
+            makers
+                .extend((0..step.count).map(|index| format!("{}.{index}", stage_of(&start.task))));
+        }
+        let is_own = makers.iter().any(|task| has_made(task, &start.checkpoint));
         if !is_own {
             findings.push(format!(
-                "UNASKED {} with the checkpoint of {maker:?}",
-                start.task
+                "UNASKED {} with the checkpoint {:?}",
+                start.task, start.checkpoint
             ));
         }
     }
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -16,6 +16,8 @@
     json::{Json, decode_base64, encode_base64, object},
 };
 
+/// `valueBytes`: a longer value is not accepted.
+const VALUE_BYTES: usize = 1_048_576;
 /// Number of items in one page.
 const PAGE_ITEMS: usize = 500;
 
@@ -211,6 +213,12 @@
 
 fn commit((state, changed): &(Mutex<State>, Condvar), body: &str) -> (u16, Json) {
     let transaction = Json::parse(body).unwrap_or(Json::Null);
+    let writes = transaction.get("writes").items();
+    let is_oversized =
+        |write: &Json| decode_base64(write.get("value").as_str()).len() > VALUE_BYTES;
+    if writes.iter().any(is_oversized) {
+        return (400, object([]));
+    }
     let mut state = state.lock().expect("no panic");
     let conditions = transaction.get("ifRev").items();
     let is_met = |condition: &Json| {
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the platform's workers, which share one state so that gangs can meet.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     thread,
@@ -39,6 +39,7 @@
 #[derive(Debug, Clone)]
 struct Run {
     task: String,
+    program: Option<Arc<Program>>,
     attempt: u64,
     /// Checkpoint that its start carried.
     carried: String,
@@ -108,17 +109,14 @@
 pub struct State {
     workers: Vec<Worker>,
     /// Programs by job and step.
-    programs: BTreeMap<(String, u64), Program>,
-    /// Work that each checkpoint stands for.
-    checkpoints: BTreeMap<String, Duration>,
-    next_checkpoint: u64,
+    programs: HashMap<(String, u64), Arc<Program>>,
     /// Tasks that fail once, after this much work.
     failures: BTreeMap<String, Duration>,
     /// Share of the orders that are carried out late, in thousandths.
     pub late_permille: u64,
     pub random: u64,
-    /// Tasks by the checkpoints that they made.
-    pub makers: BTreeMap<String, String>,
+    /// Position in `started` of the last run of a task on a worker.
+    positions: HashMap<(String, u64, String), usize>,
     pub started: Vec<Started>,
 }
 
@@ -138,8 +136,11 @@
         let ticking = workers.clone();
         thread::spawn(move || {
             loop {
-                thread::sleep(Duration::from_millis(5));
+                let begun_at = Instant::now();
                 ticking.lock().advance(&ticking.record);
+                // Thousands of runs take some time.
+                let pause = begun_at.elapsed() * 4;
+                thread::sleep(pause.max(Duration::from_millis(5)));
             }
         });
         workers
@@ -151,7 +152,9 @@
 
     /// Tells the application what the tasks of a step do.
     pub fn know(&self, job: &str, step: u64, program: Program) {
-        self.lock().programs.insert((job.to_owned(), step), program);
+        self.lock()
+            .programs
+            .insert((job.to_owned(), step), Arc::new(program));
     }
 
     /// Lets a task fail once, through its own fault, after some work.
@@ -425,11 +428,8 @@
         let deadline_ms = call.get("deadlineMs").as_u64().unwrap_or(0);
         let checkpoint = call.get("checkpoint").as_str().to_owned();
         let mut state = self.lock();
-        let restored = state
-            .checkpoints
-            .get(&checkpoint)
-            .copied()
-            .unwrap_or_default();
+        let restored = work_of(&checkpoint);
+        let program = state.program(&task);
         let worker = &mut state.workers[index];
         if fence < worker.fence {
             return refuse("fence");
@@ -448,6 +448,7 @@
         }
         let now = Instant::now();
         worker.running.push(Run {
+            program,
             task: task.clone(),
             attempt,
             carried: checkpoint.clone(),
@@ -462,6 +463,9 @@
         self.record.write(&format!(
             "{name} starts {task} run {attempt:#x} fence {fence} checkpoint {checkpoint:?}"
         ));
+        let key = (task.clone(), attempt, name.clone());
+        let position = state.started.len();
+        state.positions.insert(key, position);
         state.started.push(Started {
             task,
             attempt,
@@ -533,7 +537,7 @@
                     return None;
                 }
                 if !worker.finished.is_empty() || Instant::now() >= deadline {
-                    return Some((200, worker.lists(&state)));
+                    return Some((200, worker.lists()));
                 }
             }
             thread::sleep(Duration::from_millis(4));
@@ -583,10 +587,10 @@
         self.lease_until_ms = self.lease_until_ms.max(deadline_ms);
     }
 
-    fn lists(&self, state: &State) -> Vec<(String, Json)> {
+    fn lists(&self) -> Vec<(String, Json)> {
         let now = Instant::now();
         let running = self.running.iter().map(|run| {
-            let program = state.program(&run.task);
+            let program = run.program.clone();
             let percent = match &program {
                 Some(program) if program.is_perpetual && run.works_since.is_some() => 100,
                 Some(program) if !program.is_perpetual => {
@@ -634,11 +638,9 @@
 
     /// Notes that `lastSeen` has reached an end, unless the worker's lease lapsed in between.
     fn note(&mut self, task: &str, attempt: u64, worker: &str, lapsed_at: Option<Instant>) {
-        let mut started = self.started.iter_mut().rev();
-        let is_run = |start: &&mut Started| {
-            start.task == task && start.attempt == attempt && start.worker == worker
-        };
-        if let Some(start) = started.find(is_run)
+        let key = (task.to_owned(), attempt, worker.to_owned());
+        if let Some(position) = self.positions.get(&key)
+            && let Some(start) = self.started.get_mut(*position)
             && !lapsed_at.is_some_and(|at| start.ended_at.is_some_and(|ended_at| at > ended_at))
         {
             start.noted_at.get_or_insert_with(Instant::now);
@@ -646,7 +648,7 @@
     }
 
     /// Returns the program of a task, whose name is ID.K.STEP.INDEX.
-    fn program(&self, task: &str) -> Option<Program> {
+    fn program(&self, task: &str) -> Option<Arc<Program>> {
         let mut parts = task.split('.');
         let job = parts.next()?.to_owned();
         let step = parts.nth(1)?.parse().ok()?;
@@ -664,24 +666,27 @@
             if has_lapsed {
                 self.workers[index].lapsed_at = Some(now);
             }
-            for run in self.workers[index].running.clone() {
-                if let Some(how) = self.due_end(&run, has_lapsed, now) {
-                    self.finish(index, &run, how, now, record);
-                }
+            let running = self.workers[index].running.iter();
+            let due = running.filter_map(|run| {
+                let how = self.due_end(run, has_lapsed, now)?;
+                Some((run.clone(), how))
+            });
+            for (run, how) in due.collect::<Vec<_>>() {
+                self.finish(index, &run, how, now, record);
             }
             self.save(index, now);
         }
         self.let_work(now);
     }
 
-    fn due_end(&mut self, run: &Run, has_lapsed: bool, now: Instant) -> Option<&'static str> {
+    fn due_end(&self, run: &Run, has_lapsed: bool, now: Instant) -> Option<&'static str> {
         if has_lapsed {
             return Some("lapsed");
         }
         if run.stops_at.is_some_and(|at| now >= at) {
             return Some("stopped");
         }
-        let program = self.program(&run.task)?;
+        let program = run.program.clone()?;
         if run.works_since.is_none() {
             let is_alone = program.is_gang && now >= run.begun_at + GANG_TIMEOUT;
             return is_alone.then_some("alone");
@@ -692,13 +697,15 @@
             .get(&run.task)
             .is_some_and(|after| worked >= *after)
         {
-            self.failures.remove(&run.task);
             return Some("failed");
         }
         (!program.is_perpetual && worked >= program.work).then_some("done")
     }
 
     fn finish(&mut self, index: usize, run: &Run, how: &'static str, now: Instant, log: &Record) {
+        if how == "failed" {
+            self.failures.remove(&run.task);
+        }
         let saved = self.new_checkpoint(run, how, now);
         let worker = &mut self.workers[index];
         let is_run = |other: &Run| other.task == run.task && other.attempt == run.attempt;
@@ -730,7 +737,7 @@
 
     /// A stop makes a new checkpoint; other ends keep the last one.
     fn new_checkpoint(&mut self, run: &Run, how: &str, now: Instant) -> String {
-        let program = self.program(&run.task);
+        let program = run.program.clone();
         let is_saved = program.is_some_and(|program| program.has_checkpoints);
         if how == "done" || !is_saved {
             return String::new();
@@ -738,27 +745,15 @@
         if how != "stopped" || run.works_since.is_none() {
             return run.saved.clone();
         }
-        self.make_checkpoint(&run.task, run.worked(now))
-    }
-
-    fn make_checkpoint(&mut self, task: &str, worked: Duration) -> String {
-        self.next_checkpoint += 1;
-        let text = format!(
-            "{:016x}",
-            self.next_checkpoint.wrapping_mul(0x9e37_79b9_7f4a_7c15)
-        );
-        self.checkpoints.insert(text.clone(), worked);
-        self.makers.insert(text.clone(), task.to_owned());
-        text
+        checkpoint_of(&run.task, run.worked(now))
     }
 
     fn record_end(&mut self, run: &Run, worker: &str, now: Instant, how: &'static str) {
-        let mut started = self.started.iter_mut();
-        let is_run = |other: &&mut Started| {
-            let is_same = other.task == run.task && other.attempt == run.attempt;
-            is_same && other.worker == worker && other.ended_at.is_none()
-        };
-        if let Some(started) = started.find(is_run) {
+        let key = (run.task.clone(), run.attempt, worker.to_owned());
+        if let Some(position) = self.positions.get(&key)
+            && let Some(started) = self.started.get_mut(*position)
+            && started.ended_at.is_none()
+        {
             started.ended_at = Some(now);
             started.how = how;
         }
@@ -786,11 +781,11 @@
 
     fn save(&mut self, index: usize, now: Instant) {
         for position in 0..self.workers[index].running.len() {
-            let run = self.workers[index].running[position].clone();
-            let program = self.program(&run.task);
+            let run = &self.workers[index].running[position];
+            let program = run.program.as_ref();
             let is_saved = program.is_some_and(|program| program.has_checkpoints);
             if is_saved && run.works_since.is_some() && now >= run.next_checkpoint_at {
-                let saved = self.make_checkpoint(&run.task, run.worked(now));
+                let saved = checkpoint_of(&run.task, run.worked(now));
                 let run = &mut self.workers[index].running[position];
                 run.saved = saved;
                 run.next_checkpoint_at = now + CHECKPOINT;
@@ -803,8 +798,10 @@
     fn let_work(&mut self, now: Instant) {
         let mut present: BTreeMap<(String, u64, String), u64> = BTreeMap::new();
         for run in self.workers.iter().flat_map(|worker| &worker.running) {
-            let key = (stage_of(&run.task), run.attempt, run.carried.clone());
-            *present.entry(key).or_default() += 1;
+            if run.works_since.is_none() {
+                let key = (stage_of(&run.task), run.attempt, run.carried.clone());
+                *present.entry(key).or_default() += 1;
+            }
         }
         for index in 0..self.workers.len() {
             for position in 0..self.workers[index].running.len() {
@@ -812,7 +809,7 @@
                 if run.works_since.is_some() {
                     continue;
                 }
-                let Some(program) = self.program(&run.task) else {
+                let Some(program) = run.program.clone() else {
                     continue;
                 };
                 let key = (stage_of(&run.task), run.attempt, run.carried.clone());
@@ -826,6 +823,31 @@
     }
 }
 
+/// Returns a checkpoint of a task, which says how much work it stands for and who made it.
+fn checkpoint_of(task: &str, worked: Duration) -> String {
+    format!(
+        "{:04x}{:012x}",
+        worked.as_millis() / 10 % 0x1_0000,
+        hash(task)
+    )
+}
+
+/// Returns the work that a checkpoint stands for.
+fn work_of(checkpoint: &str) -> Duration {
+    let digits = checkpoint.get(..4).unwrap_or_default();
+    Duration::from_millis(u64::from_str_radix(digits, 16).unwrap_or(0) * 10)
+}
+
+/// Returns whether a task has made a checkpoint.
+pub fn has_made(task: &str, checkpoint: &str) -> bool {
+    checkpoint.get(4..) == Some(format!("{:012x}", hash(task)).as_str())
+}
+
+fn hash(task: &str) -> u64 {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    task.bytes().fold(0xcbf2_9ce4_8422_2325, mix) >> 16
+}
+
 /// Returns the labels of a worker: its kind and its rack.
 pub fn labels(index: usize) -> [String; 2] {
     let kind = if index.is_multiple_of(2) { "a" } else { "b" };
