review: case 14 counts its calm from the failure itself

The check took 2.2 s after the first start for the time of the failure; the rule's calm begins at the failure.

Added: the check takes the end that the worker lists as failed.

--- a/review/standin-3/src/scenarios/gang.rs
+++ b/review/standin-3/src/scenarios/gang.rs
@@ -71,6 +71,8 @@
         let run = (stage_of(&start.task), start.attempt);
         runs.entry(run).or_default().push(start);
     }
+    let mut failures = started.iter().filter(|start| start.how == "failed");
+    let failed_at = failures.next().and_then(|start| start.ended_at);
     let mut is_kept = true;
     for ((stage, attempt), members) in runs {
         let mut values: Vec<&str> = members
@@ -84,11 +86,11 @@
             members.len(),
             members.iter().map(|start| start.how).collect::<Vec<_>>(),
         ));
-        // The first run has the failed task. A later one counts if it began in calm.
-        let first_at = started[0].at;
-        let is_calm = members
-            .iter()
-            .all(|start| start.at > first_at + FAILURE + CONTACT);
+        // A run counts if it began in calm, `contactMs` after the failure.
+        let is_calm = failed_at.is_none_or(|at| {
+            let calm_from = at + CONTACT;
+            members.iter().all(|start| start.at > calm_from)
+        });
         is_kept &= !(is_calm && members.iter().any(|start| start.how == "alone"));
     }
     is_kept
